--- /dev/null
+++ b/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/model/src/lib.rs
@@ -0,0 +1,62 @@
+//! Keys, settings, configuration and messages that the other packages share.
+//!
+//! ```
+//! use laburnumdeal_model::{Change, Configuration, Topology, embedded_topology};
+//!
+//! let topology = Topology::build(&embedded_topology())?;
+//! let change = Change::CapShift { service: "catalog".into(), requests_per_s: 50 };
+//! let configuration = Configuration::default().apply(&change, &topology, 0, false).unwrap();
+//! assert_eq!(configuration.shift_caps["catalog"], 50);
+//! # Ok::<(), laburnumdeal_model::TopologyError>(())
+//! ```
+
+mod applied;
+mod boot_id;
+mod change;
+mod command_id;
+mod configuration;
+mod digest;
+mod embedded;
+mod group_id;
+mod instance_id;
+mod refusal;
+mod region_id;
+mod service_id;
+mod settings;
+mod steering;
+mod submission;
+mod target;
+mod term;
+mod topology;
+mod topology_settings;
+mod upstream_id;
+mod verdict;
+mod version;
+mod zone_id;
+
+pub use applied::Applied;
+pub use boot_id::BootId;
+pub use change::Change;
+pub use command_id::{CommandId, CommandIdError, MAX_COMMAND_ID_BYTES};
+pub use configuration::{Configuration, Drain, WHOLE_PERMILLE};
+pub use digest::Digest;
+pub use embedded::{EMBEDDED_TOPOLOGY, embedded_topology};
+pub use group_id::GroupId;
+pub use instance_id::InstanceId;
+pub use refusal::{NameKind, Refusal};
+pub use region_id::RegionId;
+pub use service_id::ServiceId;
+pub use settings::{MIN_SECRET_BYTES, OperatorSettings, Settings, SettingsError};
+pub use steering::Steering;
+pub use submission::Submission;
+pub use target::Target;
+pub use term::Term;
+pub use topology::{Instance, Link, Region, Service, Topology, TopologyError, Upstream, Zone};
+pub use topology_settings::{
+    InstanceSettings, LinkSettings, RegionSettings, ServiceSettings, TopologySettings,
+    UpstreamSettings, ZoneSettings,
+};
+pub use upstream_id::UpstreamId;
+pub use verdict::Verdict;
+pub use version::Version;
+pub use zone_id::ZoneId;
