Add the operators' language: grammar, Command, request and reply

Client and instances need one grammar and one Command type. The grammar is a pest file; values (times, durations, rates, blocks) are checked after it, so that an error names the value and points at its word.

Options after a change (force, dry-run, based on N) are no part of Command. parse() refuses them instead of dropping them, since a dropped dry-run would make the change; parse_line() and OperatorRequest::line() return them. Ruled out: model's Display of a change as the canonical text, because its times are bare milliseconds; it still parses.

--- /dev/null
+++ b/language/src/byte_rate.rs
@@ -0,0 +1,42 @@
+use std::fmt;
+
+/// Units of a rate and their bytes per second; the first that divides a rate is printed.
+const UNITS: [(&str, u64); 7] = [
+    ("Gbit", 125_000_000),
+    ("Mbit", 125_000),
+    ("GB", 1_000_000_000),
+    ("MB", 1_000_000),
+    ("KB", 1_000),
+    ("Kbit", 125),
+    ("B", 1),
+];
+
+/// Bytes per second, written in the largest unit that divides them.
+///
+/// # Examples
+///
+/// ```
+/// use laburnumdeal_language::ByteRate;
+///
+/// assert_eq!(ByteRate(35_000_000).to_string(), "280 Mbit per s");
+/// assert_eq!(ByteRate::of(4, "Gbit"), Some(ByteRate(500_000_000)));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ByteRate(pub u64);
+
+impl ByteRate {
+    /// Returns a count of units per second, or `None` for an unknown unit or too large a count.
+    pub fn of(count: u64, unit: &str) -> Option<Self> {
+        let (_, bytes) = UNITS.iter().find(|(name, _)| *name == unit)?;
+        count.checked_mul(*bytes).map(Self)
+    }
+}
+
+impl fmt::Display for ByteRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let divides = |bytes: u64| self.0 > 0 && self.0.is_multiple_of(bytes);
+        let unit = UNITS.iter().find(|(_, bytes)| divides(*bytes));
+        let (name, bytes) = unit.unwrap_or(&("B", 1));
+        write!(f, "{} {name} per s", self.0 / bytes)
+    }
+}
--- /dev/null
+++ b/language/src/filter.rs
@@ -0,0 +1,42 @@
+use std::fmt;
+
+use crate::quote::Quoted;
+
+/// Condition on one column of a table.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Filter {
+    /// Column that is compared.
+    pub column: String,
+    /// How the cell must relate to the value.
+    pub relation: Relation,
+    /// Value that the cell is compared with.
+    pub value: String,
+}
+
+/// How a cell must relate to a value.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+pub enum Relation {
+    /// The cell is equal to the value.
+    #[display("=")]
+    Equal,
+    /// The cell differs from the value.
+    #[display("!=")]
+    NotEqual,
+}
+
+impl Filter {
+    /// Returns whether a cell passes.
+    pub fn accepts(&self, cell: &str) -> bool {
+        match self.relation {
+            Relation::Equal => cell == self.value,
+            Relation::NotEqual => cell != self.value,
+        }
+    }
+}
+
+impl fmt::Display for Filter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let value = Quoted(&self.value);
+        write!(f, "{} {} {value}", self.column, self.relation)
+    }
+}
--- a/language/src/lib.rs
+++ b/language/src/lib.rs
@@ -1,1 +1,57 @@
-//! Placeholder.
+//! Query and command language for operators: one grammar and one [`Command`] type, shared by the
+//! client and the instances.
+//!
+//! ```
+//! use laburnumdeal_language::parse;
+//!
+//! let command = parse("drain zone nasr at 2026-12-03T22:00Z for 1h by 10% every 30s", 0)?;
+//! assert_eq!(parse(&command.to_string(), 0)?, command);
+//! # Ok::<(), laburnumdeal_language::ParseError>(())
+//! ```
+
+mod byte_rate;
+mod change_reply;
+mod change_text;
+mod command;
+mod command_options;
+mod duration_ms;
+mod error_reply;
+mod explain_subject;
+mod filter;
+mod grammar;
+mod line;
+mod operator_reply;
+mod operator_request;
+mod parse;
+mod parse_change;
+mod parse_error;
+mod parse_query;
+mod quote;
+mod share;
+mod show;
+mod show_subject;
+mod table;
+mod tokens;
+mod utc_time;
+mod verb;
+
+pub use byte_rate::ByteRate;
+pub use change_reply::ChangeReply;
+pub use change_text::ChangeText;
+pub use command::Command;
+pub use command_options::CommandOptions;
+pub use duration_ms::{DurationError, DurationMs};
+pub use error_reply::ErrorReply;
+pub use explain_subject::ExplainSubject;
+pub use filter::{Filter, Relation};
+pub use line::Line;
+pub use operator_reply::OperatorReply;
+pub use operator_request::{COMMAND_PATH, OperatorRequest};
+pub use parse::{MAX_COMMAND_BYTES, parse, parse_line};
+pub use parse_error::ParseError;
+pub use share::{Share, ShareError};
+pub use show::Show;
+pub use show_subject::{ShowSubject, ShowSubjectError};
+pub use table::Table;
+pub use utc_time::{UtcTime, UtcTimeError};
+pub use verb::{VERBS, Verb};
--- /dev/null
+++ b/language/src/table.rs
@@ -0,0 +1,72 @@
+use laburnumdeal_model::Version;
+use serde::{Deserialize, Serialize};
+
+use crate::{ErrorReply, Filter};
+
+/// Answer to a query: rows of cells, and the version that they are true of.
+///
+/// # Examples
+///
+/// ```
+/// use laburnumdeal_language::Table;
+///
+/// let table = Table::new("zones", &["zone", "region"], vec![vec!["nasr".into(), "cairo".into()]]);
+/// assert_eq!(table.columns.len(), 2);
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Table {
+    /// Name of the table.
+    pub title: String,
+    /// Names of the columns.
+    pub columns: Vec<String>,
+    /// Rows with one cell for each column.
+    pub rows: Vec<Vec<String>>,
+    /// Version of the configuration that the table shows.
+    pub version: Version,
+    /// Whether a majority confirmed that the version is the latest.
+    pub confirmed: bool,
+    /// Remark for the operator.
+    #[serde(default)]
+    pub note: Option<String>,
+}
+
+impl Table {
+    /// Returns an unconfirmed table at version 0.
+    pub fn new(title: &str, columns: &[&str], rows: Vec<Vec<String>>) -> Self {
+        Self {
+            title: title.to_owned(),
+            columns: columns.iter().map(|&column| column.to_owned()).collect(),
+            rows,
+            ..Self::default()
+        }
+    }
+
+    /// Keeps the rows that pass every filter of `command`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that points at the column that the table does not have.
+    pub fn filtered(mut self, filters: &[Filter], command: &str) -> Result<Self, ErrorReply> {
+        for filter in filters {
+            let found = self.columns.iter().position(|c| *c == filter.column);
+            let Some(position) = found else {
+                return Err(self.missing_column(&filter.column, command));
+            };
+            self.rows
+                .retain(|row| row.get(position).is_some_and(|cell| filter.accepts(cell)));
+        }
+        Ok(self)
+    }
+
+    fn missing_column(&self, column: &str, command: &str) -> ErrorReply {
+        let message = format!(
+            "column {column:?} does not exist in table {:?}; its columns are {}",
+            self.title,
+            self.columns.join(", ")
+        );
+        ErrorReply {
+            expected: self.columns.clone(),
+            ..ErrorReply::about(message, command, column)
+        }
+    }
+}
