Add the choice of upstream: exact counts, two choices, bounded queue

The daemon needs an API to forward against. Weighed: the queue as a semaphore per service. Ruled out, because a semaphore can neither skip a waiter that excludes the free upstream nor refuse by expected wait. Grants travel by a oneshot channel as plain values; the waiting side takes itself off under the same lock, so a dropped future gives back its place or its slot.

--- /dev/null
+++ b/policy/src/grant.rs
@@ -0,0 +1,14 @@
+use laburnumdeal_model::UpstreamId;
+use tokio::time::Instant;
+
+use crate::standing::SlotUse;
+
+/// A slot that was given out and must be given back by [`PoolCore::release`](crate::PoolCore).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Upstream whose slot it is.
+    pub upstream: UpstreamId,
+    /// When it was given out.
+    pub at: Instant,
+    pub(crate) use_of: SlotUse,
+}
--- /dev/null
+++ b/policy/src/latency.rs
@@ -0,0 +1,35 @@
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Weight of one sample in the moving average.
+const SAMPLE_WEIGHT: f64 = 0.1;
+
+/// Moving average of one upstream's latency, which fades towards a reference without new samples.
+#[derive(Clone, Copy, Default, Debug)]
+pub(crate) struct Latency {
+    average_s: f64,
+    sampled_at: Option<Instant>,
+}
+
+impl Latency {
+    /// Takes in one latency.
+    pub fn record(&mut self, latency: Duration, now: Instant) {
+        let sample_s = latency.as_secs_f64();
+        self.average_s = match self.sampled_at {
+            Some(_) => self.average_s + SAMPLE_WEIGHT * (sample_s - self.average_s),
+            None => sample_s,
+        };
+        self.sampled_at = Some(now);
+    }
+
+    /// Returns the expected latency in seconds.
+    pub fn expected_s(&self, reference_s: f64, decay: Duration, now: Instant) -> f64 {
+        let Some(sampled_at) = self.sampled_at else {
+            return reference_s;
+        };
+        let age_s = now.saturating_duration_since(sampled_at).as_secs_f64();
+        let kept = (-age_s / decay.as_secs_f64()).exp();
+        reference_s + (self.average_s - reference_s) * kept
+    }
+}
--- /dev/null
+++ b/policy/src/pool.rs
@@ -0,0 +1,199 @@
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use laburnumdeal_model::{ServiceId, UpstreamId};
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::waiting::Waiting;
+use crate::{Admission, Candidate, Ending, Grant, LoadReport, NoSlot, OwnedUpstream};
+use crate::{PoolCore, PoolSettings, Room, Slot, Ticket};
+
+/// Handle to the upstreams that this instance owns, with exact counts of its requests.
+///
+/// # Examples
+///
+/// ```
+/// use laburnumdeal_model::{ServiceId, UpstreamId};
+/// use laburnumdeal_policy::{Ending, OwnedUpstream, Pool, PoolSettings};
+/// use tokio::time::{Duration, Instant};
+///
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() {
+/// let pool = Pool::new(PoolSettings::default());
+/// let service = ServiceId(0);
+/// pool.configure(Instant::now(), &[OwnedUpstream {
+///     id: UpstreamId(3), service, slots: 2, connections: 10, moved_permille: 0, leaving: false,
+/// }]);
+/// let deadline = Instant::now() + Duration::from_secs(1);
+/// let slot = pool.acquire(service, deadline, &[]).await.unwrap();
+/// assert_eq!(slot.upstream(), UpstreamId(3));
+/// slot.finish(Ending::Answered { latency: Duration::from_millis(8) });
+/// assert_eq!(pool.in_flight(UpstreamId(3)), 0);
+/// # }
+/// ```
+#[derive(Clone, Debug)]
+pub struct Pool {
+    inner: Arc<Mutex<Inner>>,
+}
+
+/// State behind the handle.
+#[derive(Debug)]
+pub(crate) struct Inner {
+    pub core: PoolCore,
+    senders: Vec<Option<oneshot::Sender<Grant>>>,
+}
+
+impl Pool {
+    /// Returns a pool that owns no upstreams.
+    pub fn new(settings: PoolSettings) -> Self {
+        let inner = Inner {
+            core: PoolCore::new(settings),
+            senders: Vec::new(),
+        };
+        Self {
+            inner: Arc::new(Mutex::new(inner)),
+        }
+    }
+
+    /// Replaces the set of upstreams. New ones start cold; removed ones get no new work, and
+    /// their counts live on until their requests end.
+    pub fn configure(&self, now: Instant, upstreams: &[OwnedUpstream]) {
+        self.with(|inner| inner.core.configure(now, upstreams));
+    }
+
+    /// Returns a slot, at once or after a wait that leaves time for an answer by `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// Refuses at once when the request could not finish in time or too many wait already.
+    pub async fn acquire(
+        &self,
+        service: ServiceId,
+        deadline: Instant,
+        exclude: &[UpstreamId],
+    ) -> Result<Slot, NoSlot> {
+        let now = Instant::now();
+        let begun = self.with(|inner| inner.admit(service, deadline, exclude, now));
+        match begun {
+            Begun::Granted(grant) => Ok(Slot::new(self.clone(), grant)),
+            Begun::Refused(refusal) => Err(refusal),
+            Begun::Queued(ticket, give_up_at, receiver) => {
+                Waiting::new(self.clone(), service, ticket, give_up_at, receiver)
+                    .slot()
+                    .await
+            }
+        }
+    }
+
+    /// Returns a slot if one is free now.
+    pub fn try_acquire(&self, service: ServiceId, exclude: &[UpstreamId]) -> Option<Slot> {
+        let now = Instant::now();
+        let grant = self.with(|inner| inner.core.try_admit(service, exclude, now))?;
+        Some(Slot::new(self.clone(), grant))
+    }
+
+    /// Takes in a load report that was made at `at`.
+    pub fn report(&self, upstream: UpstreamId, report: LoadReport, at: Instant) {
+        let now = Instant::now();
+        self.with(|inner| inner.core.report(upstream, report, at, now));
+    }
+
+    /// Notes that a report was due at `at` and did not come.
+    pub fn report_missing(&self, upstream: UpstreamId, at: Instant) {
+        let now = Instant::now();
+        self.with(|inner| inner.core.report_missing(upstream, at, now));
+    }
+
+    /// Counts slots as taken by requests of a dead owner until `until` or until reports say less.
+    pub fn assume_taken(&self, upstream: UpstreamId, count: u16, until: Instant) {
+        let now = Instant::now();
+        self.with(|inner| inner.core.assume_taken(upstream, count, until, now));
+    }
+
+    /// Returns the room of a service, as peers are told.
+    pub fn room(&self, service: ServiceId) -> Room {
+        self.with(|inner| inner.core.room(service, Instant::now()))
+    }
+
+    /// Returns the requests of this instance that run on an upstream.
+    pub fn in_flight(&self, upstream: UpstreamId) -> u32 {
+        self.with(|inner| inner.core.in_flight(upstream))
+    }
+
+    /// Returns whether an upstream takes no new work and all that it had has ended.
+    pub fn drained(&self, upstream: UpstreamId) -> bool {
+        self.with(|inner| inner.core.drained(upstream, Instant::now()))
+    }
+
+    /// Returns how long to wait for an answer before sending a hedge.
+    pub fn hedge_after(&self, service: ServiceId) -> Duration {
+        self.with(|inner| inner.core.hedge_after(service))
+    }
+
+    /// Returns every upstream of a service with the reason why it would or would not be chosen.
+    pub fn explain(&self, service: ServiceId) -> Vec<Candidate> {
+        self.with(|inner| inner.core.explain(service, Instant::now()))
+    }
+
+    /// Gives a slot back.
+    pub(crate) fn release(&self, grant: Grant, ending: Ending) {
+        let now = Instant::now();
+        self.with(|inner| inner.core.release(grant, ending, now));
+    }
+
+    /// Runs a step on the state, then wakes the waiting requests that were given a slot.
+    pub(crate) fn with<T>(&self, step: impl FnOnce(&mut Inner) -> T) -> T {
+        let mut inner = self.lock();
+        let result = step(&mut inner);
+        inner.deliver();
+        result
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
+
+/// Start of a request for a slot.
+enum Begun {
+    Granted(Grant),
+    Queued(Ticket, Instant, oneshot::Receiver<Grant>),
+    Refused(NoSlot),
+}
+
+impl Inner {
+    fn admit(
+        &mut self,
+        service: ServiceId,
+        deadline: Instant,
+        exclude: &[UpstreamId],
+        now: Instant,
+    ) -> Begun {
+        match self.core.admit(service, deadline, exclude, now) {
+            Admission::Granted(grant) => Begun::Granted(grant),
+            Admission::Refused(refusal) => Begun::Refused(refusal),
+            Admission::Queued { ticket, give_up_at } => {
+                let (sender, receiver) = oneshot::channel();
+                if ticket.index() >= self.senders.len() {
+                    self.senders.resize_with(ticket.index() + 1, || None);
+                }
+                self.senders[ticket.index()] = Some(sender);
+                Begun::Queued(ticket, give_up_at, receiver)
+            }
+        }
+    }
+
+    /// Sends every new grant to its waiting request, which takes itself off the queue under the
+    /// same lock before it goes away.
+    fn deliver(&mut self) {
+        for (ticket, grant) in self.core.granted() {
+            if let Some(sender) = self.senders[ticket.index()].take() {
+                let sent = sender.send(grant);
+                debug_assert!(sent.is_ok(), "a waiting request left without a word");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/slot.rs
@@ -0,0 +1,43 @@
+use laburnumdeal_model::UpstreamId;
+
+use crate::{Ending, Grant, Pool};
+
+/// One slot of an upstream. Dropping it frees the slot for the next request in the queue.
+#[derive(Debug)]
+pub struct Slot {
+    pool: Pool,
+    grant: Option<Grant>,
+    upstream: UpstreamId,
+}
+
+impl Slot {
+    pub(crate) fn new(pool: Pool, grant: Grant) -> Self {
+        Self {
+            pool,
+            grant: Some(grant),
+            upstream: grant.upstream,
+        }
+    }
+
+    /// Returns the upstream whose slot it is.
+    pub fn upstream(&self) -> UpstreamId {
+        self.upstream
+    }
+
+    /// Frees the slot and tells how the request ended.
+    pub fn finish(mut self, ending: Ending) {
+        self.free(ending);
+    }
+
+    fn free(&mut self, ending: Ending) {
+        if let Some(grant) = self.grant.take() {
+            self.pool.release(grant, ending);
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.free(Ending::Cancelled);
+    }
+}
--- /dev/null
+++ b/policy/src/upstream_entry.rs
@@ -0,0 +1,330 @@
+use std::time::Duration;
+
+use laburnumdeal_model::WHOLE_PERMILLE;
+use tokio::time::Instant;
+
+use crate::UpstreamState;
+use crate::assumed_slots::AssumedSlots;
+use crate::ejection::Ejection;
+use crate::latency::Latency;
+use crate::reported_load::ReportedLoad;
+use crate::shed_limit::ShedLimit;
+use crate::slow_start::SlowStart;
+use crate::standing::{SlotUse, Standing};
+use crate::{CandidateReason, Ending, Grant, LoadReport, OwnedUpstream, PoolSettings};
+
+/// Divisor of the slots that stay open when every upstream of a service is suspect.
+const LAST_RESORT_DIVISOR: u16 = 4;
+
+/// Everything that is known about one upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct UpstreamEntry {
+    pub owned: Option<OwnedUpstream>,
+    pub in_flight: u32,
+    pub latency: Latency,
+    pub slow_start: SlowStart,
+    pub shed: ShedLimit,
+    pub ejection: Ejection,
+    pub reports: ReportedLoad,
+    pub assumed: AssumedSlots,
+}
+
+impl UpstreamEntry {
+    /// Returns an entry that nothing is known about.
+    pub fn unknown(now: Instant) -> Self {
+        Self {
+            owned: None,
+            in_flight: 0,
+            latency: Latency::default(),
+            slow_start: SlowStart::cold(now),
+            shed: ShedLimit::default(),
+            ejection: Ejection::default(),
+            reports: ReportedLoad::default(),
+            assumed: AssumedSlots::default(),
+        }
+    }
+
+    /// Replaces the settings of the upstream; one that is new starts cold.
+    pub fn configure(&mut self, owned: Option<OwnedUpstream>, now: Instant) {
+        if self.owned.is_none() && owned.is_some() {
+            self.slow_start = SlowStart::cold(now);
+        }
+        self.owned = owned;
+    }
+
+    /// Returns the room that the upstream has now.
+    pub fn standing(&self, settings: &PoolSettings, now: Instant) -> Standing {
+        let Some(owned) = &self.owned else {
+            return Standing::closed(CandidateReason::NotAllowed);
+        };
+        if let Some(reason) = self.closed(owned, settings, now) {
+            return Standing::closed(reason);
+        }
+        if self.ejection.is_suspect() {
+            return self.probing(now);
+        }
+        let (open, reason) = self.open_slots(owned, settings, now);
+        let assumed = self.assumed.taken(now);
+        let in_flight = self.own();
+        let free = open
+            .saturating_sub(in_flight)
+            .min(capacity(owned).saturating_sub(in_flight + assumed));
+        if free == 0 {
+            let reason = match (in_flight < open, reason) {
+                (true, _) => CandidateReason::Assumed,
+                (false, CandidateReason::HasRoom) => CandidateReason::Full,
+                (false, reason) => reason,
+            };
+            return Standing {
+                free,
+                open,
+                use_of: SlotUse::Work,
+                reason,
+            };
+        }
+        self.within_reports(
+            owned,
+            Standing {
+                free,
+                open,
+                use_of: SlotUse::Work,
+                reason,
+            },
+            settings,
+            now,
+        )
+    }
+
+    /// Returns whether the upstream may serve as the last resort of a service that has no other.
+    pub fn is_last_resort(&self, settings: &PoolSettings, now: Instant) -> bool {
+        let Some(owned) = &self.owned else {
+            return false;
+        };
+        let bound = (capacity(owned) / LAST_RESORT_DIVISOR).max(1);
+        let taken = self.own() + self.assumed.taken(now);
+        self.ejection.is_suspect() && !self.takes_nothing(owned, settings, now) && taken < bound
+    }
+
+    /// Returns whether the upstream takes no new work until an operator or itself says otherwise.
+    pub fn is_closed(&self, settings: &PoolSettings, now: Instant) -> bool {
+        match &self.owned {
+            Some(owned) => self.takes_nothing(owned, settings, now),
+            None => true,
+        }
+    }
+
+    /// Returns whether the upstream takes no new work and all that it had has ended.
+    pub fn is_drained(&self, settings: &PoolSettings, now: Instant) -> bool {
+        self.in_flight == 0 && self.assumed.taken(now) == 0 && self.is_closed(settings, now)
+    }
+
+    /// Takes a slot.
+    pub fn take(&mut self, use_of: SlotUse, settings: &PoolSettings, now: Instant) {
+        self.in_flight += 1;
+        self.reports.own_changed(self.in_flight);
+        match use_of {
+            SlotUse::Work => {}
+            SlotUse::ReturnProbe => self.ejection.set_probe(true),
+            SlotUse::ReportProbe => self.reports.probe_started(settings, now),
+        }
+    }
+
+    /// Gives a slot back and learns from how its request ended.
+    pub fn release(
+        &mut self,
+        grant: &Grant,
+        ending: Ending,
+        reference_s: f64,
+        settings: &PoolSettings,
+        now: Instant,
+    ) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.reports.own_changed(self.in_flight);
+        self.end_probe(grant, ending, settings, now);
+        match ending {
+            Ending::Answered { latency } => self.answered(latency, reference_s, settings, now),
+            Ending::Shed => self.was_shed(settings, now),
+            Ending::Refused | Ending::Failed | Ending::Silent => {
+                self.ejection.failed(ending, grant.at, settings, now);
+            }
+            Ending::Cancelled => {}
+        }
+    }
+
+    /// Takes in a load report.
+    pub fn report(
+        &mut self,
+        report: LoadReport,
+        at: Instant,
+        settings: &PoolSettings,
+        now: Instant,
+    ) {
+        let before = self.reports.state(settings, now);
+        let Some(others_max) = self.reports.report(report, at, self.in_flight) else {
+            return;
+        };
+        self.assumed.reported(others_max, at);
+        let turned_cold =
+            report.state == UpstreamState::Cold && before != Some(UpstreamState::Cold);
+        if turned_cold {
+            self.slow_start = SlowStart::cold(now);
+        }
+    }
+
+    /// Returns the latency in seconds that a new request is expected to see.
+    pub fn expected_s(&self, reference_s: f64, settings: &PoolSettings, now: Instant) -> f64 {
+        let decay = Duration::from_millis(settings.latency_decay_ms);
+        self.latency.expected_s(reference_s, decay, now)
+    }
+
+    /// Returns the next time at which room may open without any request ending.
+    pub fn next_change(&self, settings: &PoolSettings, now: Instant) -> Option<Instant> {
+        let owned = self.owned.as_ref()?;
+        let ramp = self
+            .slow_start
+            .next_step(owned.slots, cold_period(settings), now);
+        let times = [
+            self.shed.paused_until(),
+            self.ejection.until(),
+            self.assumed.until(),
+            self.reports.probe_at(),
+            ramp,
+        ];
+        times.into_iter().flatten().filter(|at| *at > now).min()
+    }
+
+    fn own(&self) -> u16 {
+        u16::try_from(self.in_flight).unwrap_or(u16::MAX)
+    }
+
+    fn takes_nothing(&self, owned: &OwnedUpstream, settings: &PoolSettings, now: Instant) -> bool {
+        owned.leaving
+            || owned.moved_permille >= WHOLE_PERMILLE
+            || self.reports.state(settings, now) == Some(UpstreamState::Leaving)
+    }
+
+    fn closed(
+        &self,
+        owned: &OwnedUpstream,
+        settings: &PoolSettings,
+        now: Instant,
+    ) -> Option<CandidateReason> {
+        if owned.moved_permille >= WHOLE_PERMILLE {
+            return Some(CandidateReason::Draining);
+        }
+        if self.takes_nothing(owned, settings, now) {
+            return Some(CandidateReason::Leaving);
+        }
+        if self.ejection.is_ejected(now) {
+            return Some(CandidateReason::Failing);
+        }
+        self.shed.is_paused(now).then_some(CandidateReason::Shed)
+    }
+
+    fn probing(&self, now: Instant) -> Standing {
+        let is_free = !self.ejection.has_probe() && self.assumed.taken(now) == 0;
+        Standing {
+            free: u16::from(is_free),
+            open: 1,
+            use_of: SlotUse::ReturnProbe,
+            reason: CandidateReason::Probing,
+        }
+    }
+
+    /// Returns the slots that are open to own requests and what limits them.
+    fn open_slots(
+        &self,
+        owned: &OwnedUpstream,
+        settings: &PoolSettings,
+        now: Instant,
+    ) -> (u16, CandidateReason) {
+        let slots = capacity(owned);
+        let mut open = slots;
+        let mut reason = CandidateReason::HasRoom;
+        if let Some(limit) = self.slow_start.limit(slots, cold_period(settings), now) {
+            open = limit;
+            reason = CandidateReason::Cold { open, slots };
+        }
+        if let Some(limit) = self.shed.limit().filter(|limit| *limit < open) {
+            open = limit;
+            reason = CandidateReason::ShedLately { open, slots };
+        }
+        let kept = u32::from(WHOLE_PERMILLE - owned.moved_permille);
+        let left = (u32::from(slots) * kept).div_ceil(u32::from(WHOLE_PERMILLE)) as u16;
+        if left < open {
+            open = left;
+            reason = CandidateReason::Draining;
+        }
+        (open, reason)
+    }
+
+    /// Narrows a standing to what the reports and own observations leave.
+    fn within_reports(
+        &self,
+        owned: &OwnedUpstream,
+        standing: Standing,
+        settings: &PoolSettings,
+        now: Instant,
+    ) -> Standing {
+        let reported = self.reports.room(capacity(owned), settings, now);
+        let credit = self.reports.credit(settings, now);
+        let room = (reported + credit).saturating_sub(self.own());
+        if room > 0 {
+            return Standing {
+                free: standing.free.min(room),
+                ..standing
+            };
+        }
+        Standing {
+            free: u16::from(self.reports.may_probe(now)),
+            use_of: SlotUse::ReportProbe,
+            reason: CandidateReason::Reported,
+            ..standing
+        }
+    }
+
+    fn end_probe(&mut self, grant: &Grant, ending: Ending, settings: &PoolSettings, now: Instant) {
+        match grant.use_of {
+            SlotUse::Work => {}
+            SlotUse::ReturnProbe => self.ejection.set_probe(false),
+            SlotUse::ReportProbe => {
+                let answered = matches!(ending, Ending::Answered { .. });
+                self.reports.probe_ended(answered, settings, now);
+            }
+        }
+    }
+
+    fn answered(
+        &mut self,
+        latency: Duration,
+        reference_s: f64,
+        settings: &PoolSettings,
+        now: Instant,
+    ) {
+        self.latency.record(latency, now);
+        if self.ejection.answered() {
+            self.slow_start = SlowStart::cold(now);
+        }
+        if let Some(owned) = &self.owned {
+            let slots = capacity(owned);
+            self.shed.answered(slots);
+            self.slow_start.answered(latency.as_secs_f64(), reference_s);
+            self.slow_start.settle(slots, cold_period(settings), now);
+        }
+    }
+
+    fn was_shed(&mut self, settings: &PoolSettings, now: Instant) {
+        let pause = Duration::from_millis(settings.shed_pause_ms);
+        let pause_max = Duration::from_millis(settings.shed_pause_max_ms);
+        self.shed.shed(self.in_flight, pause, pause_max, now);
+        self.ejection.answered();
+    }
+}
+
+fn capacity(owned: &OwnedUpstream) -> u16 {
+    owned.slots.min(owned.connections)
+}
+
+fn cold_period(settings: &PoolSettings) -> Duration {
+    Duration::from_millis(settings.cold_start_ms)
+}
--- /dev/null
+++ b/policy/src/waiting.rs
@@ -0,0 +1,106 @@
+use std::time::Duration;
+
+use laburnumdeal_model::ServiceId;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout_at};
+
+use crate::{Ending, Grant, NoSlot, NoSlotReason, Pool, Slot, Ticket};
+
+/// A request's place in the queue. Dropping it gives the place, or the slot, back.
+pub(crate) struct Waiting {
+    pool: Pool,
+    service: ServiceId,
+    ticket: Option<Ticket>,
+    give_up_at: Instant,
+    receiver: oneshot::Receiver<Grant>,
+}
+
+impl Waiting {
+    /// Returns the place that `ticket` stands for.
+    pub fn new(
+        pool: Pool,
+        service: ServiceId,
+        ticket: Ticket,
+        give_up_at: Instant,
+        receiver: oneshot::Receiver<Grant>,
+    ) -> Self {
+        Self {
+            pool,
+            service,
+            ticket: Some(ticket),
+            give_up_at,
+            receiver,
+        }
+    }
+
+    /// Returns the slot once the request has one.
+    ///
+    /// # Errors
+    ///
+    /// Refuses when the request could no longer finish before its deadline.
+    pub async fn slot(mut self) -> Result<Slot, NoSlot> {
+        loop {
+            let wake_at = self.wake_at();
+            match timeout_at(wake_at, &mut self.receiver).await {
+                Ok(Ok(grant)) => {
+                    self.ticket = None;
+                    return Ok(Slot::new(self.pool.clone(), grant));
+                }
+                Ok(Err(_)) => return Err(self.refusal()),
+                Err(_) if self.give_up() => return Err(self.refusal()),
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn wake_at(&self) -> Instant {
+        let now = Instant::now();
+        let change = self
+            .pool
+            .with(|inner| inner.core.next_change(self.service, now));
+        change.map_or(self.give_up_at, |at| at.min(self.give_up_at))
+    }
+
+    /// Uses what has changed with time; returns whether the request has left the queue for good.
+    fn give_up(&mut self) -> bool {
+        let now = Instant::now();
+        let Some(ticket) = self.ticket else {
+            return false;
+        };
+        let is_late = now >= self.give_up_at;
+        let has_left = self.pool.with(|inner| {
+            inner.core.dispatch(self.service, now);
+            is_late && inner.core.cancel(self.service, ticket)
+        });
+        if has_left {
+            self.ticket = None;
+        }
+        has_left
+    }
+
+    fn refusal(&self) -> NoSlot {
+        let now = Instant::now();
+        let retry_after: Duration = self
+            .pool
+            .with(|inner| inner.core.retry_after(self.service, now));
+        NoSlot {
+            reason: NoSlotReason::Deadline,
+            retry_after,
+        }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let Some(ticket) = self.ticket else { return };
+        let now = Instant::now();
+        let receiver = &mut self.receiver;
+        let service = self.service;
+        self.pool.with(|inner| match receiver.try_recv() {
+            Ok(grant) => inner.core.release(grant, Ending::Cancelled, now),
+            Err(_) => {
+                inner.core.cancel(service, ticket);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/policy/tests/choice_queue.rs
@@ -0,0 +1,137 @@
+//! Tests of the queue for slots.
+
+mod choice_setup;
+
+use std::time::Duration;
+
+use choice_setup::*;
+use laburnumdeal_model::UpstreamId;
+use laburnumdeal_policy::{Ending, NoSlotReason, Pool, PoolSettings};
+use tokio::task::yield_now;
+use tokio::time::timeout;
+
+#[tokio::test(start_paused = true)]
+async fn acquire_waits_in_order_of_arrival() {
+    let pool = warm(&[owned(0, 1)]).await;
+    let first = take(&pool);
+    let mut waiting = Vec::new();
+    let (sender, mut order) = tokio::sync::mpsc::unbounded_channel();
+    for number in 0..2 {
+        let (pool, sender) = (pool.clone(), sender.clone());
+        waiting.push(tokio::spawn(async move {
+            let slot = pool.acquire(SERVICE, in_ms(1_000), &[]).await.unwrap();
+            sender.send(number).unwrap();
+            slot.finish(answered(10));
+        }));
+        yield_now().await;
+    }
+    first.finish(answered(10));
+    for handle in waiting {
+        handle.await.unwrap();
+    }
+    assert_eq!((order.recv().await, order.recv().await), (Some(0), Some(1)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn acquire_that_cannot_finish_is_refused_at_once() {
+    let pool = warm(&[owned(0, 1)]).await;
+    let _slot = take(&pool);
+    let before = in_ms(0);
+    let refused = pool.acquire(SERVICE, in_ms(60), &[]).await.unwrap_err();
+    assert_eq!(refused.reason, NoSlotReason::Deadline);
+    assert!(refused.retry_after > Duration::ZERO);
+    assert_eq!(in_ms(0), before);
+}
+
+#[tokio::test(start_paused = true)]
+async fn acquire_gives_up_while_an_answer_is_still_due() {
+    let pool = warm(&[owned(0, 1)]).await;
+    let _slot = take(&pool);
+    let before = in_ms(0);
+    assert_eq!(
+        refusal(&pool, in_ms(400), &[]).await,
+        NoSlotReason::Deadline
+    );
+    assert_eq!(in_ms(0) - before, Duration::from_millis(350));
+    assert_eq!(pool.room(SERVICE).queued, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn acquire_with_full_queue_is_refused_at_once() {
+    let pool = warm(&[owned(0, 1)]).await;
+    let _slot = take(&pool);
+    for _ in 0..PoolSettings::default().queue_per_slot {
+        let pool = pool.clone();
+        tokio::spawn(async move { pool.acquire(SERVICE, in_ms(60_000), &[]).await });
+        yield_now().await;
+    }
+    assert_eq!(
+        refusal(&pool, in_ms(60_000), &[]).await,
+        NoSlotReason::QueueFull
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn acquire_without_upstream_is_refused_at_once() {
+    let pool = Pool::new(PoolSettings::default());
+    assert_eq!(
+        refusal(&pool, in_ms(900), &[]).await,
+        NoSlotReason::NoUpstream
+    );
+    let pool = warm(&[owned(0, 1)]).await;
+    let excluded = [UpstreamId(0)];
+    assert_eq!(
+        refusal(&pool, in_ms(900), &excluded).await,
+        NoSlotReason::NoUpstream
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn acquire_dropped_while_waiting_leaves_queue() {
+    let pool = warm(&[owned(0, 1)]).await;
+    let slot = take(&pool);
+    let waiting = pool.acquire(SERVICE, in_ms(900), &[]);
+    assert!(timeout(Duration::from_millis(5), waiting).await.is_err());
+    assert_eq!(pool.room(SERVICE).queued, 0);
+    slot.finish(answered(10));
+    assert_eq!(pool.room(SERVICE).free, 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn acquire_dropped_with_slot_on_its_way_frees_it() {
+    let pool = warm(&[owned(0, 1)]).await;
+    let slot = take(&pool);
+    let other = pool.clone();
+    let waiting = tokio::spawn(async move { other.acquire(SERVICE, in_ms(900), &[]).await });
+    yield_now().await;
+    slot.finish(answered(10));
+    assert_eq!(pool.in_flight(UpstreamId(0)), 1);
+    waiting.abort();
+    assert!(waiting.await.unwrap_err().is_cancelled());
+    assert_eq!(pool.in_flight(UpstreamId(0)), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn acquire_excluding_does_not_block_those_behind() {
+    let pool = warm(&several(2, 1)).await;
+    let slots = take_all(&pool);
+    let other = pool.clone();
+    let head = tokio::spawn(async move {
+        let exclude = [UpstreamId(0)];
+        other
+            .acquire(SERVICE, in_ms(900), &exclude)
+            .await
+            .unwrap()
+            .upstream()
+    });
+    yield_now().await;
+    let other = pool.clone();
+    let next = tokio::spawn(async move { other.acquire(SERVICE, in_ms(900), &[]).await });
+    yield_now().await;
+    let (zero, one): (Vec<_>, Vec<_>) = slots.into_iter().partition(|s| s.upstream().0 == 0);
+    drop(zero);
+    assert_eq!(next.await.unwrap().unwrap().upstream(), UpstreamId(0));
+    one.into_iter()
+        .for_each(|slot| slot.finish(Ending::Cancelled));
+    assert_eq!(head.await.unwrap(), UpstreamId(1));
+}
