Add fakes at the interfaces and the daemon's exchange layer

Ruled out: hyper-util's pooled client, which hands a connection to the next request without saying when it last proved itself live.

--- /dev/null
+++ b/daemon/src/attempt.rs
@@ -0,0 +1,186 @@
+//! One attempt to have a request answered, by an upstream or through another instance.
+
+use std::time::Duration;
+
+use http::{HeaderValue, Request, Response, StatusCode};
+use laburnumdeal_model::{InstanceId, UpstreamId};
+use laburnumdeal_policy::Slot;
+
+use crate::answer_body::AnswerBody;
+use crate::connection_pool::Freshness;
+use crate::exchange;
+use crate::exchange_error::ExchangeError;
+use crate::header;
+use crate::prepared::Prepared;
+use crate::request_body::RequestBody;
+use crate::role::Role;
+use crate::state::State;
+
+/// Time to come back that goes with a proof of not having run but without a time of its own.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// How one attempt ended.
+#[derive(Debug)]
+pub enum Attempt {
+    /// The answer, whole or still arriving.
+    Answered(Response<AnswerBody>),
+    /// The attempt proved that the request did not run.
+    NotRun {
+        /// Why it did not run.
+        reason: String,
+        /// Time after which asking again makes sense.
+        retry_after: Duration,
+    },
+    /// The request may have run.
+    Unknown {
+        /// Why it is not known.
+        reason: String,
+        /// Whether the other side broke off, as it does when it crashes.
+        crashed: bool,
+    },
+}
+
+/// Sends a request to an upstream on a slot that was taken for it.
+pub async fn at_upstream(state: &State, prepared: &Prepared, slot: Slot) -> Attempt {
+    let upstream = slot.upstream();
+    let Some(body) = prepared.take_body() else {
+        return already_sent();
+    };
+    let request = upstream_request(state, prepared, upstream, body);
+    let pool = state.upstream_connections(upstream);
+    let sent = exchange::send(pool, freshness(prepared), request, prepared.deadline, Some(slot));
+    let (response, guard) = match sent.await {
+        Ok(answered) => answered,
+        Err(error) => return failed(state, &state.topology.upstream(upstream).name, error),
+    };
+    if is_shed(&response) {
+        guard.shed();
+        return not_run("upstream shed the request", retry_after(&response));
+    }
+    let received =
+        exchange::receive(response, guard, prepared.max_answer_bytes, prepared.deadline).await;
+    match received {
+        Ok(mut response) => {
+            header::strip_own(response.headers_mut());
+            let name = header::value(&state.topology.upstream(upstream).name);
+            response.headers_mut().insert(header::UPSTREAM, name);
+            Attempt::Answered(response)
+        }
+        Err(error) => failed(state, &state.topology.upstream(upstream).name, error),
+    }
+}
+
+/// Forwards a request to another instance, which does with it what `role` allows.
+pub async fn at_peer(state: &State, prepared: &Prepared, peer: InstanceId, role: Role) -> Attempt {
+    let Some(body) = prepared.take_body() else {
+        return already_sent();
+    };
+    let request = peer_request(state, prepared, peer, role, body);
+    let pool = state.peer_connections(peer);
+    let sent = exchange::send(pool, freshness(prepared), request, prepared.deadline, None);
+    let name = &state.topology.instance(peer).name;
+    let (response, guard) = match sent.await {
+        Ok(answered) => answered,
+        Err(error) => return failed(state, name, error),
+    };
+    let outcome = header::text(response.headers(), &header::OUTCOME).map(str::to_owned);
+    let reason = header::text(response.headers(), &header::REASON).unwrap_or("").to_owned();
+    let retry_after = retry_after(&response);
+    let received =
+        exchange::receive(response, guard, prepared.max_answer_bytes, prepared.deadline).await;
+    match (received, outcome.as_deref()) {
+        (_, Some("not-run")) => not_run(&reason, retry_after),
+        (Ok(response), Some("answer")) => Attempt::Answered(response),
+        (Ok(_), _) => Attempt::Unknown { reason, crashed: false },
+        (Err(error), _) => failed(state, name, error),
+    }
+}
+
+fn upstream_request(
+    state: &State,
+    prepared: &Prepared,
+    upstream: UpstreamId,
+    body: RequestBody,
+) -> Request<RequestBody> {
+    let mut request = Request::new(body);
+    *request.method_mut() = prepared.method.clone();
+    *request.uri_mut() = prepared.path.parse().expect("a received path parses");
+    *request.headers_mut() = prepared.headers.clone();
+    let address = state.topology.upstream(upstream).address.to_string();
+    let headers = request.headers_mut();
+    headers.insert(http::header::HOST, header::value(&address));
+    headers.insert(header::UPSTREAM_DEADLINE_MS, HeaderValue::from(prepared.remaining_ms()));
+    headers.insert(header::REQUEST_ID, header::value(&prepared.request_id));
+    request
+}
+
+fn peer_request(
+    state: &State,
+    prepared: &Prepared,
+    peer: InstanceId,
+    role: Role,
+    body: RequestBody,
+) -> Request<RequestBody> {
+    let mut request = Request::new(body);
+    *request.method_mut() = prepared.method.clone();
+    *request.uri_mut() = prepared.path.parse().expect("a received path parses");
+    *request.headers_mut() = prepared.headers.clone();
+    let headers = request.headers_mut();
+    headers.insert(http::header::HOST, header::value(&state.topology.instance(peer).name));
+    let service = &state.topology.service(prepared.service).name;
+    headers.insert(header::SERVICE, header::value(service));
+    headers.insert(header::DEADLINE_MS, HeaderValue::from(prepared.remaining_ms().max(1)));
+    headers.insert(header::REQUEST_ID, header::value(&prepared.request_id));
+    headers.insert(header::CALLER, header::value(&prepared.caller.to_string()));
+    headers.insert(header::ROLE, header::value(&role.to_string()));
+    if let Some(key) = &prepared.key {
+        headers.insert(header::KEY, header::value(key));
+    }
+    state.prove_to(peer, headers);
+    request
+}
+
+/// A request that may not be repeated needs a connection that proved itself live, and one whose
+/// body cannot be sent again needs a new one.
+fn freshness(prepared: &Prepared) -> Freshness {
+    if !prepared.is_replayable() {
+        Freshness::New
+    } else if prepared.idempotent {
+        Freshness::Any
+    } else {
+        Freshness::ProvedLive
+    }
+}
+
+fn failed(_state: &State, name: &str, error: ExchangeError) -> Attempt {
+    let reason = format!("{name}: {error}");
+    if error.proves_not_run() {
+        return Attempt::NotRun { reason, retry_after: DEFAULT_RETRY_AFTER };
+    }
+    Attempt::Unknown { reason, crashed: matches!(error, ExchangeError::Broken(_)) }
+}
+
+fn already_sent() -> Attempt {
+    not_run("the body was sent once and is not held", DEFAULT_RETRY_AFTER)
+}
+
+fn not_run(reason: &str, retry_after: Duration) -> Attempt {
+    Attempt::NotRun { reason: reason.to_owned(), retry_after }
+}
+
+fn is_shed<B>(response: &Response<B>) -> bool {
+    response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && response.headers().contains_key(header::LOAD_SHED)
+}
+
+fn retry_after<B>(response: &Response<B>) -> Duration {
+    let millis = header::text(response.headers(), &header::RETRY_AFTER_MS)
+        .and_then(|text| text.parse().ok())
+        .map(Duration::from_millis);
+    let seconds = || {
+        header::text(response.headers(), &http::header::RETRY_AFTER)
+            .and_then(|text| text.parse().ok())
+            .map(Duration::from_secs)
+    };
+    millis.or_else(seconds).unwrap_or(DEFAULT_RETRY_AFTER)
+}
--- /dev/null
+++ b/daemon/src/connection.rs
@@ -0,0 +1,82 @@
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use crate::exchange_error::ExchangeError;
+use crate::request_body::RequestBody;
+
+/// One connection to an upstream or peer. Dropping it closes it, so that an exchange that ended
+/// early can never leave an answer behind for the next one.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<RequestBody>,
+    driver: JoinHandle<()>,
+    opened_at: Instant,
+    live_at: Instant,
+}
+
+impl Connection {
+    /// Returns a connection that was opened now.
+    pub fn new(sender: SendRequest<RequestBody>, driver: JoinHandle<()>) -> Self {
+        let now = Instant::now();
+        Self { sender, driver, opened_at: now, live_at: now }
+    }
+
+    /// Returns when the connection was opened.
+    pub fn opened_at(&self) -> Instant {
+        self.opened_at
+    }
+
+    /// Returns the time since the connection last proved itself live.
+    pub fn idle_for(&self) -> Duration {
+        self.live_at.elapsed()
+    }
+
+    /// Returns whether neither side is known to have closed.
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed() && !self.driver.is_finished()
+    }
+
+    /// Notes that an answer just arrived.
+    pub fn mark_live(&mut self) {
+        self.live_at = Instant::now();
+    }
+
+    /// Sends a request and returns the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`ExchangeError::NotSent`] proves that no byte left; the others do not.
+    pub async fn send(
+        &mut self,
+        request: Request<RequestBody>,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        match tokio::time::timeout_at(deadline, self.sender.ready()).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) | Err(_) => return Err(ExchangeError::NotSent),
+        }
+        let sending = self.sender.try_send_request(request);
+        match tokio::time::timeout_at(deadline, sending).await {
+            Ok(Ok(response)) => {
+                self.mark_live();
+                Ok(response)
+            }
+            Ok(Err(mut error)) => match error.take_message() {
+                Some(_) => Err(ExchangeError::NotSent),
+                None => Err(ExchangeError::Broken(error.into_error())),
+            },
+            Err(_) => Err(ExchangeError::Silent),
+        }
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
--- /dev/null
+++ b/daemon/src/exchange.rs
@@ -0,0 +1,91 @@
+//! One exchange with an upstream or a peer: a request out, the whole answer back.
+
+use http::{Request, Response};
+use http_body::Body;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use laburnumdeal_policy::{Ending, Slot};
+use tokio::time::Instant;
+
+use crate::answer_body::AnswerBody;
+use crate::connection_pool::{ConnectionPool, Freshness};
+use crate::exchange_error::ExchangeError;
+use crate::exchange_guard::ExchangeGuard;
+use crate::header;
+use crate::request_body::RequestBody;
+
+/// Longest answer that is held whole before its first byte goes to the caller.
+const HOLD_BYTES: u64 = 64 * 1024;
+
+/// Sends a request and returns the head of its answer with the guard of the exchange.
+///
+/// # Errors
+///
+/// Returns how the exchange ended; the slot is freed and the upstream judged accordingly.
+pub async fn send(
+    pool: &ConnectionPool,
+    freshness: Freshness,
+    request: Request<RequestBody>,
+    deadline: Instant,
+    slot: Option<Slot>,
+) -> Result<(Response<Incoming>, ExchangeGuard), ExchangeError> {
+    let connection = match pool.take(freshness, deadline).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            finish(slot, Ending::Refused);
+            return Err(error);
+        }
+    };
+    let mut guard = ExchangeGuard::new(connection, pool.clone(), slot);
+    match guard.connection().send(request, deadline).await {
+        Ok(response) => Ok((response, guard)),
+        Err(error) => {
+            match error {
+                ExchangeError::Silent => guard.silent(),
+                ExchangeError::NotSent => drop(guard),
+                ExchangeError::Broken(_) | ExchangeError::Refused(_) => guard.fail(),
+            }
+            Err(error)
+        }
+    }
+}
+
+/// Receives the rest of an answer. A short one is held whole, so that an answer that breaks off
+/// never reaches a caller as if it were complete.
+///
+/// # Errors
+///
+/// Returns [`ExchangeError::Silent`] or [`ExchangeError::Broken`] when a short answer breaks off.
+pub async fn receive(
+    response: Response<Incoming>,
+    guard: ExchangeGuard,
+    most_bytes: u64,
+    deadline: Instant,
+) -> Result<Response<AnswerBody>, ExchangeError> {
+    let (mut parts, incoming) = response.into_parts();
+    parts.headers = header::end_to_end(&parts.headers);
+    if incoming.size_hint().exact().is_none_or(|bytes| bytes > HOLD_BYTES) {
+        let body = AnswerBody::stream(incoming, most_bytes, deadline, guard);
+        return Ok(Response::from_parts(parts, body));
+    }
+    match tokio::time::timeout_at(deadline, incoming.collect()).await {
+        Ok(Ok(collected)) => {
+            guard.complete();
+            Ok(Response::from_parts(parts, AnswerBody::whole(collected.to_bytes())))
+        }
+        Ok(Err(error)) => {
+            guard.fail();
+            Err(ExchangeError::Broken(error))
+        }
+        Err(_) => {
+            guard.silent();
+            Err(ExchangeError::Silent)
+        }
+    }
+}
+
+fn finish(slot: Option<Slot>, ending: Ending) {
+    if let Some(slot) = slot {
+        slot.finish(ending);
+    }
+}
--- /dev/null
+++ b/daemon/src/exchange_error.rs
@@ -0,0 +1,25 @@
+use derive_more::{Display, Error};
+
+/// Reports how an exchange ended without an answer.
+#[derive(Debug, Display, Error)]
+pub enum ExchangeError {
+    /// The connection was refused; nothing was sent.
+    #[display("connection was refused: {_0}")]
+    Refused(std::io::Error),
+    /// No byte of the request left this process.
+    #[display("no byte of the request was sent")]
+    NotSent,
+    /// The connection broke after bytes of the request may have left.
+    #[display("connection broke before the answer: {_0}")]
+    Broken(hyper::Error),
+    /// The deadline passed without an answer.
+    #[display("no answer before the deadline")]
+    Silent,
+}
+
+impl ExchangeError {
+    /// Returns whether this proves that the request did not run.
+    pub fn proves_not_run(&self) -> bool {
+        matches!(self, Self::Refused(_) | Self::NotSent)
+    }
+}
--- /dev/null
+++ b/daemon/src/peer_error.rs
@@ -0,0 +1,42 @@
+use derive_more::{Display, Error, From};
+
+use crate::exchange_error::ExchangeError;
+
+/// Reports why a message to another instance has no reply.
+#[derive(Debug, Display, Error, From)]
+pub enum PeerError {
+    /// The exchange failed.
+    #[display("{_0}")]
+    Exchange(ExchangeError),
+    /// The reply broke off.
+    #[display("reply broke off")]
+    Body,
+    /// The other instance refused the message.
+    #[display("message was refused with status {status}: {text}")]
+    Refused {
+        /// HTTP status.
+        status: u16,
+        /// Reason as given.
+        text: String,
+    },
+    /// The message could not be encoded.
+    #[display("message cannot be encoded: {_0}")]
+    Encode(rmp_serde::encode::Error),
+    /// The reply could not be decoded.
+    #[display("reply cannot be decoded: {_0}")]
+    Decode(rmp_serde::decode::Error),
+    /// The reply is of another kind than the message asks for.
+    #[display("reply is of another kind than expected")]
+    WrongReply,
+}
+
+impl PeerError {
+    /// Returns whether this proves that the other instance did not get the message.
+    pub fn proves_not_run(&self) -> bool {
+        match self {
+            Self::Exchange(error) => error.proves_not_run(),
+            Self::Refused { .. } | Self::Encode(_) => true,
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/request_body.rs
@@ -0,0 +1,76 @@
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+
+use crate::body_error::BodyError;
+
+/// Body of a request on its way to an upstream or a peer.
+#[derive(Debug)]
+pub enum RequestBody {
+    /// Held whole, so that the request can be sent again.
+    Whole(Option<Bytes>),
+    /// Passed on as it arrives, at most `remaining_bytes` more.
+    Stream {
+        /// Rest of the body.
+        inner: Incoming,
+        /// Bytes that may still follow.
+        remaining_bytes: u64,
+    },
+}
+
+impl RequestBody {
+    /// Returns a body that is held whole.
+    pub fn whole(bytes: Bytes) -> Self {
+        Self::Whole(Some(bytes))
+    }
+}
+
+impl Body for RequestBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => {
+                let frame = bytes.take().filter(|b| !b.is_empty()).map(|b| Ok(Frame::data(b)));
+                Poll::Ready(frame)
+            }
+            Self::Stream { inner, remaining_bytes } => {
+                let frame = std::task::ready!(Pin::new(inner).poll_frame(cx));
+                Poll::Ready(frame.map(|frame| limit(frame?, remaining_bytes)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Self::Stream { inner, .. } => inner.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Stream { inner, .. } => inner.size_hint(),
+        }
+    }
+}
+
+/// Passes a frame on unless it exceeds what may still follow.
+pub fn limit(frame: Frame<Bytes>, remaining_bytes: &mut u64) -> Result<Frame<Bytes>, BodyError> {
+    let length = frame.data_ref().map_or(0, Bytes::len) as u64;
+    match remaining_bytes.checked_sub(length) {
+        Some(rest) => {
+            *remaining_bytes = rest;
+            Ok(frame)
+        }
+        None => Err(BodyError::TooLong),
+    }
+}
--- /dev/null
+++ b/daemon/src/request_error.rs
@@ -0,0 +1,89 @@
+use derive_more::{Display, Error};
+use http::StatusCode;
+
+/// Reports what is wrong in a caller's request. A request that is refused for this did not run.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum RequestError {
+    /// No service is named.
+    #[display("header laburnum-service is missing; expected the name of a service")]
+    NoService,
+    /// The service is not in the topology.
+    #[display("service {name:?} does not exist")]
+    UnknownService {
+        /// Name as given.
+        name: String,
+    },
+    /// The deadline is no number in range.
+    #[display("header laburnum-deadline-ms is {text:?}; expected a number from 1 to {most}")]
+    BadDeadline {
+        /// Text as given.
+        text: String,
+        /// Longest accepted deadline.
+        most: u64,
+    },
+    /// The request id is not usable.
+    #[display("header laburnum-request-id must have 1 to 64 letters, digits, '-', '_' or '.'")]
+    BadRequestId,
+    /// The service requires a key.
+    #[display("service {service:?} requires header laburnum-key on requests that may not be repeated")]
+    KeyRequired {
+        /// Name of the service.
+        service: String,
+    },
+    /// The key is malformed.
+    #[display("header laburnum-key: {reason}")]
+    BadKey {
+        /// What is wrong, with the expected form.
+        reason: String,
+    },
+    /// The key was used for another request.
+    #[display("header laburnum-key was used for another request before; expected a new key")]
+    KeyReused,
+    /// The body is longer than the service allows.
+    #[display("request body is longer than the {most_bytes} bytes that service {service:?} allows")]
+    BodyTooLong {
+        /// Name of the service.
+        service: String,
+        /// Longest accepted body.
+        most_bytes: u64,
+    },
+    /// The body broke off.
+    #[display("request body ended early")]
+    BodyBroken,
+    /// The method has no meaning for a forwarded request.
+    #[display("method {method} is not forwarded")]
+    Method {
+        /// Method as given.
+        method: String,
+    },
+    /// A query field of a look-up is missing or malformed.
+    #[display("query field {field:?} is {found:?}; expected {expected}")]
+    Query {
+        /// Name of the field.
+        field: &'static str,
+        /// Value as given.
+        found: String,
+        /// Expected form.
+        expected: &'static str,
+    },
+    /// The path does not exist.
+    #[display("path {path:?} does not exist; look-ups are at /laburnum/v1/lookup")]
+    NoSuchPath {
+        /// Path as given.
+        path: String,
+    },
+}
+
+impl RequestError {
+    /// Returns the HTTP status that the caller gets.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::UnknownService { .. } | Self::NoSuchPath { .. } => StatusCode::NOT_FOUND,
+            Self::KeyRequired { .. } => StatusCode::PRECONDITION_REQUIRED,
+            Self::KeyReused => StatusCode::CONFLICT,
+            Self::BodyTooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Method { .. } => StatusCode::METHOD_NOT_ALLOWED,
+            _ => StatusCode::BAD_REQUEST,
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/served.rs
@@ -0,0 +1,84 @@
+use std::time::Duration;
+
+use http::{HeaderValue, Response, StatusCode};
+use laburnumdeal_policy::Outcome;
+
+use crate::answer_body::AnswerBody;
+use crate::header;
+
+/// Final outcome of a request, as this instance tells it.
+#[derive(Debug)]
+pub enum Served {
+    /// The whole answer of an upstream.
+    Answer(Response<AnswerBody>),
+    /// The request did not run and never will under this key.
+    NotRun {
+        /// Why it did not run.
+        reason: String,
+        /// Time after which asking again makes sense.
+        retry_after: Duration,
+    },
+    /// The request may have run.
+    Unknown {
+        /// Why it is not known.
+        reason: String,
+    },
+}
+
+impl Served {
+    /// Returns the outcome without its details.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            Self::Answer(_) => Outcome::Answer,
+            Self::NotRun { .. } => Outcome::NotRun,
+            Self::Unknown { .. } => Outcome::Unknown,
+        }
+    }
+
+    /// Returns a refusal with a time to come back.
+    pub fn not_run(reason: impl Into<String>, retry_after: Duration) -> Self {
+        Self::NotRun { reason: reason.into(), retry_after }
+    }
+
+    /// Returns an outcome that is not known.
+    pub fn unknown(reason: impl Into<String>) -> Self {
+        Self::Unknown { reason: reason.into() }
+    }
+
+    /// Returns the HTTP response, with the outcome in its headers.
+    pub fn into_response(self) -> Response<AnswerBody> {
+        let outcome = header::value(&self.outcome().to_string());
+        let mut response = match self {
+            Self::Answer(response) => response,
+            Self::NotRun { reason, retry_after } => not_run_response(&reason, retry_after),
+            Self::Unknown { reason } => {
+                let text = format!("the outcome is unknown: {reason}\n");
+                text_response(StatusCode::GATEWAY_TIMEOUT, &text, &reason)
+            }
+        };
+        response.headers_mut().insert(header::OUTCOME, outcome);
+        response
+    }
+}
+
+fn not_run_response(reason: &str, retry_after: Duration) -> Response<AnswerBody> {
+    let text = format!("the request did not run: {reason}\n");
+    let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, &text, reason);
+    let seconds = retry_after.as_millis().div_ceil(1_000).max(1) as u64;
+    let millis = retry_after.as_millis().max(1) as u64;
+    let headers = response.headers_mut();
+    headers.insert(http::header::RETRY_AFTER, HeaderValue::from(seconds));
+    headers.insert(header::RETRY_AFTER_MS, HeaderValue::from(millis));
+    response
+}
+
+/// Returns a response of plain text.
+pub fn text_response(status: StatusCode, text: &str, reason: &str) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(text.to_owned()));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    let plain = HeaderValue::from_static("text/plain; charset=utf-8");
+    headers.insert(http::header::CONTENT_TYPE, plain);
+    headers.insert(header::REASON, header::value(reason));
+    response
+}
--- /dev/null
+++ b/tests/src/caller.rs
@@ -0,0 +1,181 @@
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use tokio::net::TcpStream;
+
+/// Longest time that a caller waits for anything.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A caller: looks up entry instances and sends requests, each on a connection of its own.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Caller;
+
+/// What a caller asks for.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// What a caller got.
+#[derive(Clone, Debug)]
+pub struct Got {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// Answer of a look-up.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct LookupAnswer {
+    /// Entry instances, the best one first.
+    pub instances: Vec<LookupInstance>,
+    /// Time for which the answer may be used.
+    pub ttl_ms: u64,
+    /// Token for the keys of requests that may not be repeated.
+    pub token: String,
+}
+
+/// One entry instance of a look-up's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct LookupInstance {
+    /// Name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Address for requests.
+    pub address: SocketAddr,
+}
+
+impl Ask {
+    /// Returns a read of a path.
+    pub fn get(service: &str, path: &str) -> Self {
+        Self::new(Method::GET, service, path)
+    }
+
+    /// Returns a write to a path, with a body.
+    pub fn post(service: &str, path: &str, body: impl Into<Bytes>) -> Self {
+        Self {
+            body: body.into(),
+            ..Self::new(Method::POST, service, path)
+        }
+    }
+
+    /// Adds a header.
+    pub fn header(mut self, name: &str, value: impl ToString) -> Self {
+        self.headers.push((name.to_owned(), value.to_string()));
+        self
+    }
+
+    fn new(method: Method, service: &str, path: &str) -> Self {
+        let headers = vec![("laburnum-service".to_owned(), service.to_owned())];
+        Self {
+            method,
+            path: path.to_owned(),
+            headers,
+            body: Bytes::new(),
+        }
+    }
+}
+
+impl Got {
+    /// Returns a header's text, or an empty text.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or("")
+    }
+
+    /// Returns the outcome: "answer", "not-run", "unknown" or an empty text.
+    pub fn outcome(&self) -> &str {
+        self.header("laburnum-outcome")
+    }
+
+    /// Returns the body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+impl Caller {
+    /// Sends a request and returns the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection, or that the caller's patience ran out.
+    pub async fn send(self, to: SocketAddr, ask: &Ask) -> io::Result<Got> {
+        let timed = tokio::time::timeout(PATIENCE, exchange(to, ask)).await;
+        timed.map_err(|_| io::Error::new(io::ErrorKind::TimedOut, "caller's patience ran out"))?
+    }
+
+    /// Asks an entry instance which ones to use.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection or of an answer that is no look-up.
+    pub async fn look_up(
+        self,
+        at: SocketAddr,
+        service: &str,
+        address: &str,
+    ) -> io::Result<LookupAnswer> {
+        let path = format!("/laburnum/v1/lookup?service={service}&address={address}");
+        let got = self
+            .send(at, &Ask::new(Method::GET, service, &path))
+            .await?;
+        serde_json::from_slice(&got.body).map_err(|error| {
+            io::Error::other(format!(
+                "look-up answered {}: {error}: {}",
+                got.status,
+                got.text()
+            ))
+        })
+    }
+}
+
+async fn exchange(to: SocketAddr, ask: &Ask) -> io::Result<Got> {
+    let stream = TcpStream::connect(to).await?;
+    stream.set_nodelay(true)?;
+    let (mut sender, driver) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(io::Error::other)?;
+    let driver = tokio::spawn(driver);
+    let mut request = Request::builder()
+        .method(&ask.method)
+        .uri(&ask.path)
+        .header("host", "edge");
+    for (name, value) in &ask.headers {
+        request = request.header(name, value);
+    }
+    let request = request
+        .body(Full::new(ask.body.clone()))
+        .map_err(io::Error::other)?;
+    let response = sender
+        .send_request(request)
+        .await
+        .map_err(io::Error::other)?;
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    driver.abort();
+    Ok(Got {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+    })
+}
--- /dev/null
+++ b/tests/src/loopback.rs
@@ -0,0 +1,47 @@
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU8, Ordering};
+
+/// First ports given out by a [`Loopback`]; below the range of ephemeral ports.
+const FIRST_PORT: u16 = 7_001;
+
+/// A loopback address of this test's own, so that no other test or process shares its ports.
+#[derive(Debug)]
+pub struct Loopback {
+    address: Ipv4Addr,
+    next_port: u16,
+}
+
+impl Loopback {
+    /// Returns an address that this process has not given out before.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use laburnumdeal_tests::Loopback;
+    ///
+    /// let mut loopback = Loopback::new();
+    /// assert!(loopback.address().ip().is_loopback());
+    /// ```
+    pub fn new() -> Self {
+        static NEXT: AtomicU8 = AtomicU8::new(1);
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        let last = NEXT.fetch_add(1, Ordering::Relaxed);
+        Self {
+            address: Ipv4Addr::new(127, 64 | (high & 63), low, last),
+            next_port: FIRST_PORT,
+        }
+    }
+
+    /// Returns an address that nothing listens on yet.
+    pub fn address(&mut self) -> SocketAddr {
+        let port = self.next_port;
+        self.next_port += 1;
+        SocketAddr::new(IpAddr::V4(self.address), port)
+    }
+}
+
+impl Default for Loopback {
+    fn default() -> Self {
+        Self::new()
+    }
+}
