--- /dev/null
+++ b/policy/src/claim_begin.rs
@@ -0,0 +1,84 @@
+use std::sync::Arc;
+
+use tokio::sync::watch;
+
+use crate::answer_shelf::DomainId;
+use crate::claim_domain::Vacancy;
+use crate::claim_records::ClaimRecords;
+use crate::claim_state::{ClaimEntry, ClaimState};
+use crate::{Begin, Claim, ClaimTable, RequestKey, RunningClaim, UnknownReason};
+
+impl ClaimTable {
+    /// Claims a key on the home, or returns what became of it.
+    ///
+    /// The fingerprint is a hash of method, path and body; a key with another fingerprint is refused.
+    pub fn begin(&self, key: &RequestKey, fingerprint: u64) -> Begin {
+        let mut records = self.lock();
+        records.expire_bare();
+        let Some(domain) = records.home_domain(key) else {
+            return Begin::Unknown(UnknownReason::OtherRun);
+        };
+        if let Some(entry) = records.domain(domain).and_then(|d| d.entry(key.id())) {
+            return begin_again(entry, fingerprint);
+        }
+        match records.vacancy(domain, key) {
+            Err(reason) => Begin::Unknown(reason),
+            Ok(Vacancy::Open) if records.may_claim(domain) => {
+                Begin::Claimed(self.claim(&mut records, domain, key, fingerprint))
+            }
+            Ok(Vacancy::Open) => {
+                records.insert(domain, key, fingerprint, ClaimState::Fenced);
+                Begin::Fenced
+            }
+            Ok(_) => Begin::Fenced,
+        }
+    }
+
+    fn claim(
+        &self,
+        records: &mut ClaimRecords,
+        domain: DomainId,
+        key: &RequestKey,
+        fingerprint: u64,
+    ) -> Claim {
+        let serial = records.next_serial;
+        records.next_serial += 1;
+        let sender = Arc::new(watch::Sender::new(None));
+        let state = ClaimState::Pending {
+            serial,
+            sender: Arc::clone(&sender),
+        };
+        records.insert(domain, key, fingerprint, state);
+        Claim::new(
+            self.clone(),
+            *key,
+            serial,
+            sender,
+            records.mirror_of(key),
+            records.now_ms(),
+        )
+    }
+}
+
+impl ClaimRecords {
+    /// Returns whether new keys may be claimed; without a token, not after a restart or before a stop.
+    pub fn may_claim(&self, domain: DomainId) -> bool {
+        domain != DomainId::Bare || (self.is_bare_ready && !self.own.closed)
+    }
+}
+
+fn begin_again(entry: &ClaimEntry, fingerprint: u64) -> Begin {
+    if entry.fingerprint != fingerprint {
+        return Begin::KeyReused;
+    }
+    match &entry.state {
+        ClaimState::Pending { sender, .. } | ClaimState::Started { sender, .. } => {
+            Begin::Running(RunningClaim {
+                finish: sender.subscribe(),
+            })
+        }
+        ClaimState::Finished { answer, .. } => Begin::Finished(Arc::clone(answer)),
+        ClaimState::Fenced => Begin::Fenced,
+        ClaimState::Ran | ClaimState::Mirrored { .. } => Begin::AlreadyRan,
+    }
+}
--- /dev/null
+++ b/policy/src/claim_fence.rs
@@ -0,0 +1,59 @@
+use std::sync::Arc;
+
+use crate::answer_shelf::DomainId;
+use crate::claim_domain::Vacancy;
+use crate::claim_records::ClaimRecords;
+use crate::claim_state::ClaimState;
+use crate::{ClaimFinish, ClaimTable, FenceReply, RequestKey, UnknownReason};
+
+impl ClaimTable {
+    /// Fences a key that this instance, as home or mirror, has not claimed, or returns what became of it.
+    pub fn fence(&self, key: &RequestKey, fingerprint: u64) -> FenceReply {
+        let mut records = self.lock();
+        records.expire_bare();
+        let domains = [records.home_domain(key), records.mirror_domain(key)];
+        let mut reply = FenceReply::Unknown(UnknownReason::OtherRun);
+        for domain in domains.into_iter().flatten() {
+            reply = records.fence_in(domain, key, fingerprint);
+            if !matches!(reply, FenceReply::Unknown(_)) {
+                break;
+            }
+        }
+        reply
+    }
+}
+
+impl ClaimRecords {
+    fn fence_in(&mut self, domain: DomainId, key: &RequestKey, fingerprint: u64) -> FenceReply {
+        if let Some(entry) = self.domain(domain).and_then(|d| d.entry(key.id())) {
+            if entry.fingerprint != fingerprint {
+                return FenceReply::KeyReused;
+            }
+            return match &entry.state {
+                ClaimState::Finished { answer, .. } => FenceReply::Finished(Arc::clone(answer)),
+                ClaimState::Fenced => FenceReply::Fenced,
+                ClaimState::Pending { .. } => self.fence_pending(domain, key),
+                ClaimState::Started { .. } | ClaimState::Mirrored { .. } | ClaimState::Ran => {
+                    FenceReply::Claimed
+                }
+            };
+        }
+        match self.vacancy(domain, key) {
+            Err(reason) => FenceReply::Unknown(reason),
+            Ok(Vacancy::Open) => {
+                self.insert(domain, key, fingerprint, ClaimState::Fenced);
+                FenceReply::Fenced
+            }
+            Ok(_) => FenceReply::Fenced,
+        }
+    }
+
+    fn fence_pending(&mut self, domain: DomainId, key: &RequestKey) -> FenceReply {
+        let entry = self.domain(domain).and_then(|d| d.entry(key.id()));
+        if let Some(ClaimState::Pending { sender, .. }) = entry.map(|e| &e.state) {
+            sender.send_replace(Some(ClaimFinish::NotRun));
+        }
+        self.set_state(domain, key.id(), ClaimState::Fenced);
+        FenceReply::Fenced
+    }
+}
--- /dev/null
+++ b/policy/src/claim_started.rs
@@ -0,0 +1,85 @@
+use std::sync::Arc;
+
+use crate::claim_state::{ClaimState, FinishSender};
+use crate::{ClaimFinish, ClaimTable, RequestKey, StoredAnswer};
+
+/// Request that may have reached an upstream.
+///
+/// Dropping it marks the outcome as unknown.
+#[derive(Debug)]
+pub struct Started {
+    table: ClaimTable,
+    key: RequestKey,
+    serial: u64,
+    sender: FinishSender,
+    is_finished: bool,
+}
+
+impl Started {
+    pub(crate) fn new(
+        table: ClaimTable,
+        key: RequestKey,
+        serial: u64,
+        sender: FinishSender,
+    ) -> Self {
+        Self {
+            table,
+            key,
+            serial,
+            sender,
+            is_finished: false,
+        }
+    }
+
+    /// Returns the key of the request.
+    pub fn key(&self) -> &RequestKey {
+        &self.key
+    }
+
+    /// Keeps the whole answer for resends and returns it for the caller.
+    pub fn finish(mut self, answer: StoredAnswer) -> Arc<StoredAnswer> {
+        let answer = Arc::new(answer);
+        self.end(ClaimFinish::Answer(Arc::clone(&answer)));
+        answer
+    }
+
+    /// Marks that the request may have run.
+    pub fn finish_unknown(self) {
+        drop(self);
+    }
+
+    /// Fences the key after proof that no byte of the request ran.
+    pub fn finish_not_run(mut self) {
+        self.end(ClaimFinish::NotRun);
+    }
+
+    fn end(&mut self, finish: ClaimFinish) {
+        self.is_finished = true;
+        let mut records = self.table.lock();
+        let domain = records.home_domain(&self.key).filter(|id| {
+            records
+                .domain(*id)
+                .and_then(|domain| domain.entry(self.key.id()))
+                .is_some_and(|entry| entry.state.is_started(self.serial))
+        });
+        if let Some(domain) = domain {
+            match &finish {
+                ClaimFinish::Answer(answer) => {
+                    records.set_state(domain, self.key.id(), ClaimState::Ran);
+                    records.keep_answer(domain, self.key.id(), Arc::clone(answer));
+                }
+                ClaimFinish::NotRun => records.set_state(domain, self.key.id(), ClaimState::Fenced),
+                ClaimFinish::Unknown => records.set_state(domain, self.key.id(), ClaimState::Ran),
+            }
+        }
+        self.sender.send_replace(Some(finish));
+    }
+}
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            self.end(ClaimFinish::Unknown);
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/retry.rs
@@ -0,0 +1,64 @@
+use std::time::Duration;
+
+use derive_more::Display;
+use tokio::time::Instant;
+
+/// Proof that a request did not run on an upstream.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+pub enum NotRunProof {
+    /// No byte of the request left.
+    #[display("no byte left")]
+    NoByteLeft,
+    /// The connection was refused.
+    #[display("connection refused")]
+    ConnectionRefused,
+    /// The upstream said that it shed the request.
+    #[display("shed by the upstream")]
+    Shed,
+}
+
+/// One request whose attempt failed.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryRequest {
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
+    /// Proof that the failed attempt did not run.
+    pub proof: Option<NotRunProof>,
+    /// Attempts made so far.
+    pub attempts: u32,
+    /// Most attempts.
+    pub max_attempts: u32,
+    /// Time by which the whole answer must be there.
+    pub deadline: Instant,
+    /// Shortest time in which a further attempt can finish.
+    pub least: Duration,
+}
+
+/// Returns whether a request may be attempted again, leaving the budget to the caller.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use laburnumdeal_policy::{NotRunProof, RetryRequest, may_retry};
+/// use tokio::time::Instant;
+///
+/// let now = Instant::now();
+/// let mut request = RetryRequest {
+///     idempotent: false,
+///     proof: None,
+///     attempts: 1,
+///     max_attempts: 3,
+///     deadline: now + Duration::from_secs(1),
+///     least: Duration::from_millis(5),
+/// };
+/// assert!(!may_retry(&request, now));
+/// request.proof = Some(NotRunProof::Shed);
+/// assert!(may_retry(&request, now));
+/// ```
+pub fn may_retry(request: &RetryRequest, now: Instant) -> bool {
+    let is_safe = request.idempotent || request.proof.is_some();
+    let has_time = now + request.least < request.deadline;
+    is_safe && has_time && request.attempts < request.max_attempts
+}
