--- a/policy/src/admission.rs
+++ b/policy/src/admission.rs
@@ -1,12 +1,12 @@
 use tokio::time::Instant;
 
-use crate::{Grant, NoSlot, Ticket};
+use crate::{NoSlot, SlotGrant, Ticket};
 
 /// What a request for a slot leads to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
     /// A slot was free.
-    Granted(Grant),
+    Granted(SlotGrant),
     /// The request waits; [`PoolCore::granted`](crate::PoolCore::granted) tells when it has a slot.
     Queued {
         /// Key of the waiting request.
--- a/policy/src/pool.rs
+++ b/policy/src/pool.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::waiting::Waiting;
-use crate::{Admission, Candidate, Ending, Grant, LoadReport, NoSlot, OwnedUpstream};
+use crate::{Admission, Candidate, Ending, LoadReport, NoSlot, OwnedUpstream, SlotGrant};
 use crate::{PoolCore, PoolSettings, Room, Slot, Ticket};
 
 /// Handle to the upstreams that this instance owns, with exact counts of its requests.
@@ -41,7 +41,7 @@
 #[derive(Debug)]
 pub(crate) struct Inner {
     pub core: PoolCore,
-    senders: Vec<Option<oneshot::Sender<Grant>>>,
+    senders: Vec<Option<oneshot::Sender<SlotGrant>>>,
 }
 
 impl Pool {
@@ -137,7 +137,7 @@
     }
 
     /// Gives a slot back.
-    pub(crate) fn release(&self, grant: Grant, ending: Ending) {
+    pub(crate) fn release(&self, grant: SlotGrant, ending: Ending) {
         let now = Instant::now();
         self.with(|inner| inner.core.release(grant, ending, now));
     }
@@ -159,8 +159,8 @@
 
 /// Start of a request for a slot.
 enum Begun {
-    Granted(Grant),
-    Queued(Ticket, Instant, oneshot::Receiver<Grant>),
+    Granted(SlotGrant),
+    Queued(Ticket, Instant, oneshot::Receiver<SlotGrant>),
     Refused(NoSlot),
 }
 
--- a/policy/src/pool_core.rs
+++ b/policy/src/pool_core.rs
@@ -9,7 +9,7 @@
 use crate::standing::SlotUse;
 use crate::upstream_entry::UpstreamEntry;
 use crate::waiter::Waiter;
-use crate::{Admission, Candidate, Ending, Grant, LoadReport, NoSlot, NoSlotReason};
+use crate::{Admission, Candidate, Ending, LoadReport, NoSlot, NoSlotReason, SlotGrant};
 use crate::{OwnedUpstream, PoolSettings, Room, Ticket};
 
 /// Shortest time that a refused caller is told to stay away.
@@ -51,7 +51,7 @@
     rng: ChaCha8Rng,
     next_ticket: u32,
     free_tickets: Vec<Ticket>,
-    granted: Vec<(Ticket, Grant)>,
+    granted: Vec<(Ticket, SlotGrant)>,
     preferred: Vec<UpstreamId>,
     deferred: Vec<UpstreamId>,
 }
@@ -125,10 +125,10 @@
         service: ServiceId,
         exclude: &[UpstreamId],
         now: Instant,
-    ) -> Option<Grant> {
+    ) -> Option<SlotGrant> {
         let (upstream, use_of) = self.choose(service, exclude, now)?;
         self.upstreams[upstream.index()].take(use_of, &self.settings, now);
-        Some(Grant {
+        Some(SlotGrant {
             upstream,
             at: now,
             use_of,
@@ -136,7 +136,7 @@
     }
 
     /// Gives a slot back and hands it to the first waiting request that can use it.
-    pub fn release(&mut self, grant: Grant, ending: Ending, now: Instant) {
+    pub fn release(&mut self, grant: SlotGrant, ending: Ending, now: Instant) {
         let Some(owned) = self.upstreams[grant.upstream.index()].owned else {
             self.upstreams[grant.upstream.index()].release(
                 &grant,
@@ -197,7 +197,7 @@
     }
 
     /// Returns the waiting requests that were given a slot since the last call.
-    pub fn granted(&mut self) -> impl Iterator<Item = (Ticket, Grant)> + '_ {
+    pub fn granted(&mut self) -> impl Iterator<Item = (Ticket, SlotGrant)> + '_ {
         self.granted.drain(..)
     }
 
--- a/policy/src/slot.rs
+++ b/policy/src/slot.rs
@@ -1,17 +1,17 @@
 use laburnumdeal_model::UpstreamId;
 
-use crate::{Ending, Grant, Pool};
+use crate::{Ending, Pool, SlotGrant};
 
 /// One slot of an upstream. Dropping it frees the slot for the next request in the queue.
 #[derive(Debug)]
 pub struct Slot {
     pool: Pool,
-    grant: Option<Grant>,
+    grant: Option<SlotGrant>,
     upstream: UpstreamId,
 }
 
 impl Slot {
-    pub(crate) fn new(pool: Pool, grant: Grant) -> Self {
+    pub(crate) fn new(pool: Pool, grant: SlotGrant) -> Self {
         Self {
             pool,
             grant: Some(grant),
--- a/policy/src/grant.rs
+++ b/policy/src/slot_grant.rs
@@ -5,7 +5,7 @@
 
 /// A slot that was given out and must be given back by [`PoolCore::release`](crate::PoolCore).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Grant {
+pub struct SlotGrant {
     /// Upstream whose slot it is.
     pub upstream: UpstreamId,
     /// When it was given out.
--- a/policy/src/upstream_entry.rs
+++ b/policy/src/upstream_entry.rs
@@ -11,7 +11,7 @@
 use crate::shed_limit::ShedLimit;
 use crate::slow_start::SlowStart;
 use crate::standing::{SlotUse, Standing};
-use crate::{CandidateReason, Ending, Grant, LoadReport, OwnedUpstream, PoolSettings};
+use crate::{CandidateReason, Ending, LoadReport, OwnedUpstream, PoolSettings, SlotGrant};
 
 /// Divisor of the slots that stay open when every upstream of a service is suspect.
 const LAST_RESORT_DIVISOR: u16 = 4;
@@ -132,7 +132,7 @@
     /// Gives a slot back and learns from how its request ended.
     pub fn release(
         &mut self,
-        grant: &Grant,
+        grant: &SlotGrant,
         ending: Ending,
         reference_s: f64,
         settings: &PoolSettings,
@@ -283,7 +283,13 @@
         }
     }
 
-    fn end_probe(&mut self, grant: &Grant, ending: Ending, settings: &PoolSettings, now: Instant) {
+    fn end_probe(
+        &mut self,
+        grant: &SlotGrant,
+        ending: Ending,
+        settings: &PoolSettings,
+        now: Instant,
+    ) {
         match grant.use_of {
             SlotUse::Work => {}
             SlotUse::ReturnProbe => self.ejection.set_probe(false),
--- a/policy/src/waiting.rs
+++ b/policy/src/waiting.rs
@@ -4,7 +4,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
 
-use crate::{Ending, Grant, NoSlot, NoSlotReason, Pool, Slot, Ticket};
+use crate::{Ending, NoSlot, NoSlotReason, Pool, Slot, SlotGrant, Ticket};
 
 /// A request's place in the queue. Dropping it gives the place, or the slot, back.
 pub(crate) struct Waiting {
@@ -12,7 +12,7 @@
     service: ServiceId,
     ticket: Option<Ticket>,
     give_up_at: Instant,
-    receiver: oneshot::Receiver<Grant>,
+    receiver: oneshot::Receiver<SlotGrant>,
 }
 
 impl Waiting {
@@ -22,7 +22,7 @@
         service: ServiceId,
         ticket: Ticket,
         give_up_at: Instant,
-        receiver: oneshot::Receiver<Grant>,
+        receiver: oneshot::Receiver<SlotGrant>,
     ) -> Self {
         Self {
             pool,
