Add the look-up table, membership, ownership, shares and routing between zones

The daemon needs the names to be written against. A sliding window holds the cap in every second; a token bucket alone was ruled out, since rate and burst together must stay within the cap and a burst of a quarter would cost a quarter of it.

--- /dev/null
+++ b/policy/src/membership.rs
@@ -0,0 +1,253 @@
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use laburnumdeal_model::{BootId, InstanceId, Topology, ZoneId};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::{Heartbeat, MemberState, MembershipSettings, Peer, PeerState, PlatformState};
+
+/// Entry instances as this one sees them, from their own heartbeats and the platform's list.
+///
+/// Heartbeats alone make a peer live. The list can only make it leaving, or gone once it is silent.
+///
+/// # Examples
+///
+/// ```
+/// use std::sync::Arc;
+///
+/// use laburnumdeal_model::{BootId, InstanceId, Topology, embedded_topology};
+/// use laburnumdeal_policy::{MemberState, Membership, MembershipSettings};
+/// use tokio::time::Instant;
+///
+/// let topology = Arc::new(Topology::build(&embedded_topology())?);
+/// let settings = MembershipSettings::new(1_000);
+/// let membership = Membership::new(InstanceId(0), BootId(1), topology, settings);
+/// let now = Instant::now();
+/// assert_eq!(membership.state(InstanceId(0), now), MemberState::Live);
+/// assert_eq!(membership.state(InstanceId(1), now), MemberState::Unknown);
+/// # Ok::<(), laburnumdeal_model::TopologyError>(())
+/// ```
+#[derive(Clone, Debug)]
+pub struct Membership {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    me: InstanceId,
+    boot: BootId,
+    topology: Arc<Topology>,
+    settings: MembershipSettings,
+    view: Mutex<View>,
+    generation: watch::Sender<u64>,
+}
+
+#[derive(Debug)]
+struct View {
+    is_leaving: bool,
+    started: Instant,
+    ticked: Option<Instant>,
+    thawed: Option<Instant>,
+    peers: Vec<Peer>,
+    /// State of each peer that watchers were last told of.
+    told: Vec<MemberState>,
+}
+
+impl Membership {
+    /// Returns a view in which no peer has been heard yet.
+    pub fn new(
+        me: InstanceId,
+        boot: BootId,
+        topology: Arc<Topology>,
+        settings: MembershipSettings,
+    ) -> Self {
+        let count = topology.instances.len();
+        let view = View {
+            is_leaving: false,
+            started: Instant::now(),
+            ticked: None,
+            thawed: None,
+            peers: vec![Peer::default(); count],
+            told: vec![MemberState::Unknown; count],
+        };
+        let inner = Inner {
+            me,
+            boot,
+            topology,
+            settings,
+            view: Mutex::new(view),
+            generation: watch::Sender::new(0),
+        };
+        Self {
+            inner: Arc::new(inner),
+        }
+    }
+
+    /// Returns this instance.
+    pub fn me(&self) -> InstanceId {
+        self.inner.me
+    }
+
+    /// Returns the topology that members are keys of.
+    pub fn topology(&self) -> &Topology {
+        &self.inner.topology
+    }
+
+    /// Takes in a heartbeat. Returns false for one that is late, doubled or of an old boot.
+    pub fn heard(&self, peer: InstanceId, heartbeat: Heartbeat, now: Instant) -> bool {
+        if peer == self.inner.me {
+            return false;
+        }
+        let timeout = Duration::from_millis(self.inner.settings.peer_timeout_ms);
+        let mut view = self.lock();
+        let is_taken = view.peers[peer.index()].heard(heartbeat, now, timeout);
+        self.tell(&mut view, now);
+        is_taken
+    }
+
+    /// Takes in that a peer could not be reached. It is suspect until it is heard again.
+    pub fn failed(&self, peer: InstanceId, now: Instant) {
+        let mut view = self.lock();
+        view.peers[peer.index()].failed();
+        self.tell(&mut view, now);
+    }
+
+    /// Takes in the platform's list. A peer that was on an earlier list and is not on this one
+    /// counts as gone.
+    pub fn platform(&self, list: &[(InstanceId, PlatformState)], now: Instant) {
+        let mut view = self.lock();
+        for (position, peer) in view.peers.iter_mut().enumerate() {
+            let entry = list.iter().find(|(id, _)| id.index() == position);
+            peer.platform(entry.map(|(_, state)| *state));
+        }
+        self.tell(&mut view, now);
+    }
+
+    /// Notes that time passed: call it at every heartbeat interval. Returns true when this process
+    /// was frozen; the silence of its peers then counts anew from `now`.
+    pub fn tick(&self, now: Instant) -> bool {
+        let mut view = self.lock();
+        let is_thawed = self.is_frozen(&view, now);
+        if is_thawed {
+            view.thawed = Some(now);
+        }
+        view.ticked = Some(now);
+        self.tell(&mut view, now);
+        is_thawed
+    }
+
+    /// Makes this instance leaving.
+    pub fn leave(&self) {
+        let mut view = self.lock();
+        view.is_leaving = true;
+        self.inner
+            .generation
+            .send_modify(|generation| *generation += 1);
+    }
+
+    /// Returns what this instance says of itself.
+    pub fn own_state(&self) -> PeerState {
+        match self.lock().is_leaving {
+            true => PeerState::Leaving,
+            false => PeerState::Live,
+        }
+    }
+
+    /// Returns the state of an instance.
+    pub fn state(&self, peer: InstanceId, now: Instant) -> MemberState {
+        let view = self.lock();
+        self.state_in(&view, peer, now)
+    }
+
+    /// Returns the run of an instance that was heard last.
+    pub fn boot(&self, peer: InstanceId) -> Option<BootId> {
+        match peer == self.inner.me {
+            true => Some(self.inner.boot),
+            false => self.lock().peers[peer.index()].boot(),
+        }
+    }
+
+    /// Returns the heartbeat of an instance that was heard last.
+    pub fn last_heartbeat(&self, peer: InstanceId) -> Option<Heartbeat> {
+        self.lock().peers[peer.index()].last_heartbeat()
+    }
+
+    /// Returns the live and suspect instances of a zone in key order, this one among them.
+    pub fn live_in(&self, zone: ZoneId, now: Instant) -> Vec<InstanceId> {
+        let view = self.lock();
+        let takes_work = |id: &InstanceId| self.state_in(&view, *id, now).takes_work();
+        self.inner
+            .topology
+            .instances_in(zone)
+            .filter(takes_work)
+            .collect()
+    }
+
+    /// Returns the instances of a zone that own its upstreams: those that take work, and those that
+    /// were never heard while this instance has not run for the peer timeout.
+    pub fn owners_in(&self, zone: ZoneId, now: Instant) -> Vec<InstanceId> {
+        let view = self.lock();
+        let owns = |id: &InstanceId| {
+            let state = self.state_in(&view, *id, now);
+            state.takes_work() || state == MemberState::Unknown
+        };
+        self.inner
+            .topology
+            .instances_in(zone)
+            .filter(owns)
+            .collect()
+    }
+
+    /// Returns a receiver that wakes at every change; its value is the generation.
+    pub fn watch(&self) -> watch::Receiver<u64> {
+        self.inner.generation.subscribe()
+    }
+
+    /// Returns a number that rises with every change that was told to watchers.
+    pub fn generation(&self) -> u64 {
+        *self.inner.generation.borrow()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, View> {
+        self.inner.view.lock().expect("no holder panics")
+    }
+
+    fn is_frozen(&self, view: &View, now: Instant) -> bool {
+        let most = Duration::from_millis(self.inner.settings.freeze_ms);
+        let gap = view
+            .ticked
+            .map(|ticked| now.saturating_duration_since(ticked));
+        gap.is_some_and(|gap| gap > most)
+    }
+
+    fn state_in(&self, view: &View, peer: InstanceId, now: Instant) -> MemberState {
+        if peer == self.inner.me {
+            return match view.is_leaving {
+                true => MemberState::Leaving,
+                false => MemberState::Live,
+            };
+        }
+        let as_of = match view.ticked {
+            Some(ticked) if self.is_frozen(view, now) => ticked,
+            _ => now,
+        };
+        let since = view.thawed.unwrap_or(view.started);
+        view.peers[peer.index()].state(&self.inner.settings, since, as_of)
+    }
+
+    fn tell(&self, view: &mut View, now: Instant) {
+        let states: Vec<MemberState> = self
+            .inner
+            .topology
+            .instance_ids()
+            .map(|id| self.state_in(view, id, now))
+            .collect();
+        if states != view.told {
+            view.told = states;
+            self.inner
+                .generation
+                .send_modify(|generation| *generation += 1);
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/peer.rs
@@ -0,0 +1,138 @@
+use std::time::Duration;
+
+use laburnumdeal_model::BootId;
+use tokio::time::Instant;
+
+use crate::{Heartbeat, MemberState, MembershipSettings, PeerState, PlatformState};
+
+/// Earlier runs of a peer that are remembered, so that their late heartbeats are known.
+const MAX_RETIRED_BOOTS: usize = 8;
+
+/// One peer: its heartbeats and what the platform's list said of it.
+#[derive(Clone, Debug, Default)]
+pub struct Peer {
+    heard: Option<Heard>,
+    /// Last heartbeats of earlier runs, the latest run last.
+    retired: Vec<Heartbeat>,
+    has_failed: bool,
+    listed: Option<PlatformState>,
+    /// Run that the platform's word "leaving" is about.
+    leaving_boot: Option<BootId>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    heartbeat: Heartbeat,
+    at: Instant,
+}
+
+impl Peer {
+    /// Takes in a heartbeat. Returns whether it is news.
+    ///
+    /// A heartbeat of an earlier run is late and ignored, unless that run goes on sending while the
+    /// one that replaced it has been silent for the timeout: then their order was mistaken.
+    pub fn heard(&mut self, heartbeat: Heartbeat, now: Instant, timeout: Duration) -> bool {
+        if let Some(heard) = self.heard {
+            let is_same = heard.heartbeat.boot == heartbeat.boot;
+            if is_same && heartbeat.sequence <= heard.heartbeat.sequence {
+                return false;
+            }
+            let is_silent = now.saturating_duration_since(heard.at) >= timeout;
+            if !is_same && !self.replaces(heartbeat, is_silent) {
+                return false;
+            }
+            if !is_same {
+                self.retire(heard.heartbeat);
+            }
+        }
+        let at = now;
+        self.heard = Some(Heard { heartbeat, at });
+        self.has_failed = false;
+        true
+    }
+
+    /// Takes in that the peer could not be reached.
+    pub fn failed(&mut self) {
+        self.has_failed = true;
+    }
+
+    /// Takes in one reading of the platform's list; `None` when the peer is not on it.
+    pub fn platform(&mut self, entry: Option<PlatformState>) {
+        let next = match (entry, self.listed) {
+            (None, Some(_)) => Some(PlatformState::Gone),
+            (entry, _) => entry,
+        };
+        let is_leaving = next == Some(PlatformState::Leaving);
+        if !is_leaving {
+            self.leaving_boot = None;
+        } else if self.listed != next {
+            self.leaving_boot = self.boot();
+        }
+        self.listed = next;
+    }
+
+    /// Returns the state as of `now`. Silence counts from `since` at the earliest.
+    pub fn state(
+        &self,
+        settings: &MembershipSettings,
+        since: Instant,
+        now: Instant,
+    ) -> MemberState {
+        let from = self.heard.map_or(since, |heard| heard.at.max(since));
+        let silent_ms = now.saturating_duration_since(from).as_millis() as u64;
+        let is_silent = silent_ms >= settings.peer_timeout_ms;
+        let Some(heard) = self.heard else {
+            return match is_silent {
+                true => MemberState::OutOfReach,
+                false => MemberState::Unknown,
+            };
+        };
+        let is_suspect = self.has_failed || silent_ms >= settings.suspect_ms;
+        let is_gone = self.listed == Some(PlatformState::Gone);
+        if self.is_leaving(heard.heartbeat) {
+            return match is_silent || is_suspect && is_gone {
+                true => MemberState::Left,
+                false => MemberState::Leaving,
+            };
+        }
+        match (is_silent, is_suspect, is_gone) {
+            (_, true, true) => MemberState::Left,
+            (true, _, _) => MemberState::OutOfReach,
+            (_, true, _) => MemberState::Suspect,
+            _ => MemberState::Live,
+        }
+    }
+
+    /// Returns the run that was heard last.
+    pub fn boot(&self) -> Option<BootId> {
+        self.heard.map(|heard| heard.heartbeat.boot)
+    }
+
+    /// Returns the heartbeat that was heard last.
+    pub fn last_heartbeat(&self) -> Option<Heartbeat> {
+        self.heard.map(|heard| heard.heartbeat)
+    }
+
+    fn is_leaving(&self, heartbeat: Heartbeat) -> bool {
+        heartbeat.state == PeerState::Leaving || self.leaving_boot == Some(heartbeat.boot)
+    }
+
+    fn replaces(&mut self, heartbeat: Heartbeat, is_silent: bool) -> bool {
+        let is_retired = |other: &Heartbeat| other.boot == heartbeat.boot;
+        let Some(position) = self.retired.iter().position(is_retired) else {
+            return true;
+        };
+        let is_news = heartbeat.sequence > self.retired[position].sequence;
+        if is_silent && is_news {
+            self.retired.remove(position);
+        }
+        is_silent && is_news
+    }
+
+    fn retire(&mut self, heartbeat: Heartbeat) {
+        if self.retired.len() == MAX_RETIRED_BOOTS {
+            self.retired.remove(0);
+        }
+        self.retired.push(heartbeat);
+    }
+}
--- /dev/null
+++ b/policy/src/ramp.rs
@@ -0,0 +1,110 @@
+use std::collections::HashMap;
+
+use laburnumdeal_model::{ServiceId, ZoneId};
+use tokio::time::Instant;
+
+use crate::{Cold, RampSettings};
+
+/// Limits how fast traffic whose home is another zone grows here, while caches are cold for it.
+///
+/// # Examples
+///
+/// ```
+/// use laburnumdeal_model::{ServiceId, ZoneId};
+/// use laburnumdeal_policy::{Ramp, RampSettings};
+/// use tokio::time::Instant;
+///
+/// let now = Instant::now();
+/// let settings = RampSettings { floor_per_step: 1, ..RampSettings::default() };
+/// let mut ramp = Ramp::new(settings, now);
+/// assert!(ramp.admit(ZoneId(1), ServiceId(0), now).is_ok());
+/// assert!(ramp.admit(ZoneId(1), ServiceId(0), now).is_err());
+/// ```
+#[derive(Clone, Debug)]
+pub struct Ramp {
+    settings: RampSettings,
+    started: Instant,
+    flows: HashMap<(ZoneId, ServiceId), Flow>,
+}
+
+/// Traffic of one home zone and service.
+#[derive(Clone, Copy, Debug)]
+struct Flow {
+    step: u64,
+    used: u64,
+    /// Requests a step that the caches are warm for.
+    warm: u64,
+}
+
+impl Ramp {
+    /// Returns a ramp on which all traffic is new.
+    pub fn new(settings: RampSettings, started: Instant) -> Self {
+        Self {
+            settings,
+            started,
+            flows: HashMap::new(),
+        }
+    }
+
+    /// Admits one request of another zone.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time until the next step when this one is used up.
+    pub fn admit(&mut self, home: ZoneId, service: ServiceId, now: Instant) -> Result<(), Cold> {
+        let elapsed_ms = now.saturating_duration_since(self.started).as_millis() as u64;
+        let step = elapsed_ms / self.settings.step_ms;
+        if !self.flows.contains_key(&(home, service)) {
+            self.forget_cold(step);
+        }
+        let first = Flow {
+            step,
+            used: 0,
+            warm: 0,
+        };
+        let settings = self.settings;
+        let flow = self.flows.entry((home, service)).or_insert(first);
+        flow.advance(step, &settings);
+        if flow.used >= flow.most(&settings) {
+            return Err(Cold {
+                home,
+                service,
+                retry_after_ms: (settings.step_ms - elapsed_ms % settings.step_ms).max(1),
+            });
+        }
+        flow.used += 1;
+        Ok(())
+    }
+
+    /// Returns the number of flows that are kept.
+    pub fn flows(&self) -> usize {
+        self.flows.len()
+    }
+
+    fn forget_cold(&mut self, step: u64) {
+        let settings = self.settings;
+        self.flows.retain(|_, flow| {
+            flow.advance(step, &settings);
+            flow.used > 0 || flow.most(&settings) > settings.floor_per_step
+        });
+    }
+}
+
+impl Flow {
+    /// Returns the most requests of the step.
+    fn most(&self, settings: &RampSettings) -> u64 {
+        (self.warm * settings.growth_permille / 1_000).max(settings.floor_per_step)
+    }
+
+    fn advance(&mut self, step: u64, settings: &RampSettings) {
+        while self.step < step {
+            let cooled = self.warm * settings.decay_permille / 1_000;
+            self.warm = self.used.max(cooled);
+            self.used = 0;
+            self.step += 1;
+            if self.warm == 0 {
+                self.step = step;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/share_book.rs
@@ -0,0 +1,246 @@
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use laburnumdeal_model::{BootId, Configuration, InstanceId, Topology, Version};
+use tokio::time::Instant;
+
+use crate::share::{Share, Usable};
+use crate::{
+    CapKey, Caps, GiveBack, Grant, GrantId, MAX_GRANT_MS, OverCap, ShareSettings, WINDOW_MS,
+};
+
+/// This instance's shares of every cap that it may use. The shares of all instances sum to the cap.
+///
+/// # Examples
+///
+/// ```
+/// use std::sync::Arc;
+/// use std::time::Duration;
+///
+/// use laburnumdeal_model::{BootId, Configuration, InstanceId, RegionId, Topology};
+/// use laburnumdeal_policy::{CapKey, ShareBook, ShareSettings};
+/// use tokio::time::Instant;
+///
+/// let topology = Arc::new(Topology::build(&laburnumdeal_model::embedded_topology())?);
+/// let settings = ShareSettings::default();
+/// let now = Instant::now();
+/// let book = ShareBook::new(InstanceId(0), BootId(1), topology, settings, now);
+/// let later = now + Duration::from_secs(10);
+/// assert!(book.spend(CapKey::Region(RegionId(0)), 1, later).is_err());
+/// book.configure(&Configuration::default());
+/// assert!(book.spend(CapKey::Region(RegionId(0)), 1, later).is_ok());
+/// # Ok::<(), laburnumdeal_model::TopologyError>(())
+/// ```
+#[derive(Clone, Debug)]
+pub struct ShareBook {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    me: InstanceId,
+    boot: BootId,
+    topology: Arc<Topology>,
+    settings: ShareSettings,
+    started: Instant,
+    version: Mutex<Option<Version>>,
+    next_grant: AtomicU64,
+    /// Caps that this instance may use, sorted.
+    keys: Vec<CapKey>,
+    shares: Vec<Mutex<Share>>,
+}
+
+impl ShareBook {
+    /// Returns a book that refuses everything until [`ShareBook::configure`], and for a second after
+    /// `started`, because an earlier run of the process may have spent its share in that second.
+    pub fn new(
+        me: InstanceId,
+        boot: BootId,
+        topology: Arc<Topology>,
+        settings: ShareSettings,
+        started: Instant,
+    ) -> Self {
+        let keys = Caps::keys_of(me, &topology);
+        let shares = keys
+            .iter()
+            .map(|key| Mutex::new(Share::new(*key)))
+            .collect();
+        let inner = Inner {
+            me,
+            boot,
+            topology,
+            settings,
+            started,
+            version: Mutex::new(None),
+            next_grant: AtomicU64::new(0),
+            keys,
+            shares,
+        };
+        Self {
+            inner: Arc::new(inner),
+        }
+    }
+
+    /// Puts the caps of a configuration in force. Returns false for one that is older than the last.
+    pub fn configure(&self, configuration: &Configuration) -> bool {
+        let mut version = self.inner.version.lock().expect("no holder panics");
+        if version.is_some_and(|version| version > configuration.version) {
+            return false;
+        }
+        *version = Some(configuration.version);
+        let caps = Caps::new(configuration, &self.inner.topology);
+        for (key, share) in self.inner.keys.iter().zip(&self.inner.shares) {
+            let mut share = share.lock().expect("no holder panics");
+            share.set_cap(caps.cap_per_s(*key), caps.share_per_s(*key, self.inner.me));
+        }
+        true
+    }
+
+    /// Spends an amount of this instance's share.
+    ///
+    /// # Errors
+    ///
+    /// Returns when the amount would fit; nothing is spent then.
+    pub fn spend(&self, key: CapKey, amount: u64, now: Instant) -> Result<(), OverCap> {
+        let Some(mut share) = self.share(key) else {
+            return Err(OverCap {
+                key,
+                retry_after_ms: WINDOW_MS,
+                most: 0,
+            });
+        };
+        let now_us = self.micros(now);
+        share.spend(amount, self.usable(now_us / 1_000), now_us)
+    }
+
+    /// Returns what this instance may spend in a second now; `None` when nothing is capped.
+    pub fn limit_per_s(&self, key: CapKey, now: Instant) -> Option<u64> {
+        let now_ms = self.micros(now) / 1_000;
+        let mut share = self.share(key)?;
+        share.cap_per_s()?;
+        Some(share.limit_per_s(self.usable(now_ms), now_ms))
+    }
+
+    /// Returns the amount that was refused here in the last second, to be asked of others.
+    pub fn demand(&self, key: CapKey, now: Instant) -> u64 {
+        let now_ms = self.micros(now) / 1_000;
+        self.share(key).map_or(0, |mut share| share.demand(now_ms))
+    }
+
+    /// Returns the other instances with a share of a cap, which can be asked for a part of it.
+    pub fn lenders(&self, key: CapKey) -> Vec<InstanceId> {
+        let users = Caps::users(key, &self.inner.topology);
+        users.filter(|user| *user != self.inner.me).collect()
+    }
+
+    /// Lends up to `amount_per_s` to another instance, or `None` when this one needs its share.
+    pub fn lend(
+        &self,
+        key: CapKey,
+        to: InstanceId,
+        amount_per_s: u64,
+        now: Instant,
+    ) -> Option<Grant> {
+        let now_ms = self.micros(now) / 1_000;
+        let settings = &self.inner.settings;
+        if now_ms < self.fence_ms() || !self.lenders(key).contains(&to) {
+            return None;
+        }
+        let mut share = self.share(key)?;
+        let cap_per_s = share.cap_per_s()?;
+        let amount_per_s = share.spare_per_s(amount_per_s, settings.max_lent_permille, now_ms);
+        if amount_per_s == 0 {
+            return None;
+        }
+        let id = self.next_id();
+        let expires_after_ms = settings.grant_ms.min(MAX_GRANT_MS);
+        share.lend(
+            id,
+            amount_per_s,
+            now_ms + settings.count_back_ms(expires_after_ms),
+        );
+        Some(Grant {
+            id,
+            key,
+            from: self.inner.me,
+            to,
+            amount_per_s,
+            cap_per_s,
+            expires_after_ms,
+        })
+    }
+
+    /// Starts to use a grant. `asked_at` is when this instance sent the ask that it answers; the
+    /// grant's time counts from then. Returns false for one that is late, doubled, meant for
+    /// another, or made under another cap.
+    pub fn accept(&self, grant: &Grant, asked_at: Instant, now: Instant) -> bool {
+        let now_ms = self.micros(now) / 1_000;
+        let asked_ms = self.micros(asked_at) / 1_000;
+        let Some(mut share) = self.share(grant.key) else {
+            return false;
+        };
+        if grant.to != self.inner.me || share.cap_per_s() != Some(grant.cap_per_s) {
+            return false;
+        }
+        let until_ms = asked_ms + grant.expires_after_ms.min(MAX_GRANT_MS);
+        share.borrow(grant.id, grant.amount_per_s, until_ms, now_ms)
+    }
+
+    /// Stops using a grant and returns the message to its lender; `None` when it has ended already.
+    pub fn give_back(&self, grant: &Grant, now: Instant) -> Option<GiveBack> {
+        let now_ms = self.micros(now) / 1_000;
+        let is_given = self.share(grant.key)?.give_back(grant.id, now_ms);
+        is_given.then_some(GiveBack {
+            id: grant.id,
+            key: grant.key,
+        })
+    }
+
+    /// Takes back a part that its borrower gave back. It counts again once the borrower's last
+    /// second has passed.
+    pub fn returned(&self, message: &GiveBack, now: Instant) {
+        let now_ms = self.micros(now) / 1_000;
+        if let Some(mut share) = self.share(message.key) {
+            share.returned(message.id, now_ms + self.inner.settings.count_back_ms(0));
+        }
+    }
+
+    fn share(&self, key: CapKey) -> Option<MutexGuard<'_, Share>> {
+        let position = self.inner.keys.binary_search(&key).ok()?;
+        Some(
+            self.inner.shares[position]
+                .lock()
+                .expect("no holder panics"),
+        )
+    }
+
+    fn micros(&self, now: Instant) -> u64 {
+        now.saturating_duration_since(self.inner.started)
+            .as_micros() as u64
+    }
+
+    /// Time after the start within which grants of an earlier run may be out.
+    fn fence_ms(&self) -> u64 {
+        self.inner.settings.count_back_ms(MAX_GRANT_MS)
+    }
+
+    fn usable(&self, now_ms: u64) -> Usable {
+        let settings = &self.inner.settings;
+        let permille = if now_ms < settings.count_back_ms(0) {
+            0
+        } else if now_ms < self.fence_ms() {
+            1_000 - settings.max_lent_permille.min(1_000)
+        } else {
+            1_000
+        };
+        Usable { permille }
+    }
+
+    fn next_id(&self) -> GrantId {
+        GrantId {
+            lender: self.inner.me,
+            boot: self.inner.boot,
+            sequence: self.inner.next_grant.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/zone_drains.rs
@@ -0,0 +1,54 @@
+use laburnumdeal_model::{Configuration, Target, Topology, WHOLE_PERMILLE, ZoneId};
+
+use crate::CallerSlot;
+
+/// Thousandths of each zone's callers that drains have moved elsewhere.
+///
+/// # Examples
+///
+/// ```
+/// use laburnumdeal_model::{Configuration, Topology, ZoneId, embedded_topology};
+/// use laburnumdeal_policy::ZoneDrains;
+///
+/// let topology = Topology::build(&embedded_topology())?;
+/// let drains = ZoneDrains::build(&Configuration::default(), &topology);
+/// assert_eq!(drains.moved_permille(ZoneId(0)), 0);
+/// # Ok::<(), laburnumdeal_model::TopologyError>(())
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct ZoneDrains {
+    moved_permille: Vec<u16>,
+}
+
+impl ZoneDrains {
+    /// Returns the drains of a configuration, of zones and of their regions.
+    pub fn build(configuration: &Configuration, topology: &Topology) -> Self {
+        let moved_of = |target: Target| {
+            let drain = configuration.drains.get(&target);
+            drain.map_or(0, |drain| drain.moved_permille)
+        };
+        let zones = topology.zones.iter().map(|zone| {
+            let region = topology.region(zone.region).name.clone();
+            moved_of(Target::Zone(zone.name.clone())).max(moved_of(Target::Region(region)))
+        });
+        Self {
+            moved_permille: zones.collect(),
+        }
+    }
+
+    /// Returns the thousandths of a zone's callers that have moved.
+    pub fn moved_permille(&self, zone: ZoneId) -> u16 {
+        self.moved_permille[zone.index()]
+    }
+
+    /// Returns whether a zone's callers of this slot have moved. A larger share moves every caller
+    /// that a smaller one moved.
+    pub fn is_moved(&self, zone: ZoneId, slot: CallerSlot) -> bool {
+        slot.permille() < self.moved_permille(zone)
+    }
+
+    /// Returns whether a zone takes no new work at all.
+    pub fn is_empty_zone(&self, zone: ZoneId) -> bool {
+        self.moved_permille(zone) >= WHOLE_PERMILLE
+    }
+}
