Add the replicated change log with its public interface

Cause: the daemon needs the interface of the change log to be written against. A leader reaches the verdict and stores it in the log entry, so that a record keeps its effect under settings that come later; deciding on each replica was ruled out because replicas with other settings would come to other verdicts. Members are kept by instance name, since arena keys may differ. Entries are only ever appended, and one with a taken index replaces the later ones, so no file is cut while the replica runs except after a failed write.

Checked: the doc test commits a change on one replica with files. Replicas that talk to each other are not tested yet.

In the model package, Configuration::check_room is public now, because a revert must pass the same check.

--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -1,1 +1,103 @@
-//! Placeholder.
+//! Replicated change log of the configuration: storage, quorum, snapshots, membership of replicas
+//! and the audit trail.
+//!
+//! A [`Replica`] stores every command in a log that a majority of replicas has synced before the
+//! command is answered.
+//!
+//! ```
+//! use std::sync::Arc;
+//!
+//! use laburnumdeal_control::{NoPeers, Replica, ReplicaSettings};
+//! use laburnumdeal_model::{Change, Submission, Topology, Verdict, Version, embedded_topology};
+//!
+//! # let folder = tempfile::tempdir()?;
+//! # tokio::runtime::Runtime::new()?.block_on(async {
+//! let topology = Arc::new(Topology::build(&embedded_topology())?);
+//! let me = topology.instance_named("nasr-1").unwrap();
+//! let settings = ReplicaSettings::new(me, vec![me], folder.path(), topology);
+//! let log = slog::Logger::root(slog::Discard, slog::o!());
+//! let replica = Replica::spawn(settings, NoPeers, log).await?;
+//! replica.wait_for_leader().await;
+//! let committed = replica
+//!     .submit(Submission {
+//!         command_id: "cap-1".parse()?,
+//!         operator: "mona".into(),
+//!         base: None,
+//!         at_ms: 0,
+//!         force: false,
+//!         dry_run: false,
+//!         change: Change::CapRegion { region: "cairo".into(), requests_per_s: 900 },
+//!     })
+//!     .await?;
+//! assert_eq!(committed.verdict, Verdict::Accepted { version: Version(1) });
+//! replica.stop().await;
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! # })?;
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod answers;
+mod append;
+mod committed;
+mod confirmed;
+mod control_error;
+mod core;
+mod decider;
+mod disk;
+mod drains;
+mod election;
+mod entry;
+mod faults;
+mod file_disk;
+mod formation;
+mod frame;
+mod header;
+mod identity;
+mod install;
+mod members;
+mod peer_link;
+mod peer_task;
+mod progress;
+mod proposals;
+mod replace_error;
+mod replacement;
+mod replay;
+mod replica;
+mod replica_settings;
+mod reply;
+mod request;
+mod role;
+mod snapshots;
+mod state;
+mod status;
+mod storage_error;
+mod store;
+mod submit_error;
+mod undo;
+mod volatile;
+mod vote;
+
+pub use committed::Committed;
+pub use confirmed::Confirmed;
+pub use control_error::ControlError;
+pub use disk::Disk;
+pub use entry::{Entry, Payload};
+pub use faults::Faults;
+pub use file_disk::FileDisk;
+pub use header::Header;
+pub use identity::{ClusterId, ReplicaIdentity};
+pub use members::{Member, MemberRole, Members};
+pub use peer_link::{NoPeers, NoPeersError, PeerLink};
+pub use replace_error::ReplaceError;
+pub use replay::replay;
+pub use replica::Replica;
+pub use replica_settings::{ReplicaSettings, unix_now_ms};
+pub use reply::ControlReply;
+pub use request::ControlRequest;
+pub use role::Role;
+pub use state::State;
+pub use status::{ReplicaStatus, Status};
+pub use storage_error::StorageError;
+pub use store::{Loaded, Store};
+pub use submit_error::{NotRun, SubmitError};
+pub use vote::Vote;
--- /dev/null
+++ b/control/src/replica_settings.rs
@@ -0,0 +1,107 @@
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use laburnumdeal_model::{InstanceId, Topology};
+
+use crate::{ControlError, Faults};
+
+/// Time between two heartbeats of a leader.
+const HEARTBEAT_MS: u64 = 100;
+/// Shortest silence after which a follower stands for election.
+const ELECTION_MS: u64 = 1000;
+/// Time that a leader may confirm reads after a majority answered.
+const LEASE_MS: u64 = 800;
+/// Entries between two snapshots.
+const SNAPSHOT_EVERY: u64 = 4096;
+
+/// Settings of a [`Replica`](crate::Replica).
+#[derive(Clone, Debug)]
+pub struct ReplicaSettings {
+    /// Instance that the replica runs on.
+    pub me: InstanceId,
+    /// Instances of the first members; the log itself says who the members are later.
+    pub replicas: Vec<InstanceId>,
+    /// Data folder of the replica.
+    pub folder: PathBuf,
+    /// Everything that exists, which changes are checked against.
+    pub topology: Arc<Topology>,
+    /// Time between two heartbeats of a leader.
+    pub heartbeat_ms: u64,
+    /// Shortest silence after which a follower stands for election.
+    pub election_ms: u64,
+    /// Time that a leader may confirm reads after a majority answered; shorter than an election.
+    pub lease_ms: u64,
+    /// Seed of election timeouts and of the identity of a new folder.
+    pub seed: u64,
+    /// Entries between two snapshots; 0 takes none.
+    pub snapshot_every: u64,
+    /// Returns the time in milliseconds since the Unix epoch.
+    pub now_ms: fn() -> u64,
+    /// Faults for tests.
+    pub faults: Faults,
+}
+
+impl ReplicaSettings {
+    /// Returns settings with the usual times. The seed comes from the system's generator.
+    pub fn new(
+        me: InstanceId,
+        replicas: Vec<InstanceId>,
+        folder: &Path,
+        topology: Arc<Topology>,
+    ) -> Self {
+        Self {
+            me,
+            replicas,
+            folder: folder.to_owned(),
+            topology,
+            heartbeat_ms: HEARTBEAT_MS,
+            election_ms: ELECTION_MS,
+            lease_ms: LEASE_MS,
+            seed: rand::random(),
+            snapshot_every: SNAPSHOT_EVERY,
+            now_ms: unix_now_ms,
+            faults: Faults::default(),
+        }
+    }
+
+    /// Checks that the times fit each other.
+    ///
+    /// # Errors
+    ///
+    /// Returns the field that does not fit.
+    pub fn check(&self) -> Result<(), ControlError> {
+        if self.heartbeat_ms == 0 {
+            return Err(ControlError::Settings("heartbeat_ms must be at least 1"));
+        }
+        if self.lease_ms >= self.election_ms {
+            return Err(ControlError::Settings(
+                "lease_ms must be less than election_ms",
+            ));
+        }
+        if self.heartbeat_ms >= self.lease_ms {
+            return Err(ControlError::Settings(
+                "heartbeat_ms must be less than lease_ms",
+            ));
+        }
+        Ok(())
+    }
+
+    pub(crate) fn heartbeat(&self) -> Duration {
+        Duration::from_millis(self.heartbeat_ms)
+    }
+
+    pub(crate) fn election(&self) -> Duration {
+        Duration::from_millis(self.election_ms)
+    }
+
+    pub(crate) fn lease(&self) -> Duration {
+        Duration::from_millis(self.lease_ms)
+    }
+}
+
+/// Returns the time of the system's clock in milliseconds since the Unix epoch.
+pub fn unix_now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/control/src/snapshots.rs
@@ -0,0 +1,55 @@
+use std::sync::Arc;
+
+use slog::{info, warn};
+use tokio::time::sleep;
+
+use crate::core::Core;
+use crate::{Disk, PeerLink};
+
+impl<L: PeerLink, D: Disk> Core<L, D> {
+    /// Takes a snapshot whenever enough entries were committed since the last one.
+    pub async fn run_snapshots(self: Arc<Self>) {
+        let mut changed = self.changed.subscribe();
+        while changed.changed().await.is_ok() {
+            let due = {
+                let volatile = self.volatile();
+                let since = volatile.commit_index - volatile.snapshot_index;
+                self.settings.snapshot_every > 0 && since >= self.settings.snapshot_every
+            };
+            if due && !self.take_snapshot().await {
+                sleep(self.settings.election()).await;
+            }
+        }
+    }
+
+    /// Stores a snapshot of the committed state; returns false when it could not be stored.
+    async fn take_snapshot(&self) -> bool {
+        let guard = self.lock_store().await;
+        let (bytes, index, term, later) = {
+            let volatile = self.volatile();
+            let bytes = rmp_serde::to_vec(&volatile.state).expect("plain data encodes");
+            let (index, term) = (volatile.state.index, volatile.state.term);
+            let later = volatile.entries_from(index + 1, usize::MAX);
+            (bytes, index, term, later)
+        };
+        let length_bytes = bytes.len();
+        let (_guard, saved) = self
+            .with_store(guard, move |store| {
+                store.save_snapshot(index, &bytes, &later)
+            })
+            .await;
+        let mut volatile = self.volatile();
+        match saved {
+            Ok(()) => {
+                volatile.compact(index, term);
+                info!(self.log, "took a snapshot"; "index" => index, "bytes" => length_bytes);
+                true
+            }
+            Err(error) => {
+                warn!(self.log, "a snapshot cannot be stored"; "error" => %error);
+                volatile.storage_full = error.is_full();
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/control/src/state.rs
@@ -0,0 +1,162 @@
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use laburnumdeal_model::{Applied, Change, Configuration, Digest, Term, Verdict, Version};
+use serde::{Deserialize, Serialize};
+
+use crate::answers::{Answers, short_text};
+use crate::undo::UndoHistory;
+use crate::{Entry, Members, Payload, replay};
+
+/// Audit records kept in memory and in snapshots.
+const RECORDS_KEPT: usize = 4096;
+/// Blocks named by the audit records kept in memory and in snapshots.
+const RECORD_BLOCKS_KEPT: usize = 100_000;
+
+/// All that the committed entries add up to. Replicas with equal entries have equal states.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct State {
+    /// Last entry that is in it.
+    pub index: u64,
+    /// Term of the last entry that is in it.
+    pub term: Term,
+    /// Members as of the last entry.
+    pub members: Members,
+    /// Configuration in force.
+    pub configuration: Arc<Configuration>,
+    /// Hash of the last audit record.
+    pub chain: Digest,
+    /// Time of the last command, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// Newest accepted change.
+    pub winner: Option<Winner>,
+    pub(crate) answers: Answers,
+    pub(crate) undo: UndoHistory,
+    records: VecDeque<Arc<Applied>>,
+    record_blocks: usize,
+}
+
+/// Newest accepted change, as a refused operator is told.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Winner {
+    /// Text of the change, cut when it is long.
+    pub text: String,
+    /// Operator who made it.
+    pub operator: String,
+}
+
+impl State {
+    /// Adds the next entry. Returns false when it does not follow: the entry is out of order, or
+    /// its audit record does not continue the chain.
+    #[must_use]
+    pub fn apply(&mut self, entry: &Entry) -> bool {
+        if entry.index != self.index + 1 {
+            return false;
+        }
+        match &entry.payload {
+            Payload::Noop => {}
+            Payload::Members(members) => self.members = members.clone(),
+            Payload::Command(applied) => {
+                if !self.apply_command(applied) {
+                    return false;
+                }
+            }
+        }
+        self.index = entry.index;
+        self.term = entry.term;
+        true
+    }
+
+    /// Returns the contents of an earlier version as the next one, where they are kept.
+    pub fn reverted(&self, to: Version) -> Option<Configuration> {
+        let earlier = self.undo.contents(&self.configuration, to)?;
+        Some(self.configuration.restore(&earlier))
+    }
+
+    /// Returns kept audit records from an index on.
+    pub fn records_from(&self, index: u64, limit: usize) -> Vec<Applied> {
+        let start = self.records.partition_point(|record| record.index < index);
+        let records = self.records.iter().skip(start).take(limit);
+        records.map(|record| Applied::clone(record)).collect()
+    }
+
+    /// Returns the accepted changes after a version, or `None` when they are not all kept or
+    /// cannot be replayed without the whole history.
+    pub fn changes_since(&self, version: Version) -> Option<Vec<Applied>> {
+        let current = self.configuration.version;
+        let missing = current.0.checked_sub(version.0)?;
+        let mut changes = Vec::new();
+        for record in self.records.iter().rev() {
+            if changes.len() as u64 == missing {
+                break;
+            }
+            if !matches!(record.verdict, Verdict::Accepted { .. }) {
+                continue;
+            }
+            if matches!(record.change, Change::Revert { .. }) {
+                return None;
+            }
+            changes.push(Applied::clone(record));
+        }
+        changes.reverse();
+        (changes.len() as u64 == missing).then_some(changes)
+    }
+
+    fn apply_command(&mut self, applied: &Applied) -> bool {
+        if applied.expected_chain(self.chain) != applied.chain {
+            return false;
+        }
+        if let Verdict::Accepted { version } = applied.verdict {
+            if version != self.configuration.version.next() {
+                return false;
+            }
+            if !self.accept(applied, version) {
+                return false;
+            }
+        }
+        self.chain = applied.chain;
+        self.at_ms = applied.at_ms;
+        self.answers.insert(applied, self.configuration.version);
+        self.keep_record(applied);
+        true
+    }
+
+    fn accept(&mut self, applied: &Applied, version: Version) -> bool {
+        let next = match applied.change {
+            Change::Revert { to } => match self.reverted(to) {
+                Some(next) => next,
+                None => return false,
+            },
+            ref change => {
+                let mut next = Configuration::clone(&self.configuration);
+                replay(&mut next, change, applied.at_ms, version);
+                next
+            }
+        };
+        self.undo.push(&self.configuration, &applied.change, &next);
+        self.configuration = Arc::new(next);
+        self.winner = Some(Winner {
+            text: short_text(&applied.change),
+            operator: applied.operator.clone(),
+        });
+        true
+    }
+
+    fn keep_record(&mut self, applied: &Applied) {
+        self.record_blocks += blocks(applied);
+        self.records.push_back(Arc::new(applied.clone()));
+        while self.records.len() > RECORDS_KEPT || self.record_blocks > RECORD_BLOCKS_KEPT {
+            let Some(oldest) = self.records.pop_front() else {
+                break;
+            };
+            self.record_blocks -= blocks(&oldest);
+        }
+    }
+}
+
+fn blocks(applied: &Applied) -> usize {
+    match &applied.change {
+        Change::Steer { blocks, .. } => blocks.len(),
+        _ => 0,
+    }
+}
--- a/model/src/configuration.rs
+++ b/model/src/configuration.rs
@@ -293,7 +293,11 @@
     }
 
     /// Refuses to leave a service without upstreams when it had some before.
-    fn check_room(&self, before: &Self, topology: &Topology) -> Result<(), Refusal> {
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal::NoRoom`] with the first such service.
+    pub fn check_room(&self, before: &Self, topology: &Topology) -> Result<(), Refusal> {
         for service in &topology.services {
             if before.has_room(&service.name, topology) && !self.has_room(&service.name, topology) {
                 return Err(Refusal::NoRoom {
