--- a/daemon/src/answer_body.rs
+++ b/daemon/src/answer_body.rs
@@ -36,7 +36,12 @@
     }
 
     /// Returns a body that is passed on until `deadline`; `guard` is completed at its end.
-    pub fn stream(inner: Incoming, most_bytes: u64, deadline: Instant, guard: ExchangeGuard) -> Self {
+    pub fn stream(
+        inner: Incoming,
+        most_bytes: u64,
+        deadline: Instant,
+        guard: ExchangeGuard,
+    ) -> Self {
         let mut streamed = StreamedAnswer {
             inner,
             remaining_bytes: most_bytes,
@@ -99,7 +104,10 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
             Self::Whole(bytes) => {
-                let frame = bytes.take().filter(|b| !b.is_empty()).map(|b| Ok(Frame::data(b)));
+                let frame = bytes
+                    .take()
+                    .filter(|b| !b.is_empty())
+                    .map(|b| Ok(Frame::data(b)));
                 Poll::Ready(frame)
             }
             Self::Stream(streamed) => streamed.poll_next(cx),
--- a/daemon/src/attempt.rs
+++ b/daemon/src/attempt.rs
@@ -4,12 +4,13 @@
 
 use http::{HeaderValue, Request, Response, StatusCode};
 use laburnumdeal_model::{InstanceId, UpstreamId};
-use laburnumdeal_policy::Slot;
+use laburnumdeal_policy::{NotRunProof, Slot};
 
 use crate::answer_body::AnswerBody;
 use crate::connection_pool::Freshness;
 use crate::exchange;
 use crate::exchange_error::ExchangeError;
+use crate::exchange_guard::Place;
 use crate::header;
 use crate::prepared::Prepared;
 use crate::request_body::RequestBody;
@@ -26,6 +27,8 @@
     Answered(Response<AnswerBody>),
     /// The attempt proved that the request did not run.
     NotRun {
+        /// What proves it.
+        proof: NotRunProof,
         /// Why it did not run.
         reason: String,
         /// Time after which asking again makes sense.
@@ -43,30 +46,45 @@
 /// Sends a request to an upstream on a slot that was taken for it.
 pub async fn at_upstream(state: &State, prepared: &Prepared, slot: Slot) -> Attempt {
     let upstream = slot.upstream();
+    let name = &state.topology.upstream(upstream).name;
     let Some(body) = prepared.take_body() else {
         return already_sent();
     };
     let request = upstream_request(state, prepared, upstream, body);
     let pool = state.upstream_connections(upstream);
-    let sent = exchange::send(pool, freshness(prepared), request, prepared.deadline, Some(slot));
+    let flight = state.flights.start(upstream, prepared.fingerprint);
+    let place = Place { slot, flight };
+    let sent = exchange::send(
+        pool,
+        freshness(prepared),
+        request,
+        prepared.deadline,
+        Some(place),
+    );
     let (response, guard) = match sent.await {
         Ok(answered) => answered,
-        Err(error) => return failed(state, &state.topology.upstream(upstream).name, error),
+        Err(error) => return failed(name, error),
     };
     if is_shed(&response) {
         guard.shed();
-        return not_run("upstream shed the request", retry_after(&response));
+        return said_not_run("upstream shed the request", retry_after(&response));
     }
-    let received =
-        exchange::receive(response, guard, prepared.max_answer_bytes, prepared.deadline).await;
+    let received = exchange::receive(
+        response,
+        guard,
+        prepared.max_answer_bytes,
+        prepared.deadline,
+    )
+    .await;
     match received {
         Ok(mut response) => {
             header::strip_own(response.headers_mut());
-            let name = header::value(&state.topology.upstream(upstream).name);
-            response.headers_mut().insert(header::UPSTREAM, name);
+            response
+                .headers_mut()
+                .insert(header::UPSTREAM, header::value(name));
             Attempt::Answered(response)
         }
-        Err(error) => failed(state, &state.topology.upstream(upstream).name, error),
+        Err(error) => failed(name, error),
     }
 }
 
@@ -81,18 +99,31 @@
     let name = &state.topology.instance(peer).name;
     let (response, guard) = match sent.await {
         Ok(answered) => answered,
-        Err(error) => return failed(state, name, error),
+        Err(error) => return failed(name, error),
     };
     let outcome = header::text(response.headers(), &header::OUTCOME).map(str::to_owned);
-    let reason = header::text(response.headers(), &header::REASON).unwrap_or("").to_owned();
+    let reason = header::text(response.headers(), &header::REASON)
+        .unwrap_or("")
+        .to_owned();
     let retry_after = retry_after(&response);
-    let received =
-        exchange::receive(response, guard, prepared.max_answer_bytes, prepared.deadline).await;
+    let received = exchange::receive(
+        response,
+        guard,
+        prepared.max_answer_bytes,
+        prepared.deadline,
+    )
+    .await;
     match (received, outcome.as_deref()) {
-        (_, Some("not-run")) => not_run(&reason, retry_after),
+        (Ok(response), Some("not-run")) if response.status().is_client_error() => {
+            Attempt::Answered(response)
+        }
+        (_, Some("not-run")) => said_not_run(&reason, retry_after),
         (Ok(response), Some("answer")) => Attempt::Answered(response),
-        (Ok(_), _) => Attempt::Unknown { reason, crashed: false },
-        (Err(error), _) => failed(state, name, error),
+        (Ok(_), _) => Attempt::Unknown {
+            reason,
+            crashed: false,
+        },
+        (Err(error), _) => failed(name, error),
     }
 }
 
@@ -109,7 +140,10 @@
     let address = state.topology.upstream(upstream).address.to_string();
     let headers = request.headers_mut();
     headers.insert(http::header::HOST, header::value(&address));
-    headers.insert(header::UPSTREAM_DEADLINE_MS, HeaderValue::from(prepared.remaining_ms()));
+    headers.insert(
+        header::UPSTREAM_DEADLINE_MS,
+        HeaderValue::from(prepared.remaining_ms()),
+    );
     headers.insert(header::REQUEST_ID, header::value(&prepared.request_id));
     request
 }
@@ -126,10 +160,16 @@
     *request.uri_mut() = prepared.path.parse().expect("a received path parses");
     *request.headers_mut() = prepared.headers.clone();
     let headers = request.headers_mut();
-    headers.insert(http::header::HOST, header::value(&state.topology.instance(peer).name));
+    headers.insert(
+        http::header::HOST,
+        header::value(&state.topology.instance(peer).name),
+    );
     let service = &state.topology.service(prepared.service).name;
     headers.insert(header::SERVICE, header::value(service));
-    headers.insert(header::DEADLINE_MS, HeaderValue::from(prepared.remaining_ms().max(1)));
+    headers.insert(
+        header::DEADLINE_MS,
+        HeaderValue::from(prepared.remaining_ms().max(1)),
+    );
     headers.insert(header::REQUEST_ID, header::value(&prepared.request_id));
     headers.insert(header::CALLER, header::value(&prepared.caller.to_string()));
     headers.insert(header::ROLE, header::value(&role.to_string()));
@@ -152,20 +192,45 @@
     }
 }
 
-fn failed(_state: &State, name: &str, error: ExchangeError) -> Attempt {
+fn failed(name: &str, error: ExchangeError) -> Attempt {
     let reason = format!("{name}: {error}");
-    if error.proves_not_run() {
-        return Attempt::NotRun { reason, retry_after: DEFAULT_RETRY_AFTER };
+    let retry_after = DEFAULT_RETRY_AFTER;
+    match error {
+        ExchangeError::Refused(_) => Attempt::NotRun {
+            proof: NotRunProof::ConnectionRefused,
+            reason,
+            retry_after,
+        },
+        ExchangeError::NotSent => Attempt::NotRun {
+            proof: NotRunProof::NoByteLeft,
+            reason,
+            retry_after,
+        },
+        ExchangeError::Broken(_) => Attempt::Unknown {
+            reason,
+            crashed: true,
+        },
+        ExchangeError::Silent => Attempt::Unknown {
+            reason,
+            crashed: false,
+        },
     }
-    Attempt::Unknown { reason, crashed: matches!(error, ExchangeError::Broken(_)) }
 }
 
 fn already_sent() -> Attempt {
-    not_run("the body was sent once and is not held", DEFAULT_RETRY_AFTER)
+    Attempt::NotRun {
+        proof: NotRunProof::NoByteLeft,
+        reason: "the body was sent once and is not held".to_owned(),
+        retry_after: DEFAULT_RETRY_AFTER,
+    }
 }
 
-fn not_run(reason: &str, retry_after: Duration) -> Attempt {
-    Attempt::NotRun { reason: reason.to_owned(), retry_after }
+fn said_not_run(reason: &str, retry_after: Duration) -> Attempt {
+    Attempt::NotRun {
+        proof: NotRunProof::Shed,
+        reason: reason.to_owned(),
+        retry_after,
+    }
 }
 
 fn is_shed<B>(response: &Response<B>) -> bool {
--- a/daemon/src/configuration_view.rs
+++ b/daemon/src/configuration_view.rs
@@ -65,7 +65,10 @@
 
     /// Returns the version in force, 0 when there is none.
     pub fn version(&self) -> Version {
-        self.in_force.borrow().as_ref().map_or(Version(0), |known| known.configuration.version)
+        self.in_force
+            .borrow()
+            .as_ref()
+            .map_or(Version(0), |known| known.configuration.version)
     }
 
     /// Returns the hash of the configuration in force.
@@ -81,10 +84,18 @@
             && version <= known.configuration.version
         {
             let is_same = version < known.configuration.version || digest == known.digest;
-            return if is_same { Offered::Old } else { Offered::Conflict };
+            return if is_same {
+                Offered::Old
+            } else {
+                Offered::Conflict
+            };
         }
         let table = LookupTable::build(&offered, &self.topology);
-        let next = Arc::new(InForce { configuration: offered, table, digest });
+        let next = Arc::new(InForce {
+            configuration: offered,
+            table,
+            digest,
+        });
         self.put(next)
     }
 
@@ -135,12 +146,18 @@
     fn put(&self, next: Arc<InForce>) -> Offered {
         let version = next.configuration.version;
         let is_taken = self.in_force.send_if_modified(|current| {
-            let is_later = current.as_ref().is_none_or(|c| c.configuration.version < version);
+            let is_later = current
+                .as_ref()
+                .is_none_or(|c| c.configuration.version < version);
             if is_later {
                 *current = Some(next);
             }
             is_later
         });
-        if is_taken { Offered::Taken } else { Offered::Old }
+        if is_taken {
+            Offered::Taken
+        } else {
+            Offered::Old
+        }
     }
 }
--- a/daemon/src/connection.rs
+++ b/daemon/src/connection.rs
@@ -9,6 +9,9 @@
 use crate::exchange_error::ExchangeError;
 use crate::request_body::RequestBody;
 
+/// Time since its last answer for which a connection counts as proved live.
+const PROVED_LIVE: Duration = Duration::from_millis(250);
+
 /// One connection to an upstream or peer. Dropping it closes it, so that an exchange that ended
 /// early can never leave an answer behind for the next one.
 #[derive(Debug)]
@@ -23,7 +26,12 @@
     /// Returns a connection that was opened now.
     pub fn new(sender: SendRequest<RequestBody>, driver: JoinHandle<()>) -> Self {
         let now = Instant::now();
-        Self { sender, driver, opened_at: now, live_at: now }
+        Self {
+            sender,
+            driver,
+            opened_at: now,
+            live_at: now,
+        }
     }
 
     /// Returns when the connection was opened.
@@ -36,6 +44,11 @@
         self.live_at.elapsed()
     }
 
+    /// Returns whether the connection proved itself live a short while ago.
+    pub fn is_proved_live(&self) -> bool {
+        self.idle_for() < PROVED_LIVE
+    }
+
     /// Returns whether neither side is known to have closed.
     pub fn is_open(&self) -> bool {
         !self.sender.is_closed() && !self.driver.is_finished()
--- a/daemon/src/connection_pool.rs
+++ b/daemon/src/connection_pool.rs
@@ -13,9 +13,6 @@
 /// Longest time to wait for a new connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Time since its last answer for which a connection counts as proved live.
-const PROVED_LIVE: Duration = Duration::from_millis(250);
-
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -48,7 +45,14 @@
     /// Returns a pool without connections.
     pub fn new(address: SocketAddr, most_idle: usize) -> Self {
         let (idle, retired) = (Mutex::default(), Mutex::default());
-        Self { shared: Arc::new(Shared { address, most_idle, idle, retired }) }
+        Self {
+            shared: Arc::new(Shared {
+                address,
+                most_idle,
+                idle,
+                retired,
+            }),
+        }
     }
 
     /// Returns the address that connections go to.
@@ -107,7 +111,7 @@
                 idle.pop()
             }
             Freshness::ProvedLive => {
-                let newest = idle.pop_if(|c| c.is_open() && c.idle_for() < PROVED_LIVE);
+                let newest = idle.pop_if(|connection| connection.is_proved_live());
                 newest.filter(Connection::is_open)
             }
         }
@@ -123,8 +127,9 @@
         };
         let _ = stream.set_nodelay(true);
         let handshake = hyper::client::conn::http1::handshake::<_, RequestBody>;
-        let (sender, driver) =
-            handshake(TokioIo::new(stream)).await.map_err(|_| ExchangeError::NotSent)?;
+        let (sender, driver) = handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_| ExchangeError::NotSent)?;
         let driver = tokio::spawn(async move {
             let _ = driver.await;
         });
--- a/daemon/src/exchange.rs
+++ b/daemon/src/exchange.rs
@@ -4,13 +4,13 @@
 use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use laburnumdeal_policy::{Ending, Slot};
+use laburnumdeal_policy::Ending;
 use tokio::time::Instant;
 
 use crate::answer_body::AnswerBody;
 use crate::connection_pool::{ConnectionPool, Freshness};
 use crate::exchange_error::ExchangeError;
-use crate::exchange_guard::ExchangeGuard;
+use crate::exchange_guard::{ExchangeGuard, Place};
 use crate::header;
 use crate::request_body::RequestBody;
 
@@ -21,22 +21,22 @@
 ///
 /// # Errors
 ///
-/// Returns how the exchange ended; the slot is freed and the upstream judged accordingly.
+/// Returns how the exchange ended; the place is given up and the upstream judged accordingly.
 pub async fn send(
     pool: &ConnectionPool,
     freshness: Freshness,
     request: Request<RequestBody>,
     deadline: Instant,
-    slot: Option<Slot>,
+    place: Option<Place>,
 ) -> Result<(Response<Incoming>, ExchangeGuard), ExchangeError> {
     let connection = match pool.take(freshness, deadline).await {
         Ok(connection) => connection,
         Err(error) => {
-            finish(slot, Ending::Refused);
+            finish(place, Ending::Refused);
             return Err(error);
         }
     };
-    let mut guard = ExchangeGuard::new(connection, pool.clone(), slot);
+    let mut guard = ExchangeGuard::new(connection, pool.clone(), place);
     match guard.connection().send(request, deadline).await {
         Ok(response) => Ok((response, guard)),
         Err(error) => {
@@ -64,14 +64,21 @@
 ) -> Result<Response<AnswerBody>, ExchangeError> {
     let (mut parts, incoming) = response.into_parts();
     parts.headers = header::end_to_end(&parts.headers);
-    if incoming.size_hint().exact().is_none_or(|bytes| bytes > HOLD_BYTES) {
+    if incoming
+        .size_hint()
+        .exact()
+        .is_none_or(|bytes| bytes > HOLD_BYTES)
+    {
         let body = AnswerBody::stream(incoming, most_bytes, deadline, guard);
         return Ok(Response::from_parts(parts, body));
     }
     match tokio::time::timeout_at(deadline, incoming.collect()).await {
         Ok(Ok(collected)) => {
             guard.complete();
-            Ok(Response::from_parts(parts, AnswerBody::whole(collected.to_bytes())))
+            Ok(Response::from_parts(
+                parts,
+                AnswerBody::whole(collected.to_bytes()),
+            ))
         }
         Ok(Err(error)) => {
             guard.fail();
@@ -84,8 +91,8 @@
     }
 }
 
-fn finish(slot: Option<Slot>, ending: Ending) {
-    if let Some(slot) = slot {
-        slot.finish(ending);
+fn finish(place: Option<Place>, ending: Ending) {
+    if let Some(place) = place {
+        place.end(ending);
     }
 }
--- a/daemon/src/exchange_guard.rs
+++ b/daemon/src/exchange_guard.rs
@@ -3,21 +3,46 @@
 
 use crate::connection::Connection;
 use crate::connection_pool::ConnectionPool;
+use crate::flights::Flight;
 
-/// What an exchange holds until its answer has arrived whole: a connection, and a slot when the
-/// other side is an upstream. Dropping it closes the connection and frees the slot.
+/// What an exchange holds until its answer has arrived whole: a connection, and the place on an
+/// upstream when the other side is one. Dropping it closes the connection and frees the place.
 #[derive(Debug)]
 pub struct ExchangeGuard {
     connection: Connection,
     pool: ConnectionPool,
-    slot: Option<Slot>,
+    place: Option<Place>,
     started_at: Instant,
+    was_live: bool,
+}
+
+/// Place of a request on an upstream.
+#[derive(Debug)]
+pub struct Place {
+    /// Slot that the request holds.
+    pub slot: Slot,
+    /// Entry in the register of requests in flight.
+    pub flight: Flight,
+}
+
+impl Place {
+    /// Gives the place up.
+    pub fn end(self, ending: Ending) {
+        self.slot.finish(ending);
+    }
 }
 
 impl ExchangeGuard {
     /// Returns a guard for an exchange that starts now.
-    pub fn new(connection: Connection, pool: ConnectionPool, slot: Option<Slot>) -> Self {
-        Self { connection, pool, slot, started_at: Instant::now() }
+    pub fn new(connection: Connection, pool: ConnectionPool, place: Option<Place>) -> Self {
+        let was_live = connection.is_proved_live();
+        Self {
+            connection,
+            pool,
+            place,
+            started_at: Instant::now(),
+            was_live,
+        }
     }
 
     /// Returns the connection.
@@ -27,31 +52,41 @@
 
     /// Ends the exchange whole: the connection may carry the next one.
     pub fn complete(self) {
-        if let Some(slot) = self.slot {
-            slot.finish(Ending::Answered { latency: self.started_at.elapsed() });
+        if let Some(place) = self.place {
+            place.flight.completed();
+            place.slot.finish(Ending::Answered {
+                latency: self.started_at.elapsed(),
+            });
         }
         self.pool.put(self.connection);
     }
 
     /// Ends the exchange because the other side shed the request.
     pub fn shed(self) {
-        if let Some(slot) = self.slot {
-            slot.finish(Ending::Shed);
+        if let Some(place) = self.place {
+            place.end(Ending::Shed);
         }
     }
 
-    /// Ends the exchange because it broke.
+    /// Ends the exchange because it broke. A connection that had been idle for long may have been
+    /// closed for that alone, so it is no sign of a crash.
     pub fn fail(self) {
-        if let Some(slot) = self.slot {
-            slot.finish(Ending::Failed);
+        let Some(place) = self.place else {
+            return;
+        };
+        if self.was_live {
+            place.flight.crashed();
+            place.slot.finish(Ending::Failed);
+        } else {
+            place.end(Ending::Cancelled);
         }
     }
 
     /// Ends the exchange because nothing came back; connections of the same age are distrusted.
     pub fn silent(self) {
         self.pool.retire(self.connection.opened_at());
-        if let Some(slot) = self.slot {
-            slot.finish(Ending::Silent);
+        if let Some(place) = self.place {
+            place.end(Ending::Silent);
         }
     }
 }
--- a/daemon/src/header.rs
+++ b/daemon/src/header.rs
@@ -54,7 +54,9 @@
     let listed = listed_by_connection(headers);
     let mut kept = HeaderMap::with_capacity(headers.len());
     for (name, value) in headers {
-        let is_listed = listed.iter().any(|other| other.eq_ignore_ascii_case(name.as_str()));
+        let is_listed = listed
+            .iter()
+            .any(|other| other.eq_ignore_ascii_case(name.as_str()));
         if !HOP_BY_HOP.contains(&name.as_str()) && !is_listed {
             kept.append(name.clone(), value.clone());
         }
@@ -81,8 +83,16 @@
 
 /// Returns a header value of a text; characters that a header cannot hold become '?'.
 pub fn value(text: &str) -> HeaderValue {
-    let clean: String =
-        text.chars().map(|c| if c.is_ascii_graphic() || c == ' ' { c } else { '?' }).collect();
+    let clean: String = text
+        .chars()
+        .map(|c| {
+            if c.is_ascii_graphic() || c == ' ' {
+                c
+            } else {
+                '?'
+            }
+        })
+        .collect();
     HeaderValue::from_str(&clean).expect("graphic ASCII is a header value")
 }
 
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,1 +1,73 @@
-//! Placeholder.
+//! One instance of laburnumdeal: answers look-ups, forwards requests to upstreams, talks to the
+//! other instances and serves operators.
+//!
+//! ```no_run
+//! use laburnumdeal_daemon::{Daemon, open_logger};
+//! use laburnumdeal_model::Settings;
+//!
+//! # async fn example() -> Result<(), Box<dyn std::error::Error>> {
+//! let settings = Settings::open("nasr-1.jsonc".as_ref())?;
+//! let (log, _flush) = open_logger(&settings.log_level, &settings.instance);
+//! let daemon = Daemon::spawn(settings, log).await?;
+//! daemon.stop().await;
+//! # Ok(())
+//! # }
+//! ```
+
+mod answer_body;
+mod attempt;
+mod beat;
+mod body_error;
+mod caller_handler;
+mod claim_path;
+mod command_runner;
+mod configuration_puller;
+mod configuration_store;
+mod configuration_view;
+mod connection;
+mod connection_pool;
+mod daemon;
+mod daemon_error;
+mod exchange;
+mod exchange_error;
+mod exchange_guard;
+mod explain;
+mod flights;
+mod get_json;
+mod header;
+mod heartbeat;
+mod http_server;
+mod leaving_upstreams;
+mod load_poller;
+mod logger;
+mod lookup_handler;
+mod metrics;
+mod operator_auth;
+mod operator_server;
+mod options;
+mod ownership_task;
+mod peer_client;
+mod peer_error;
+mod peer_handler;
+mod peer_message;
+mod peer_proof;
+mod peers_room;
+mod platform_poller;
+mod prepared;
+mod readiness;
+mod request_body;
+mod request_error;
+mod request_handler;
+mod request_path;
+mod role;
+mod served;
+mod share_borrower;
+mod show;
+mod spread;
+mod state;
+mod trace;
+
+pub use daemon::Daemon;
+pub use daemon_error::DaemonError;
+pub use logger::open as open_logger;
+pub use options::{Options, OptionsError};
--- a/daemon/src/logger.rs
+++ b/daemon/src/logger.rs
@@ -9,9 +9,13 @@
 /// Returns a logger that writes JSON lines to standard error, and the guard that flushes it.
 pub fn open(level: &str, instance: &str) -> (Logger, slog_async::AsyncGuard) {
     let level = Level::from_str(level).unwrap_or(Level::Info);
-    let json = slog_json::Json::new(io::stderr()).add_default_keys().build().fuse();
-    let (drain, guard) =
-        slog_async::Async::new(json).chan_size(CHANNEL_LINES).build_with_guard();
+    let json = slog_json::Json::new(io::stderr())
+        .add_default_keys()
+        .build()
+        .fuse();
+    let (drain, guard) = slog_async::Async::new(json)
+        .chan_size(CHANNEL_LINES)
+        .build_with_guard();
     let logger = Logger::root(LevelFilter::new(drain.fuse(), level).fuse(), o!());
     (logger.new(o!("instance" => instance.to_owned())), guard)
 }
--- /dev/null
+++ b/daemon/src/main.rs
@@ -0,0 +1,48 @@
+//! Binary `laburnumdeald`: one instance of laburnumdeal.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use eyre::{Result, WrapErr};
+use laburnumdeal_daemon::{Daemon, Options, open_logger};
+use laburnumdeal_model::Settings;
+use tokio::signal::unix::{SignalKind, signal};
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match run(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("laburnumdeald: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(arguments: &[String]) -> Result<()> {
+    match Options::parse(arguments)? {
+        Options::Help => print!("{}", Options::usage()),
+        Options::Version => println!("laburnumdeald {}", env!("CARGO_PKG_VERSION")),
+        Options::Check { settings } => {
+            Settings::open(&settings)?;
+            println!("{}: settings are correct", settings.display());
+        }
+        Options::Run { settings } => serve(&settings)?,
+    }
+    Ok(())
+}
+
+#[tokio::main]
+async fn serve(path: &Path) -> Result<()> {
+    let settings = Settings::open(path)?;
+    let (log, _flush) = open_logger(&settings.log_level, &settings.instance);
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("signal TERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("signal INT")?;
+    let daemon = Daemon::spawn(settings, log).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    daemon.stop().await;
+    Ok(())
+}
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -53,17 +53,37 @@
         let (lookups, retries, hedges) = (Counter::default(), Family::default(), Family::default());
         let (configuration_version, fenced) = (Gauge::default(), Gauge::default());
         let (requests_in_flight, claim_records) = (Gauge::default(), Gauge::default());
-        registry.register("requests", "Requests by service and outcome", requests.clone());
+        registry.register(
+            "requests",
+            "Requests by service and outcome",
+            requests.clone(),
+        );
         let help = "Time from a request's head to its final outcome";
         registry.register_with_unit("request_latency", help, Unit::Seconds, latency.clone());
         registry.register("lookups", "Look-ups answered", lookups.clone());
         registry.register("retries", "Attempts after the first", retries.clone());
-        registry.register("hedges", "Second attempts beside a slow first", hedges.clone());
+        registry.register(
+            "hedges",
+            "Second attempts beside a slow first",
+            hedges.clone(),
+        );
         let help = "Version of the configuration in force";
         registry.register("configuration_version", help, configuration_version.clone());
-        registry.register("fenced", "1 when the configuration lease has run out", fenced.clone());
-        registry.register("requests_in_flight", "Requests in progress", requests_in_flight.clone());
-        registry.register("claim_records", "Claims that are held", claim_records.clone());
+        registry.register(
+            "fenced",
+            "1 when the configuration lease has run out",
+            fenced.clone(),
+        );
+        registry.register(
+            "requests_in_flight",
+            "Requests in progress",
+            requests_in_flight.clone(),
+        );
+        registry.register(
+            "claim_records",
+            "Claims that are held",
+            claim_records.clone(),
+        );
         Self {
             registry: Arc::new(registry),
             requests,
@@ -80,9 +100,14 @@
 
     /// Counts a request that ended.
     pub fn ended(&self, service: &str, outcome: &str, latency: Duration) {
-        let labels = RequestLabels { service: service.to_owned(), outcome: outcome.to_owned() };
+        let labels = RequestLabels {
+            service: service.to_owned(),
+            outcome: outcome.to_owned(),
+        };
         self.requests.get_or_create(&labels).inc();
-        self.latency.get_or_create(&labels_of(service)).observe(latency.as_secs_f64());
+        self.latency
+            .get_or_create(&labels_of(service))
+            .observe(latency.as_secs_f64());
     }
 
     /// Counts a look-up.
@@ -109,7 +134,9 @@
 }
 
 fn labels_of(service: &str) -> ServiceLabels {
-    ServiceLabels { service: service.to_owned() }
+    ServiceLabels {
+        service: service.to_owned(),
+    }
 }
 
 fn new_histogram() -> Histogram {
--- a/daemon/src/operator_auth.rs
+++ b/daemon/src/operator_auth.rs
@@ -18,7 +18,9 @@
 impl OperatorAuth {
     /// Returns a check against these operators.
     pub fn new(operators: &[OperatorSettings]) -> Self {
-        Self { operators: operators.to_vec() }
+        Self {
+            operators: operators.to_vec(),
+        }
     }
 
     /// Returns the operator whose token an `Authorization` header carries. Every token is
@@ -29,7 +31,10 @@
         for operator in &self.operators {
             let same: bool = operator.token.as_bytes().ct_eq(token.as_bytes()).into();
             if same {
-                found = Some(Operator { name: operator.name.clone(), read_only: operator.read_only });
+                found = Some(Operator {
+                    name: operator.name.clone(),
+                    read_only: operator.read_only,
+                });
             }
         }
         found
--- a/daemon/src/operator_server.rs
+++ b/daemon/src/operator_server.rs
@@ -5,7 +5,6 @@
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::conn::{Listener, TcpListener};
 use salvo::http::{HeaderValue, StatusCode, header};
-use salvo::server::ServerHandle;
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, Server, async_trait};
 
 use crate::command_runner;
@@ -16,9 +15,8 @@
 /// Longest body of an operator's request.
 const MAX_REQUEST_BYTES: usize = 1024 * 1024;
 
-/// Serves operators, health and metrics.
+/// Serves operators, health and metrics until it is dropped.
 pub struct OperatorServer {
-    handle: ServerHandle,
     task: tokio::task::JoinHandle<()>,
 }
 
@@ -29,26 +27,32 @@
     ///
     /// Returns [`DaemonError::Bind`] when the address is not free.
     pub async fn bind(address: SocketAddr, state: Arc<State>) -> Result<Self, DaemonError> {
-        let acceptor: TcpAcceptor = TcpListener::new(address).try_bind().await.map_err(|error| {
-            DaemonError::Bind { address, source: std::io::Error::other(error) }
-        })?;
-        let server = Server::new(acceptor);
-        let handle = server.handle();
-        let task = tokio::spawn(server.serve(router(state)));
-        Ok(Self { handle, task })
+        let acceptor: TcpAcceptor =
+            TcpListener::new(address)
+                .try_bind()
+                .await
+                .map_err(|error| DaemonError::Bind {
+                    address,
+                    source: std::io::Error::other(error),
+                })?;
+        let task = tokio::spawn(Server::new(acceptor).serve(router(state)));
+        Ok(Self { task })
     }
+}
 
-    /// Stops after the requests in progress.
-    pub async fn stop(self) {
-        self.handle.stop_graceful(Some(std::time::Duration::from_secs(1)));
-        let _ = self.task.await;
+impl Drop for OperatorServer {
+    fn drop(&mut self) {
+        self.task.abort();
     }
 }
 
 fn router(state: Arc<State>) -> Router {
     let at = |path: &str, page: Page| {
         let router = Router::with_path(path.trim_start_matches('/'));
-        let handler = PageHandler { state: state.clone(), page };
+        let handler = PageHandler {
+            state: state.clone(),
+            page,
+        };
         match page {
             Page::Command => router.post(handler),
             Page::Health | Page::Ready | Page::Metrics => router.get(handler),
@@ -94,11 +98,17 @@
 
 impl PageHandler {
     async fn command(&self, request: &mut Request, response: &mut Response) {
-        let authorization =
-            request.headers().get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
+        let authorization = request
+            .headers()
+            .get(header::AUTHORIZATION)
+            .and_then(|value| value.to_str().ok());
         let Some(operator) = self.state.operators.operator(authorization) else {
             let message = "no operator has this token; expected 'Authorization: Bearer TOKEN'";
-            return reply(response, StatusCode::UNAUTHORIZED, &ErrorReply::new(message).into());
+            return reply(
+                response,
+                StatusCode::UNAUTHORIZED,
+                &ErrorReply::new(message).into(),
+            );
         };
         match read(request).await {
             Ok(read) => {
@@ -120,7 +130,9 @@
     fn metrics(&self, response: &mut Response) {
         self.state.refresh_gauges();
         let content = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-        response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(content));
+        response
+            .headers_mut()
+            .insert(header::CONTENT_TYPE, HeaderValue::from_static(content));
         let _ = response.write_body(self.state.metrics.render());
     }
 }
--- a/daemon/src/options.rs
+++ b/daemon/src/options.rs
@@ -61,7 +61,9 @@
     pub fn parse(arguments: &[String]) -> Result<Self, OptionsError> {
         let matches = parser()
             .parse(arguments)
-            .map_err(|error| OptionsError::Parse { reason: error.to_string() })?;
+            .map_err(|error| OptionsError::Parse {
+                reason: error.to_string(),
+            })?;
         if matches.opt_present("help") {
             return Ok(Self::Help);
         }
@@ -71,7 +73,10 @@
         if let Some(word) = matches.free.first() {
             return Err(OptionsError::Extra { word: word.clone() });
         }
-        let settings = matches.opt_str("settings").ok_or(OptionsError::NoSettings)?.into();
+        let settings = matches
+            .opt_str("settings")
+            .ok_or(OptionsError::NoSettings)?
+            .into();
         match matches.opt_present("check") {
             true => Ok(Self::Check { settings }),
             false => Ok(Self::Run { settings }),
--- a/daemon/src/peer_client.rs
+++ b/daemon/src/peer_client.rs
@@ -52,7 +52,14 @@
             .iter()
             .map(|instance| ConnectionPool::new(instance.peer_address, IDLE_CONNECTIONS))
             .collect();
-        Self { shared: Arc::new(Shared { topology, me, proof, pools }) }
+        Self {
+            shared: Arc::new(Shared {
+                topology,
+                me,
+                proof,
+                pools,
+            }),
+        }
     }
 
     /// Sends a message and returns its reply.
@@ -61,8 +68,16 @@
     ///
     /// Returns how the exchange failed; only [`PeerError::proves_not_run`] says that the receiver
     /// did not get the message.
-    pub async fn call(&self, to: InstanceId, message: &PeerRequest) -> Result<PeerReply, PeerError> {
-        let timeout = if message.is_bulk() { BULK_TIMEOUT } else { MESSAGE_TIMEOUT };
+    pub async fn call(
+        &self,
+        to: InstanceId,
+        message: &PeerRequest,
+    ) -> Result<PeerReply, PeerError> {
+        let timeout = if message.is_bulk() {
+            BULK_TIMEOUT
+        } else {
+            MESSAGE_TIMEOUT
+        };
         let deadline = Instant::now() + timeout;
         let pool = &self.shared.pools[to.index()];
         let request = self.request(to, message)?;
@@ -81,14 +96,20 @@
         guard.complete();
         if !status.is_success() {
             let text = String::from_utf8_lossy(&body).trim().to_owned();
-            return Err(PeerError::Refused { status: status.as_u16(), text });
+            return Err(PeerError::Refused {
+                status: status.as_u16(),
+                text,
+            });
         }
         Ok(rmp_serde::from_slice(&body)?)
     }
 
     /// Closes connections that have been idle for long.
     pub fn close_idle(&self) {
-        self.shared.pools.iter().for_each(ConnectionPool::close_idle);
+        self.shared
+            .pools
+            .iter()
+            .for_each(ConnectionPool::close_idle);
     }
 
     /// Adds the headers that prove this instance to another.
@@ -96,7 +117,10 @@
         let from = &self.shared.topology.instance(self.shared.me).name;
         let to = &self.shared.topology.instance(to).name;
         headers.insert(header::PEER, header::value(from));
-        headers.insert(header::PROOF, header::value(&self.shared.proof.prove(from, to)));
+        headers.insert(
+            header::PROOF,
+            header::value(&self.shared.proof.prove(from, to)),
+        );
     }
 
     fn request(
--- /dev/null
+++ b/daemon/src/peer_handler.rs
@@ -0,0 +1,201 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use laburnumdeal_control::{ControlReply, ControlRequest};
+use laburnumdeal_model::{InstanceId, Version};
+use laburnumdeal_policy::RequestKey;
+use slog::warn;
+use tokio::time::Instant;
+
+use crate::answer_body::AnswerBody;
+use crate::beat::Beat;
+use crate::header;
+use crate::heartbeat;
+use crate::http_server::Handle;
+use crate::ownership_task::HandedOver;
+use crate::peer_client::{MAX_MESSAGE_BYTES, MESSAGE_PATH};
+use crate::peer_message::{PeerReply, PeerRequest};
+use crate::request_handler::handle;
+use crate::role::Role;
+use crate::served::text_response;
+use crate::state::State;
+
+/// Answers other instances: messages and forwarded requests.
+pub struct PeerHandler {
+    state: Arc<State>,
+    handed_over: HandedOver,
+}
+
+impl PeerHandler {
+    /// Returns a handler for the peers of an instance.
+    pub fn new(state: Arc<State>, handed_over: HandedOver) -> Self {
+        Self { state, handed_over }
+    }
+
+    /// Returns the instance that a request proves to come from.
+    fn sender(&self, headers: &HeaderMap) -> Option<InstanceId> {
+        let from = header::text(headers, &header::PEER)?;
+        let proof = header::text(headers, &header::PROOF)?;
+        let me = &self.state.topology.instance(self.state.me).name;
+        if !self.state.proof.verify(from, me, proof) {
+            return None;
+        }
+        self.state.topology.instance_named(from)
+    }
+
+    async fn message(&self, from: InstanceId, request: Request<Incoming>) -> Response<AnswerBody> {
+        let body = match Limited::new(request.into_body(), MAX_MESSAGE_BYTES)
+            .collect()
+            .await
+        {
+            Ok(collected) => collected.to_bytes(),
+            Err(_) => return text_response(StatusCode::BAD_REQUEST, "body broke off\n", "body"),
+        };
+        let message = match rmp_serde::from_slice::<PeerRequest>(&body) {
+            Ok(message) => message,
+            Err(error) => {
+                let text = format!("message is of no known kind: {error}\n");
+                return text_response(StatusCode::BAD_REQUEST, &text, "message");
+            }
+        };
+        let reply = self.reply(from, message).await;
+        let bytes = rmp_serde::to_vec_named(&reply).expect("replies are plain data");
+        Response::new(AnswerBody::whole(Bytes::from(bytes)))
+    }
+
+    async fn reply(&self, from: InstanceId, message: PeerRequest) -> PeerReply {
+        let state = &self.state;
+        match message {
+            PeerRequest::Beat(beat) => self.beat(from, *beat),
+            PeerRequest::Control(request) => self.control(from, request).await,
+            PeerRequest::Pull { have } => self.pull(have),
+            PeerRequest::MirrorClaim {
+                key,
+                fingerprint,
+                home_boot,
+            } => self.with_key(&key, |key| {
+                let claims = &state.claims;
+                PeerReply::Mirror(claims.mirror_claim(key, fingerprint, from, home_boot))
+            }),
+            PeerRequest::Fence { key, fingerprint } => self.with_key(&key, |key| {
+                PeerReply::Fence(state.claims.fence(key, fingerprint))
+            }),
+            PeerRequest::StoreAnswer { key, answer } => self.with_key(&key, |key| {
+                state.claims.store_copy(key, answer);
+                PeerReply::Done
+            }),
+            PeerRequest::StoreFence { key, home_boot } => self.with_key(&key, |key| {
+                state.claims.store_fence(key, from, home_boot);
+                PeerReply::Done
+            }),
+            PeerRequest::HandOverClaims(message) => {
+                state.claims.import(*message);
+                PeerReply::Done
+            }
+            PeerRequest::HandOverUpstreams(list) => {
+                self.handed_over.add(from, list);
+                PeerReply::Done
+            }
+            PeerRequest::SyncClaims { boot } => {
+                PeerReply::Claims(state.claims.sync_records(from, boot))
+            }
+            PeerRequest::Borrow { key, amount_per_s } => {
+                PeerReply::Granted(state.shares.lend(key, from, amount_per_s, Instant::now()))
+            }
+            PeerRequest::GiveBack(message) => {
+                state.shares.returned(&message, Instant::now());
+                PeerReply::Done
+            }
+            PeerRequest::Explain { request_id } => PeerReply::Trace(state.traces.find(&request_id)),
+        }
+    }
+
+    fn beat(&self, from: InstanceId, beat: Beat) -> PeerReply {
+        if beat.topology != self.state.topology.digest {
+            let name = &self.state.topology.instance(from).name;
+            warn!(self.state.log, "peer has another topology"; "peer" => name);
+            let reason = "the topology of the settings differs".to_owned();
+            return PeerReply::Failed { reason };
+        }
+        heartbeat::take(&self.state, from, beat);
+        PeerReply::Beat(Box::new(heartbeat::beat_for(&self.state, from)))
+    }
+
+    async fn control(&self, from: InstanceId, request: ControlRequest) -> PeerReply {
+        match &self.state.replica {
+            Some(replica) => PeerReply::Control(replica.handle(from, request).await),
+            None => PeerReply::Control(ControlReply::Failed),
+        }
+    }
+
+    /// Returns the changes since a version where the change log still has them, and the whole
+    /// configuration otherwise.
+    fn pull(&self, have: Option<Version>) -> PeerReply {
+        let Some(known) = self.state.configuration.in_force() else {
+            return PeerReply::Failed {
+                reason: "no configuration yet".to_owned(),
+            };
+        };
+        let version = known.configuration.version;
+        let changes = have
+            .and_then(|have| self.state.replica.as_ref()?.changes_since(have))
+            .filter(|changes| leads_to(changes, version));
+        match changes {
+            Some(changes) => PeerReply::Changes {
+                changes,
+                digest: known.digest,
+            },
+            None => PeerReply::Whole(known.configuration.clone()),
+        }
+    }
+
+    fn with_key(&self, text: &str, act: impl FnOnce(&RequestKey) -> PeerReply) -> PeerReply {
+        match RequestKey::parse(text, &self.state.sealer) {
+            Ok(key) => act(&key),
+            Err(error) => PeerReply::Failed {
+                reason: error.to_string(),
+            },
+        }
+    }
+}
+
+/// Returns whether the last accepted change is the one that made `version`.
+fn leads_to(changes: &[laburnumdeal_model::Applied], version: Version) -> bool {
+    use laburnumdeal_model::Verdict;
+    let mut accepted = changes
+        .iter()
+        .rev()
+        .filter_map(|change| match change.verdict {
+            Verdict::Accepted { version } => Some(version),
+            _ => None,
+        });
+    accepted.next() == Some(version)
+}
+
+impl Handle for PeerHandler {
+    async fn handle(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<AnswerBody> {
+        let Some(from) = self.sender(request.headers()) else {
+            warn!(self.state.log, "peer without proof refused"; "address" => peer.to_string());
+            let text = "the sender does not prove to be an instance of the topology\n";
+            return text_response(StatusCode::UNAUTHORIZED, text, "peer proof");
+        };
+        if request.uri().path() == MESSAGE_PATH {
+            return self.message(from, request).await;
+        }
+        let role = header::text(request.headers(), &header::ROLE).and_then(|r| r.parse().ok());
+        let caller = header::text(request.headers(), &header::CALLER)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(peer.ip());
+        match role {
+            Some(Role::Entry) | None => {
+                let text = "a forwarded request names no role; expected home, zone or owner\n";
+                text_response(StatusCode::BAD_REQUEST, text, "role")
+            }
+            Some(role) => handle(&self.state, request, caller, role).await,
+        }
+    }
+}
--- a/daemon/src/peer_proof.rs
+++ b/daemon/src/peer_proof.rs
@@ -12,7 +12,9 @@
 impl PeerProof {
     /// Derives the proof key from the secret of the settings.
     pub fn new(secret: &str) -> Self {
-        Self { key: blake3::derive_key(CONTEXT, secret.as_bytes()) }
+        Self {
+            key: blake3::derive_key(CONTEXT, secret.as_bytes()),
+        }
     }
 
     /// Returns the text that proves `from` to `to`.
@@ -26,6 +28,9 @@
 
     /// Returns whether `proof` is what `from` would send to `to`, compared in constant time.
     pub fn verify(&self, from: &str, to: &str, proof: &str) -> bool {
-        self.prove(from, to).as_bytes().ct_eq(proof.as_bytes()).into()
+        self.prove(from, to)
+            .as_bytes()
+            .ct_eq(proof.as_bytes())
+            .into()
     }
 }
--- a/daemon/src/prepared.rs
+++ b/daemon/src/prepared.rs
@@ -20,6 +20,9 @@
 /// Longest request body that is held whole, so that it can be sent again.
 const REPLAY_BYTES: u64 = 64 * 1024;
 
+/// Size that is assumed for the head of a request or an answer on a link.
+pub const HEAD_BYTES: u64 = 1_024;
+
 /// Longest request id, in bytes.
 const MAX_REQUEST_ID_BYTES: usize = 64;
 
@@ -54,7 +57,11 @@
 #[derive(Debug)]
 enum PreparedBody {
     Whole(Bytes),
-    Stream { incoming: Mutex<Option<Incoming>>, most_bytes: u64 },
+    Stream {
+        incoming: Mutex<Option<Incoming>>,
+        length_bytes: u64,
+        most_bytes: u64,
+    },
 }
 
 impl Prepared {
@@ -78,10 +85,14 @@
         let idempotent = service.idempotent || parts.method.is_safe();
         let key = header::text(&parts.headers, &header::KEY).map(str::to_owned);
         if key.is_none() && parts.headers.contains_key(header::KEY) {
-            return Err(RequestError::BadKey { reason: "is not text".to_owned() });
+            return Err(RequestError::BadKey {
+                reason: "is not text".to_owned(),
+            });
         }
         if !idempotent && service.requires_key && key.is_none() {
-            return Err(RequestError::KeyRequired { service: service.name.clone() });
+            return Err(RequestError::KeyRequired {
+                service: service.name.clone(),
+            });
         }
         let body = PreparedBody::read(incoming, service, deadline).await?;
         let path = path_of(&parts.uri);
@@ -109,6 +120,15 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the size of the request on a link, headers included.
+    pub fn request_bytes(&self) -> u64 {
+        let body_bytes = match &self.body {
+            PreparedBody::Whole(bytes) => bytes.len() as u64,
+            PreparedBody::Stream { length_bytes, .. } => *length_bytes,
+        };
+        HEAD_BYTES + body_bytes
+    }
+
     /// Returns the time that is left, in milliseconds.
     pub fn remaining_ms(&self) -> u64 {
         self.remaining().as_millis() as u64
@@ -123,9 +143,16 @@
     pub fn take_body(&self) -> Option<RequestBody> {
         match &self.body {
             PreparedBody::Whole(bytes) => Some(RequestBody::whole(bytes.clone())),
-            PreparedBody::Stream { incoming, most_bytes } => {
+            PreparedBody::Stream {
+                incoming,
+                most_bytes,
+                ..
+            } => {
                 let inner = incoming.lock().expect("no panic while locked").take()?;
-                Some(RequestBody::Stream { inner, remaining_bytes: *most_bytes })
+                Some(RequestBody::Stream {
+                    inner,
+                    remaining_bytes: *most_bytes,
+                })
             }
         }
     }
@@ -138,13 +165,22 @@
         deadline: Instant,
     ) -> Result<Self, RequestError> {
         let most_bytes = service.max_request_bytes;
-        let too_long = || RequestError::BodyTooLong { service: service.name.clone(), most_bytes };
+        let too_long = || RequestError::BodyTooLong {
+            service: service.name.clone(),
+            most_bytes,
+        };
         let hint = incoming.size_hint();
         if hint.lower() > most_bytes {
             return Err(too_long());
         }
         if hint.exact().is_none_or(|bytes| bytes > REPLAY_BYTES) {
-            return Ok(Self::Stream { incoming: Mutex::new(Some(incoming)), most_bytes });
+            let length_bytes = hint.exact().unwrap_or(most_bytes);
+            let incoming = Mutex::new(Some(incoming));
+            return Ok(Self::Stream {
+                incoming,
+                length_bytes,
+                most_bytes,
+            });
         }
         let collecting = Limited::new(incoming, REPLAY_BYTES as usize).collect();
         match tokio::time::timeout_at(deadline, collecting).await {
@@ -158,14 +194,19 @@
     let name = header::text(headers, &header::SERVICE).ok_or(RequestError::NoService)?;
     topology
         .service_named(name)
-        .ok_or_else(|| RequestError::UnknownService { name: name.to_owned() })
+        .ok_or_else(|| RequestError::UnknownService {
+            name: name.to_owned(),
+        })
 }
 
 fn find_deadline(headers: &HeaderMap, service: &Service) -> Result<Duration, RequestError> {
     let Some(value) = headers.get(header::DEADLINE_MS) else {
         return Ok(Duration::from_millis(service.deadline_ms));
     };
-    let parsed = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
+    let parsed = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse::<u64>().ok());
     match parsed.filter(|ms| (1..=MAX_DEADLINE_MS).contains(ms)) {
         Some(ms) => Ok(Duration::from_millis(ms)),
         None => Err(RequestError::BadDeadline {
@@ -188,13 +229,16 @@
 
 fn check_method(method: &Method) -> Result<(), RequestError> {
     if matches!(*method, Method::CONNECT | Method::TRACE) {
-        return Err(RequestError::Method { method: method.to_string() });
+        return Err(RequestError::Method {
+            method: method.to_string(),
+        });
     }
     Ok(())
 }
 
 fn path_of(uri: &Uri) -> String {
-    uri.path_and_query().map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned())
+    uri.path_and_query()
+        .map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned())
 }
 
 fn fingerprint(service: ServiceId, method: &Method, path: &str, body: &PreparedBody) -> u64 {
@@ -208,5 +252,9 @@
         hasher.update(bytes);
     }
     let hash = hasher.finalize();
-    u64::from_le_bytes(hash.as_bytes()[..8].try_into().expect("a hash has 32 bytes"))
+    u64::from_le_bytes(
+        hash.as_bytes()[..8]
+            .try_into()
+            .expect("a hash has 32 bytes"),
+    )
 }
--- a/daemon/src/request_body.rs
+++ b/daemon/src/request_body.rs
@@ -38,10 +38,16 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
             Self::Whole(bytes) => {
-                let frame = bytes.take().filter(|b| !b.is_empty()).map(|b| Ok(Frame::data(b)));
+                let frame = bytes
+                    .take()
+                    .filter(|b| !b.is_empty())
+                    .map(|b| Ok(Frame::data(b)));
                 Poll::Ready(frame)
             }
-            Self::Stream { inner, remaining_bytes } => {
+            Self::Stream {
+                inner,
+                remaining_bytes,
+            } => {
                 let frame = std::task::ready!(Pin::new(inner).poll_frame(cx));
                 Poll::Ready(frame.map(|frame| limit(frame?, remaining_bytes)))
             }
--- a/daemon/src/request_error.rs
+++ b/daemon/src/request_error.rs
@@ -25,7 +25,9 @@
     #[display("header laburnum-request-id must have 1 to 64 letters, digits, '-', '_' or '.'")]
     BadRequestId,
     /// The service requires a key.
-    #[display("service {service:?} requires header laburnum-key on requests that may not be repeated")]
+    #[display(
+        "service {service:?} requires header laburnum-key on requests that may not be repeated"
+    )]
     KeyRequired {
         /// Name of the service.
         service: String,
--- /dev/null
+++ b/daemon/src/request_path.rs
@@ -0,0 +1,376 @@
+//! Life of one request after its key is claimed: zones, upstreams, retries.
+
+use std::time::Duration;
+
+use laburnumdeal_model::{InstanceId, UpstreamId};
+use laburnumdeal_policy::{PoisonCheck, RetryRequest, RouteInput, Slot, ZoneChoice, may_retry};
+use tokio::time::Instant;
+
+use crate::attempt::{self, Attempt};
+use crate::configuration_view::InForce;
+use crate::prepared::Prepared;
+use crate::role::Role;
+use crate::served::Served;
+use crate::state::State;
+use crate::trace::TraceBuilder;
+
+/// Most attempts for one request on one instance.
+const MAX_ATTEMPTS: u32 = 4;
+
+/// Most instances of another zone that are tried for one request.
+const MAX_PEERS_PER_ZONE: usize = 2;
+
+/// Shortest time in which an attempt is worth starting.
+const LEAST_ATTEMPT: Duration = Duration::from_millis(2);
+
+/// Time to come back when nothing better is known.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Serves a request as far as `role` allows and returns its final outcome.
+pub async fn serve(state: &State, prepared: &Prepared, role: Role, trace: &TraceBuilder) -> Served {
+    let Some(in_force) = state.configuration.in_force() else {
+        return Served::not_run(
+            "this instance has no configuration yet",
+            DEFAULT_RETRY_AFTER,
+        );
+    };
+    state.budget.deposit();
+    let mut path = RequestPath::new(state, prepared, trace);
+    if let Some(refused) = path.check_poison() {
+        return refused;
+    }
+    let ended = match role {
+        Role::Entry | Role::Home => path.in_any_zone(&in_force).await,
+        Role::Zone => path.in_own_zone_for_peer(&in_force).await,
+        Role::Owner => path.on_own_upstreams(Queueing::Allowed).await,
+    };
+    ended.unwrap_or_else(|| path.given_up())
+}
+
+/// Whether a request may wait for a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Queueing {
+    Allowed,
+    Refused,
+}
+
+/// What has been tried for one request.
+struct RequestPath<'a> {
+    state: &'a State,
+    prepared: &'a Prepared,
+    trace: &'a TraceBuilder,
+    attempts: u32,
+    tried: Vec<UpstreamId>,
+    reason: String,
+    soonest: Option<Duration>,
+    is_suspect: bool,
+}
+
+impl<'a> RequestPath<'a> {
+    fn new(state: &'a State, prepared: &'a Prepared, trace: &'a TraceBuilder) -> Self {
+        Self {
+            state,
+            prepared,
+            trace,
+            attempts: 0,
+            tried: Vec::new(),
+            reason: "no upstream takes work".to_owned(),
+            soonest: None,
+            is_suspect: false,
+        }
+    }
+
+    fn check_poison(&mut self) -> Option<Served> {
+        match self.state.flights.check(self.prepared.fingerprint) {
+            PoisonCheck::Clear => None,
+            PoisonCheck::Suspect => {
+                self.is_suspect = true;
+                self.trace
+                    .step("request", "was in flight at a crash: runs alone");
+                None
+            }
+            PoisonCheck::Refused { retry_after_ms } => {
+                let reason = "the request was in flight at two crashes of upstreams";
+                self.trace.step("request", reason);
+                Some(Served::not_run(
+                    reason,
+                    Duration::from_millis(retry_after_ms),
+                ))
+            }
+        }
+    }
+
+    /// Tries every zone in the router's order: first where there is room, then in a queue.
+    async fn in_any_zone(&mut self, in_force: &InForce) -> Option<Served> {
+        let choices = self.choices(in_force);
+        let home = in_force.table.home(
+            self.prepared.service,
+            self.prepared.caller,
+            self.state.my_zone,
+        );
+        for choice in &choices {
+            let served = match choice.zone == self.state.my_zone {
+                true => self.in_own_zone(choice, home, Queueing::Refused).await,
+                false => self.in_other_zone(choice).await,
+            };
+            if served.is_some() || !self.may_go_on() {
+                return served;
+            }
+        }
+        let own = choices
+            .iter()
+            .find(|choice| choice.zone == self.state.my_zone)?;
+        self.in_own_zone(own, home, Queueing::Allowed).await
+    }
+
+    fn choices(&self, in_force: &InForce) -> Vec<ZoneChoice> {
+        let digests = self.state.digests.read().expect("no panic while locked");
+        let input = RouteInput {
+            service: self.prepared.service,
+            caller: self.prepared.caller,
+            hash: self.prepared.fingerprint,
+            table: &in_force.table,
+            membership: &self.state.membership,
+            digests: &digests,
+            now: Instant::now(),
+        };
+        self.state.router.route(&input)
+    }
+
+    async fn in_own_zone(
+        &mut self,
+        choice: &ZoneChoice,
+        home: laburnumdeal_model::ZoneId,
+        queueing: Queueing,
+    ) -> Option<Served> {
+        if !self.has_room_in_own_zone(queueing) {
+            self.note("own zone has no room", None);
+            return None;
+        }
+        let now = Instant::now();
+        let departed = self.state.router.depart(self.prepared.service, choice, now);
+        let admitted =
+            departed.and_then(|()| self.state.router.arrive(self.prepared.service, home, now));
+        if let Err(refusal) = admitted {
+            let after = Duration::from_millis(refusal.retry_after_ms());
+            self.note(&refusal.to_string(), Some(after));
+            return None;
+        }
+        self.in_own_zone_admitted(queueing).await
+    }
+
+    /// Serves a request that an instance of another zone forwarded.
+    async fn in_own_zone_for_peer(&mut self, in_force: &InForce) -> Option<Served> {
+        if !self.has_room_in_own_zone(Queueing::Refused) {
+            self.note("the zone has no room", None);
+            return None;
+        }
+        let home = in_force.table.home(
+            self.prepared.service,
+            self.prepared.caller,
+            self.state.my_zone,
+        );
+        let now = Instant::now();
+        if let Err(refusal) = self.state.router.arrive(self.prepared.service, home, now) {
+            let after = Duration::from_millis(refusal.retry_after_ms());
+            self.note(&refusal.to_string(), Some(after));
+            return None;
+        }
+        self.in_own_zone_admitted(Queueing::Allowed).await
+    }
+
+    /// Tries own upstreams, then those of other owners in the zone.
+    async fn in_own_zone_admitted(&mut self, queueing: Queueing) -> Option<Served> {
+        if let Some(served) = self.on_own_upstreams(Queueing::Refused).await {
+            return Some(served);
+        }
+        for owner in self.owners_with_room() {
+            if !self.may_go_on() {
+                return None;
+            }
+            if let Some(served) = self.through(owner, Role::Owner).await {
+                return Some(served);
+            }
+        }
+        match queueing {
+            Queueing::Refused => None,
+            Queueing::Allowed => self.on_own_upstreams(Queueing::Allowed).await,
+        }
+    }
+
+    /// Tries upstreams that this instance owns until one answers or none is left.
+    async fn on_own_upstreams(&mut self, queueing: Queueing) -> Option<Served> {
+        while self.may_go_on() {
+            let slot = self.slot(queueing).await?;
+            let upstream = slot.upstream();
+            if !self.may_run_here(upstream) {
+                self.note(
+                    "another suspect of a crash runs there",
+                    Some(DEFAULT_RETRY_AFTER),
+                );
+                return None;
+            }
+            self.tried.push(upstream);
+            self.attempts += 1;
+            let name = self.state.topology.upstream(upstream).name.clone();
+            let attempt = attempt::at_upstream(self.state, self.prepared, slot).await;
+            if let Some(served) = self.judge(&name, attempt) {
+                return Some(served);
+            }
+        }
+        None
+    }
+
+    async fn slot(&mut self, queueing: Queueing) -> Option<Slot> {
+        let (pool, service) = (&self.state.pool, self.prepared.service);
+        if queueing == Queueing::Refused {
+            let slot = pool.try_acquire(service, &self.tried);
+            if slot.is_none() {
+                self.note("own upstreams have no room", None);
+            }
+            return slot;
+        }
+        match pool
+            .acquire(service, self.prepared.deadline, &self.tried)
+            .await
+        {
+            Ok(slot) => Some(slot),
+            Err(refused) => {
+                self.note(&refused.reason.to_string(), Some(refused.retry_after));
+                None
+            }
+        }
+    }
+
+    fn may_run_here(&self, upstream: UpstreamId) -> bool {
+        !self.is_suspect
+            || self
+                .state
+                .flights
+                .start_suspect(self.prepared.fingerprint, upstream)
+    }
+
+    async fn in_other_zone(&mut self, choice: &ZoneChoice) -> Option<Served> {
+        let now = Instant::now();
+        let service = self.prepared.service;
+        if let Err(refusal) = self.state.router.depart(service, choice, now) {
+            let after = Duration::from_millis(refusal.retry_after_ms());
+            self.note(&refusal.to_string(), Some(after));
+            return None;
+        }
+        if let Some(link) = choice.link {
+            let bytes = self.prepared.request_bytes();
+            if let Err(over) = self.state.shares.spend(link, bytes, now) {
+                self.note(
+                    &over.to_string(),
+                    Some(Duration::from_millis(over.retry_after_ms)),
+                );
+                return None;
+            }
+        }
+        let mut live = self.state.membership.live_in(choice.zone, now);
+        for _ in 0..MAX_PEERS_PER_ZONE {
+            if live.is_empty() || !self.may_go_on() {
+                return None;
+            }
+            let peer = live.swap_remove(self.state.random_below(live.len()));
+            if let Some(served) = self.through(peer, Role::Zone).await {
+                return Some(served);
+            }
+        }
+        None
+    }
+
+    async fn through(&mut self, peer: InstanceId, role: Role) -> Option<Served> {
+        self.attempts += 1;
+        let name = self.state.topology.instance(peer).name.clone();
+        let attempt = attempt::at_peer(self.state, self.prepared, peer, role).await;
+        self.judge(&name, attempt)
+    }
+
+    /// Returns the final outcome that an attempt leads to, or `None` when another may follow.
+    fn judge(&mut self, candidate: &str, attempt: Attempt) -> Option<Served> {
+        match attempt {
+            Attempt::Answered(response) => {
+                self.trace.step(candidate, "answered");
+                Some(Served::Answer(response))
+            }
+            Attempt::NotRun {
+                reason,
+                retry_after,
+                ..
+            } => {
+                self.trace.step(candidate, format!("did not run: {reason}"));
+                self.note(&reason, Some(retry_after));
+                None
+            }
+            Attempt::Unknown { reason, .. } => {
+                self.trace
+                    .step(candidate, format!("may have run: {reason}"));
+                if self.may_repeat() {
+                    self.note(&reason, None);
+                    return None;
+                }
+                Some(Served::Unknown { reason })
+            }
+        }
+    }
+
+    /// Returns whether a request that may have run may be sent again, and pays for it.
+    fn may_repeat(&self) -> bool {
+        let request = RetryRequest {
+            idempotent: self.prepared.idempotent && self.prepared.is_replayable(),
+            proof: None,
+            attempts: self.attempts,
+            max_attempts: MAX_ATTEMPTS,
+            deadline: self.prepared.deadline,
+            least: LEAST_ATTEMPT,
+        };
+        let may = may_retry(&request, Instant::now()) && self.state.budget.withdraw();
+        if may {
+            let service = self.state.topology.service(self.prepared.service);
+            self.state.metrics.retried(&service.name);
+        }
+        may
+    }
+
+    fn may_go_on(&self) -> bool {
+        self.attempts < MAX_ATTEMPTS && self.prepared.remaining() > LEAST_ATTEMPT
+    }
+
+    fn has_room_in_own_zone(&self, queueing: Queueing) -> bool {
+        queueing == Queueing::Allowed
+            || self.state.pool.room(self.prepared.service).free > 0
+            || !self.owners_with_room().is_empty()
+    }
+
+    /// Returns the other owners of this zone that last reported room, the roomiest first.
+    fn owners_with_room(&self) -> Vec<InstanceId> {
+        let live = self
+            .state
+            .membership
+            .live_in(self.state.my_zone, Instant::now());
+        let free = |id: &InstanceId| {
+            let room = self.state.peers_room.room(*id, self.prepared.service);
+            room.map_or(0, |room| room.free())
+        };
+        let mut owners: Vec<InstanceId> = live
+            .into_iter()
+            .filter(|id| *id != self.state.me && free(id) > 0)
+            .collect();
+        owners.sort_by_key(|id| std::cmp::Reverse(free(id)));
+        owners
+    }
+
+    fn note(&mut self, reason: &str, retry_after: Option<Duration>) {
+        self.trace.step("path", reason);
+        self.reason = reason.to_owned();
+        if let Some(after) = retry_after {
+            self.soonest = Some(self.soonest.map_or(after, |soonest| soonest.min(after)));
+        }
+    }
+
+    fn given_up(self) -> Served {
+        Served::not_run(self.reason, self.soonest.unwrap_or(DEFAULT_RETRY_AFTER))
+    }
+}
--- a/daemon/src/served.rs
+++ b/daemon/src/served.rs
@@ -37,12 +37,17 @@
 
     /// Returns a refusal with a time to come back.
     pub fn not_run(reason: impl Into<String>, retry_after: Duration) -> Self {
-        Self::NotRun { reason: reason.into(), retry_after }
+        Self::NotRun {
+            reason: reason.into(),
+            retry_after,
+        }
     }
 
     /// Returns an outcome that is not known.
     pub fn unknown(reason: impl Into<String>) -> Self {
-        Self::Unknown { reason: reason.into() }
+        Self::Unknown {
+            reason: reason.into(),
+        }
     }
 
     /// Returns the HTTP response, with the outcome in its headers.
@@ -50,13 +55,20 @@
         let outcome = header::value(&self.outcome().to_string());
         let mut response = match self {
             Self::Answer(response) => response,
-            Self::NotRun { reason, retry_after } => not_run_response(&reason, retry_after),
+            Self::NotRun {
+                reason,
+                retry_after,
+            } => not_run_response(&reason, retry_after),
             Self::Unknown { reason } => {
                 let text = format!("the outcome is unknown: {reason}\n");
                 text_response(StatusCode::GATEWAY_TIMEOUT, &text, &reason)
             }
         };
-        response.headers_mut().insert(header::OUTCOME, outcome);
+        // A rejection that another instance gave keeps the outcome it came with.
+        response
+            .headers_mut()
+            .entry(header::OUTCOME)
+            .or_insert(outcome);
         response
     }
 }
--- /dev/null
+++ b/daemon/src/share_borrower.rs
@@ -0,0 +1,62 @@
+//! Borrows parts of other instances' shares where this instance refuses work for want of its own.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use laburnumdeal_policy::CapKey;
+use tokio::time::Instant;
+
+use crate::peer_message::{PeerReply, PeerRequest};
+use crate::state::State;
+
+/// Time between two looks at what was refused.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// Runs for as long as the process does.
+pub async fn run(state: Arc<State>) {
+    let keys = keys(&state);
+    let mut ticks = tokio::time::interval(LOOK_EVERY);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        for key in &keys {
+            let amount_per_s = state.shares.demand(*key, Instant::now());
+            if amount_per_s > 0 && !state.configuration.is_fenced() {
+                borrow(&state, *key, amount_per_s).await;
+            }
+        }
+    }
+}
+
+/// Asks one other instance for a part of its share.
+async fn borrow(state: &State, key: CapKey, amount_per_s: u64) {
+    let now = Instant::now();
+    let mut lenders = state.shares.lenders(key);
+    lenders.retain(|id| state.membership.state(*id, now).takes_work());
+    if lenders.is_empty() {
+        return;
+    }
+    let lender = lenders[state.random_below(lenders.len())];
+    let asked_at = Instant::now();
+    let asked = state
+        .peers
+        .call(lender, &PeerRequest::Borrow { key, amount_per_s })
+        .await;
+    if let Ok(PeerReply::Granted(Some(grant))) = asked {
+        state.shares.accept(&grant, asked_at, Instant::now());
+    }
+}
+
+/// Returns every cap that this instance may have a share of.
+fn keys(state: &State) -> Vec<CapKey> {
+    let my_region = state.topology.region_of(state.my_zone);
+    let links = state
+        .topology
+        .links
+        .iter()
+        .filter(|link| link.from == my_region);
+    let mut keys = vec![CapKey::Region(my_region)];
+    keys.extend(links.map(|link| CapKey::Link(link.from, link.to)));
+    keys.extend(state.topology.service_ids().map(CapKey::Shift));
+    keys
+}
--- a/daemon/src/trace.rs
+++ b/daemon/src/trace.rs
@@ -55,7 +55,11 @@
         {
             kept.traces.remove(&oldest);
         }
-        if kept.traces.insert(trace.request_id.clone(), trace.clone()).is_none() {
+        if kept
+            .traces
+            .insert(trace.request_id.clone(), trace.clone())
+            .is_none()
+        {
             kept.order.push_back(trace.request_id);
         }
     }
@@ -84,14 +88,25 @@
             steps: Vec::new(),
             outcome: String::new(),
         };
-        Self { trace: Mutex::new(trace), started_at: tokio::time::Instant::now() }
+        Self {
+            trace: Mutex::new(trace),
+            started_at: tokio::time::Instant::now(),
+        }
     }
 
     /// Adds a decision.
     pub fn step(&self, candidate: impl Into<String>, reason: impl Into<String>) {
         let at_ms = self.started_at.elapsed().as_millis() as u64;
-        let step = TraceStep { at_ms, candidate: candidate.into(), reason: reason.into() };
-        self.trace.lock().expect("no panic while locked").steps.push(step);
+        let step = TraceStep {
+            at_ms,
+            candidate: candidate.into(),
+            reason: reason.into(),
+        };
+        self.trace
+            .lock()
+            .expect("no panic while locked")
+            .steps
+            .push(step);
     }
 
     /// Ends the trace with the final outcome.
--- a/policy/src/membership.rs
+++ b/policy/src/membership.rs
@@ -173,6 +173,11 @@
         self.lock().peers[peer.index()].last_heartbeat()
     }
 
+    /// Returns when a peer was last heard.
+    pub fn heard_at(&self, peer: InstanceId) -> Option<Instant> {
+        self.lock().peers[peer.index()].heard_at()
+    }
+
     /// Returns the live and suspect instances of a zone in key order, this one among them.
     pub fn live_in(&self, zone: ZoneId, now: Instant) -> Vec<InstanceId> {
         let view = self.lock();
--- a/policy/src/peer.rs
+++ b/policy/src/peer.rs
@@ -113,6 +113,11 @@
         self.heard.map(|heard| heard.heartbeat)
     }
 
+    /// Returns when the peer was last heard.
+    pub fn heard_at(&self) -> Option<Instant> {
+        self.heard.map(|heard| heard.at)
+    }
+
     fn is_leaving(&self, heartbeat: Heartbeat) -> bool {
         heartbeat.state == PeerState::Leaving || self.leaving_boot == Some(heartbeat.boot)
     }
--- a/policy/src/pool.rs
+++ b/policy/src/pool.rs
@@ -121,6 +121,11 @@
         self.with(|inner| inner.core.in_flight(upstream))
     }
 
+    /// Returns whether this instance owns an upstream.
+    pub fn owns(&self, upstream: UpstreamId) -> bool {
+        self.with(|inner| inner.core.owns(upstream))
+    }
+
     /// Returns whether an upstream takes no new work and all that it had has ended.
     pub fn drained(&self, upstream: UpstreamId) -> bool {
         self.with(|inner| inner.core.drained(upstream, Instant::now()))
--- a/policy/src/pool_core.rs
+++ b/policy/src/pool_core.rs
@@ -91,6 +91,12 @@
         self.dispatch_all(now);
     }
 
+    /// Returns whether this instance owns an upstream.
+    pub fn owns(&self, upstream: UpstreamId) -> bool {
+        let mut members = self.services.iter().flat_map(|service| &service.members);
+        members.any(|member| *member == upstream)
+    }
+
     /// Returns a slot, a place in the queue or a refusal.
     pub fn admit(
         &mut self,
