Add laburnumctl: one-shot, piped and prompted commands

Operators need a client that never sends a change twice by itself. A change goes to the next address only while no byte of it has left; an answer lost after that is unknown, exit status 3, with the line that asks again under the same id. Queries and dry runs have no effect, so they try the next address.

The client resolves 'now' and 'in 10m' and sends the canonical text: a resend under the same id must be the same change, and 'now' would be another one.

Ruled out: asking again by itself after a lost answer; the operator decides.

--- /dev/null
+++ b/cli/src/audit_chain.rs
@@ -0,0 +1,65 @@
+use laburnumdeal_language::Table;
+use laburnumdeal_model::{Applied, Digest, Version};
+
+use crate::AuditError;
+
+/// Checks audit records one after the other, from the first of the trail.
+///
+/// # Examples
+///
+/// ```
+/// use laburnumdeal_cli::AuditChain;
+///
+/// assert_eq!(AuditChain::default().records, 0);
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AuditChain {
+    /// Number of records that were checked.
+    pub records: u64,
+    /// Log index of the last one.
+    pub last_index: Option<u64>,
+    /// Hash of the last one.
+    pub last_hash: Digest,
+    /// Version that the last accepted one made.
+    pub version: Version,
+}
+
+impl AuditChain {
+    /// Checks the record that follows those checked before.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the record fails to follow them.
+    pub fn check(&mut self, record: &Applied) -> Result<(), AuditError> {
+        let index = record.index;
+        if let Some(previous) = self.last_index.filter(|previous| *previous >= index) {
+            return Err(AuditError::Order { index, previous });
+        }
+        let expected = record.expected_chain(self.last_hash);
+        if expected != record.chain {
+            return Err(AuditError::Broken {
+                index,
+                found: record.chain,
+                expected,
+            });
+        }
+        self.records += 1;
+        self.last_index = Some(index);
+        self.last_hash = record.chain;
+        if let laburnumdeal_model::Verdict::Accepted { version } = record.verdict {
+            self.version = version;
+        }
+        Ok(())
+    }
+
+    /// Returns what was checked as a table.
+    pub fn table(&self) -> Table {
+        let last = self.last_index.map_or("none".to_owned(), |i| i.to_string());
+        let row = vec![self.records.to_string(), last, self.last_hash.to_string()];
+        Table {
+            version: self.version,
+            note: Some("the chain is whole".to_owned()),
+            ..Table::new("audit", &["records", "last index", "last hash"], vec![row])
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/audit_file.rs
@@ -0,0 +1,31 @@
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::Path;
+
+use laburnumdeal_model::Applied;
+
+use crate::{AuditChain, AuditError};
+
+/// Returns the checked chain of a file with one record a line in JSON.
+///
+/// # Errors
+///
+/// Returns the first line that is no record or breaks the chain.
+pub fn check_audit_file(file: &Path) -> Result<AuditChain, AuditError> {
+    let unreadable = |source| AuditError::Read {
+        file: file.to_owned(),
+        source,
+    };
+    let mut chain = AuditChain::default();
+    let lines = BufReader::new(File::open(file).map_err(unreadable)?).lines();
+    for (position, text) in lines.enumerate() {
+        let text = text.map_err(unreadable)?;
+        let record: Applied = serde_json::from_str(&text).map_err(|source| AuditError::Line {
+            file: file.to_owned(),
+            line: position + 1,
+            source,
+        })?;
+        chain.check(&record)?;
+    }
+    Ok(chain)
+}
--- /dev/null
+++ b/cli/src/outcome.rs
@@ -0,0 +1,52 @@
+use laburnumdeal_language::{ErrorReply, OperatorReply, OperatorRequest, ParseError};
+
+use crate::Exit;
+
+/// Answer to one command and the request that it belongs to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outcome {
+    /// Request as sent; `None` when nothing was sent.
+    pub request: Option<OperatorRequest>,
+    /// Answer, or what stands in for a lost one.
+    pub reply: OperatorReply,
+}
+
+impl Outcome {
+    /// Returns the exit status that the answer stands for.
+    pub fn exit(&self) -> Exit {
+        Exit::of(&self.reply)
+    }
+
+    /// Returns the command line that asks again under the same id, for an unknown outcome.
+    pub fn ask_again(&self, addresses: &[String]) -> Option<String> {
+        let request = self.request.as_ref()?;
+        let (OperatorReply::Unknown { .. }, Some(id)) = (&self.reply, &request.command_id) else {
+            return None;
+        };
+        let mut words = vec!["laburnumctl".to_owned()];
+        words.extend(addresses.iter().map(|a| format!("--address {a}")));
+        words.push(format!("--id {id}"));
+        words.extend(request.base.map(|base| format!("--base {base}")));
+        words.extend(request.force.then(|| "--force".to_owned()));
+        words.push(format!("'{}'", request.command));
+        Some(words.join(" "))
+    }
+}
+
+impl From<ParseError> for Outcome {
+    fn from(error: ParseError) -> Self {
+        Self {
+            request: None,
+            reply: OperatorReply::Error(ErrorReply::from(error)),
+        }
+    }
+}
+
+impl From<OperatorReply> for Outcome {
+    fn from(reply: OperatorReply) -> Self {
+        Self {
+            request: None,
+            reply,
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/session.rs
@@ -0,0 +1,142 @@
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use laburnumdeal_language::{
+    Command, ErrorReply, Line, OperatorReply, OperatorRequest, ParseError, parse_line,
+};
+use laburnumdeal_model::{Applied, CommandId};
+
+use crate::{AuditChain, AuditError, Client, Options, Outcome};
+
+/// Records that are asked for at a time.
+const AUDIT_PAGE_RECORDS: u64 = 500;
+
+/// Runs commands under the options of one command line.
+#[derive(Clone, Debug)]
+pub struct Session {
+    client: Client,
+    options: Options,
+}
+
+impl Session {
+    /// Returns a session that sends commands by `client`.
+    pub fn new(client: Client, options: Options) -> Self {
+        Self { client, options }
+    }
+
+    /// Returns the request that a command stands for. Times are absolute in it and a change has an
+    /// id, so that sending it again is the same command.
+    ///
+    /// # Errors
+    ///
+    /// Returns the word that the grammar does not accept.
+    pub fn request(&self, text: &str) -> Result<OperatorRequest, ParseError> {
+        let given = OperatorRequest {
+            command: text.to_owned(),
+            base: self.options.base,
+            dry_run: self.options.dry_run,
+            force: self.options.force,
+            ..OperatorRequest::default()
+        };
+        let now_ms = now_ms();
+        if !parse_line(text, now_ms)?.command.is_change() {
+            return Ok(OperatorRequest::query(text));
+        }
+        let Line { command, options } = given.line(now_ms)?;
+        Ok(OperatorRequest {
+            command: command.to_string(),
+            command_id: self.options.id.clone().or_else(new_id),
+            base: options.base,
+            dry_run: options.dry_run,
+            force: options.force,
+            wait_ms: self.options.wait_ms,
+        })
+    }
+
+    /// Returns the outcome of a request.
+    pub async fn send(&self, request: OperatorRequest) -> Outcome {
+        match parse_line(&request.command, now_ms()).map(|line| line.command) {
+            Ok(Command::AuditVerify) => self.verify().await.into(),
+            Ok(Command::AuditRecords {
+                from_index,
+                limit: None,
+            }) => self.all_records(from_index).await.into(),
+            _ => Outcome {
+                reply: self.client.send(&request).await,
+                request: Some(request),
+            },
+        }
+    }
+
+    async fn verify(&self) -> OperatorReply {
+        let mut chain = AuditChain::default();
+        loop {
+            let from_index = chain.last_index.map_or(0, |index| index + 1);
+            let records = match self.page(from_index).await {
+                Ok(records) => records,
+                Err(reply) => return reply,
+            };
+            if records.is_empty() {
+                return audit_reply(Ok(chain));
+            }
+            for record in &records {
+                if let Err(error) = chain.check(record) {
+                    return audit_reply(Err(error));
+                }
+            }
+        }
+    }
+
+    async fn all_records(&self, mut from_index: u64) -> OperatorReply {
+        let mut records = Vec::new();
+        loop {
+            match self.page(from_index).await {
+                Ok(page) if page.is_empty() => return OperatorReply::Audit { records },
+                Ok(page) => records.extend(page),
+                Err(reply) => return reply,
+            }
+            let last = records
+                .last()
+                .map_or(from_index, |record: &Applied| record.index);
+            if last < from_index {
+                let previous = from_index.saturating_sub(1);
+                let index = last;
+                return audit_reply(Err(AuditError::Order { index, previous }));
+            }
+            from_index = last + 1;
+        }
+    }
+
+    /// Returns one page of records, or the reply that came in its place.
+    async fn page(&self, from_index: u64) -> Result<Vec<Applied>, OperatorReply> {
+        let command = Command::AuditRecords {
+            from_index,
+            limit: Some(AUDIT_PAGE_RECORDS),
+        };
+        let request = OperatorRequest::query(command.to_string());
+        match self.client.send(&request).await {
+            OperatorReply::Audit { records } => Ok(records),
+            OperatorReply::Table(table) => {
+                let message = format!("a table {:?} came in place of records", table.title);
+                Err(OperatorReply::Error(ErrorReply::new(message)))
+            }
+            other => Err(other),
+        }
+    }
+}
+
+/// Returns what a check of the audit trail is answered with.
+pub(crate) fn audit_reply(chain: Result<AuditChain, AuditError>) -> OperatorReply {
+    match chain {
+        Ok(chain) => OperatorReply::Table(chain.table()),
+        Err(error) => OperatorReply::Error(ErrorReply::new(error.to_string())),
+    }
+}
+
+fn new_id() -> Option<CommandId> {
+    format!("{:032x}", rand::random::<u128>()).parse().ok()
+}
+
+fn now_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |since| since.as_millis() as u64)
+}
--- a/language/src/operator_request.rs
+++ b/language/src/operator_request.rs
@@ -42,6 +42,14 @@
 }
 
 impl OperatorRequest {
+    /// Returns the request of a query, which has no id and no options.
+    pub fn query(command: impl Into<String>) -> Self {
+        Self {
+            command: command.into(),
+            ..Self::default()
+        }
+    }
+
     /// Returns the command with the options of the request's fields and of its text together.
     ///
     /// # Errors
