--- a/cli/src/options.rs
+++ b/cli/src/options.rs
@@ -134,7 +134,7 @@
         .optflagopt(
             "",
             "wait",
-            "wait until every instance holds the change or is fenced (5000)",
+            "wait until every instance holds the change or is fenced; 5000 ms unless given as --wait=MS",
             "MS",
         )
         .optopt("i", "id", "identity of the command", "ID")
--- /dev/null
+++ b/cli/tests/sessions/audit.rs
@@ -0,0 +1,155 @@
+//! Tests of checking the audit trail, from an instance and from a file.
+
+use std::fs;
+
+use laburnumdeal_cli::{AuditChain, Exit, Input, run_file};
+use laburnumdeal_language::{Command, OperatorReply, OperatorRequest, parse};
+use laburnumdeal_model::{Applied, Change, Digest, Refusal, Verdict, Version};
+
+use crate::fake::{Fake, Step, options, run_with};
+
+/// Records of the whole trail.
+const RECORDS: u64 = 1_203;
+
+/// Returns a trail whose log indexes have gaps.
+fn trail() -> Vec<Applied> {
+    let mut previous = Digest::default();
+    let records = (1..=RECORDS).map(|number| {
+        let verdict = match number % 5 {
+            0 => Verdict::Refused(Refusal::EmptyList {
+                what: "steering".to_owned(),
+            }),
+            _ => Verdict::Accepted {
+                version: Version(number),
+            },
+        };
+        let mut record = Applied {
+            index: number * 3,
+            command_id: format!("c-{number}").parse().unwrap(),
+            operator: "nadia".to_owned(),
+            at_ms: 1_796_335_200_000 + number,
+            base: None,
+            change: Change::Revert { to: Version(1) },
+            verdict,
+            chain: Digest::default(),
+        };
+        record.chain = record.expected_chain(previous);
+        previous = record.chain;
+        record
+    });
+    records.collect()
+}
+
+fn page_of(records: Vec<Applied>, request: &OperatorRequest) -> OperatorReply {
+    let Ok(Command::AuditRecords { from_index, limit }) = parse(&request.command, 0) else {
+        panic!("{} asks for no records", request.command);
+    };
+    let page = records
+        .into_iter()
+        .filter(|record| record.index >= from_index);
+    let limit = limit.unwrap_or(u64::MAX) as usize;
+    OperatorReply::Audit {
+        records: page.take(limit).collect(),
+    }
+}
+
+fn whole(request: &OperatorRequest) -> OperatorReply {
+    page_of(trail(), request)
+}
+
+fn altered(request: &OperatorRequest) -> OperatorReply {
+    let mut records = trail();
+    records[700].operator = "omar".to_owned();
+    page_of(records, request)
+}
+
+fn repeated(_: &OperatorRequest) -> OperatorReply {
+    OperatorReply::Audit {
+        records: trail()[..2].to_vec(),
+    }
+}
+
+async fn verify(reply: fn(&OperatorRequest) -> OperatorReply) -> (u8, String, String, usize) {
+    let fake = Fake::spawn(vec![Step::Reply(reply)]);
+    let options = options(&[&fake.address], &["audit", "verify"]);
+    let (status, out, err) = run_with(&options, Input::Pipe, "").await;
+    (status, out, err, fake.requests().len())
+}
+
+#[tokio::test]
+async fn audit_verify_whole_trail_is_done() {
+    let (status, out, err, pages) = verify(whole).await;
+    assert_eq!((status, pages), (0, 4), "{err}");
+    let last = trail().pop().unwrap();
+    assert!(
+        out.contains(&format!("1203     {}        {}", last.index, last.chain)),
+        "{out}"
+    );
+}
+
+#[tokio::test]
+async fn audit_verify_altered_record_is_named() {
+    let (status, _, err, _) = verify(altered).await;
+    assert_eq!(status, 1);
+    assert!(
+        err.starts_with("error: audit record 2103 breaks the chain"),
+        "{err}"
+    );
+}
+
+#[tokio::test]
+async fn audit_verify_repeated_page_ends() {
+    let (status, _, err, pages) = verify(repeated).await;
+    assert_eq!((status, pages), (1, 2));
+    assert!(
+        err.contains("audit record 3 does not follow record 6"),
+        "{err}"
+    );
+}
+
+#[tokio::test]
+async fn audit_records_saved_are_checked() {
+    let fake = Fake::spawn(vec![Step::Reply(whole)]);
+    let options = options(&[&fake.address], &["--json", "audit", "records"]);
+    let (status, out, _) = run_with(&options, Input::Pipe, "").await;
+    assert_eq!((status, out.lines().count() as u64), (0, RECORDS));
+    assert_eq!(file_error(&out), None);
+    let without_first = out.split_once('\n').unwrap().1;
+    assert!(
+        file_error(without_first)
+            .unwrap()
+            .contains("audit record 6 breaks")
+    );
+    let damaged = out.replacen("nadia", "omar", 1);
+    assert!(
+        file_error(&damaged)
+            .unwrap()
+            .contains("audit record 3 breaks")
+    );
+    let torn = &out[..out.len() - 9];
+    assert!(file_error(torn).unwrap().contains("line 1203: "));
+}
+
+#[test]
+fn audit_chain_every_removed_record_is_noticed() {
+    let records = &trail()[..20];
+    for removed in 0..records.len() - 1 {
+        let mut chain = AuditChain::default();
+        let mut rest = records.iter().enumerate().filter(|(at, _)| *at != removed);
+        let broken = rest.find(|(_, record)| chain.check(record).is_err());
+        assert_eq!(broken.map(|(at, _)| at), Some(removed + 1));
+    }
+}
+
+/// Returns the error of checking a file with this text.
+fn file_error(text: &str) -> Option<String> {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("trail.jsonl");
+    fs::write(&file, text).unwrap();
+    let options = options(&["127.0.0.1:1"], &["audit", "verify"]);
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    match run_file(&file, &options, &mut out, &mut err).unwrap() {
+        Exit::Done => None,
+        _ => Some(String::from_utf8(err).unwrap()),
+    }
+}
--- /dev/null
+++ b/cli/tests/sessions/main.rs
@@ -0,0 +1,5 @@
+//! Tests of sessions with an instance that gives scripted answers.
+
+mod audit;
+mod client;
+mod fake;
