Keep the exit status of a command whose answer is not printed

With a closed output, laburnumctl ended with status 1, refused, although the change could have been accepted. One command now keeps its own status; a pipe of commands ends with 3, since what ran before is not known to the operator.

A session prepares a command once and sends what it prepared, in place of parsing it twice. An answer cut after any byte, from none to all but the last, is unknown and goes to no second instance. Public functions got examples.

--- a/cli/src/audit_file.rs
+++ b/cli/src/audit_file.rs
@@ -11,6 +11,17 @@
 /// # Errors
 ///
 /// Returns the first line that is no record or breaks the chain.
+///
+/// # Examples
+///
+/// ```
+/// use std::path::Path;
+///
+/// use laburnumdeal_cli::check_audit_file;
+///
+/// let error = check_audit_file(Path::new("no/such/file")).unwrap_err();
+/// assert!(error.to_string().starts_with("audit file no/such/file: "));
+/// ```
 pub fn check_audit_file(file: &Path) -> Result<AuditChain, AuditError> {
     let unreadable = |source| AuditError::Read {
         file: file.to_owned(),
--- a/cli/src/exit.rs
+++ b/cli/src/exit.rs
@@ -41,7 +41,7 @@
         (Self::Usage, "the options are not valid"),
         (
             Self::Unknown,
-            "the answer is lost; ask again with the same id",
+            "the answer is lost; ask again under the same id",
         ),
         (Self::NotRun, "the command did not run"),
     ];
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,7 +1,7 @@
 //! Command-line client for operators of laburnumdeal.
 
 use std::env;
-use std::io::{self, IsTerminal};
+use std::io::{self, IsTerminal, Write};
 use std::process::ExitCode;
 
 use eyre::WrapErr;
@@ -14,34 +14,36 @@
 const CONNECT_TIMEOUT_MS: u64 = 2_000;
 
 #[tokio::main(flavor = "current_thread")]
-async fn main() -> eyre::Result<ExitCode> {
-    let options = match Options::read(env::args_os().skip(1)) {
-        Ok(options) => options,
-        Err(error) => {
-            eprintln!("error: {error}\nsee laburnumctl --help");
-            return Ok(Exit::Usage.into());
-        }
+async fn main() -> ExitCode {
+    let exit = match Options::read(env::args_os().skip(1)) {
+        Ok(options) => act(options).await,
+        Err(error) => Ok(wrong_usage(&format!("{error}; see laburnumctl --help"))),
     };
+    let exit = exit.unwrap_or_else(|report| {
+        print_error(&format!("{report:#}"));
+        Exit::Unknown
+    });
+    exit.into()
+}
+
+async fn act(options: Options) -> eyre::Result<Exit> {
+    let mut out = io::stdout();
     match &options.action {
-        Action::Help => println!("{}", usage()),
-        Action::Version => println!("{}", version()),
+        Action::Help => writeln!(out, "{}", usage())?,
+        Action::Version => writeln!(out, "{}", version())?,
         Action::CheckFile(file) => {
-            let exit = run_file(file, &options, io::stdout(), io::stderr());
-            return Ok(exit.wrap_err("printing the check")?.into());
+            return run_file(file, &options, out, io::stderr()).wrap_err("printing the check");
         }
         Action::Run => return run_commands(options).await,
     }
-    Ok(Exit::Done.into())
+    Ok(Exit::Done)
 }
 
-async fn run_commands(options: Options) -> eyre::Result<ExitCode> {
+async fn run_commands(options: Options) -> eyre::Result<Exit> {
     let variable = env::var(TOKEN_VARIABLE).ok();
     let token = match Token::read(options.token_file.as_deref(), variable.as_deref()) {
         Ok(token) => token,
-        Err(error) => {
-            eprintln!("error: {error}");
-            return Ok(Exit::Usage.into());
-        }
+        Err(error) => return Ok(wrong_usage(&error.to_string())),
     };
     let client = Client::new(ClientSettings {
         addresses: options.addresses.clone(),
@@ -56,14 +58,17 @@
     } else {
         Input::Pipe
     };
-    let exit = run(
-        &session,
-        &options,
-        (kind, input.lock()),
-        io::stdout(),
-        io::stderr(),
-    )
-    .await
-    .wrap_err("reading commands or printing answers")?;
-    Ok(exit.into())
+    let source = (kind, input.lock());
+    let exit = run(&session, &options, source, io::stdout(), io::stderr()).await;
+    exit.wrap_err("reading commands or printing answers")
+}
+
+fn wrong_usage(message: &str) -> Exit {
+    print_error(message);
+    Exit::Usage
+}
+
+fn print_error(message: &str) {
+    // Nothing is left to report to when this fails.
+    let _ = writeln!(io::stderr(), "error: {message}");
 }
--- a/cli/src/outcome.rs
+++ b/cli/src/outcome.rs
@@ -18,6 +18,23 @@
     }
 
     /// Returns the command line that asks again under the same id, for an unknown outcome.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use laburnumdeal_cli::Outcome;
+    /// use laburnumdeal_language::{OperatorReply, OperatorRequest};
+    ///
+    /// let id: laburnumdeal_model::CommandId = "c-1".parse()?;
+    /// let request = OperatorRequest {
+    ///     command_id: Some(id.clone()),
+    ///     ..OperatorRequest::query("revert to 7")
+    /// };
+    /// let reply = OperatorReply::Unknown { command_id: id, reason: "timeout".into() };
+    /// let outcome = Outcome { request: Some(request), reply };
+    /// assert_eq!(outcome.ask_again(&[]).unwrap(), "laburnumctl --id c-1 'revert to 7'");
+    /// # Ok::<(), laburnumdeal_model::CommandIdError>(())
+    /// ```
     pub fn ask_again(&self, addresses: &[String]) -> Option<String> {
         let request = self.request.as_ref()?;
         let (OperatorReply::Unknown { .. }, Some(id)) = (&self.reply, &request.command_id) else {
--- a/cli/src/run.rs
+++ b/cli/src/run.rs
@@ -22,7 +22,7 @@
 ///
 /// # Errors
 ///
-/// Returns the error of reading the input or writing the output.
+/// Returns the error of reading the input or writing the output; commands may have run before it.
 pub async fn run<R: BufRead, O: Write, E: Write>(
     session: &Session,
     options: &Options,
@@ -31,10 +31,15 @@
     err: E,
 ) -> io::Result<Exit> {
     let mut printer = Printer { options, out, err };
-    match &options.command {
-        Some(text) => run_one(session, text, &mut printer).await,
-        None => run_lines(session, (kind, input), &mut printer).await,
+    let Some(text) = &options.command else {
+        return run_lines(session, (kind, input), &mut printer).await;
+    };
+    let outcome = run_one(session, text, &mut printer).await?;
+    if let Err(error) = printer.print(&outcome) {
+        // The status still tells what became of the command.
+        let _ = writeln!(printer.err, "error: the answer is not printed: {error}");
     }
+    Ok(outcome.exit())
 }
 
 /// Checks a file of audit records and returns the exit status.
@@ -75,7 +80,9 @@
             _ if command.starts_with('#') => continue,
             _ if LEAVE_WORDS.contains(&command) => return Ok(Exit::Done),
             _ => {
-                let exit = run_one(session, command, printer).await?;
+                let outcome = run_one(session, command, printer).await?;
+                printer.print(&outcome)?;
+                let exit = outcome.exit();
                 if exit != Exit::Done && kind == Input::Pipe {
                     return Ok(exit);
                 }
@@ -88,19 +95,17 @@
     session: &Session,
     text: &str,
     printer: &mut Printer<'_, O, E>,
-) -> io::Result<Exit> {
-    let outcome = match session.request(text) {
-        Ok(request) => {
-            if let Some(id) = &request.command_id {
+) -> io::Result<Outcome> {
+    match session.prepare(text) {
+        Ok(prepared) => {
+            if let Some(id) = &prepared.request.command_id {
                 writeln!(printer.err, "command id {id}")?;
                 printer.err.flush()?;
             }
-            session.send(request).await
+            Ok(session.send(prepared).await)
         }
-        Err(error) => Outcome::from(error),
-    };
-    printer.print(&outcome)?;
-    Ok(outcome.exit())
+        Err(error) => Ok(error.into()),
+    }
 }
 
 /// Writes answers to the output, and what went wrong beside it.
--- a/cli/src/session.rs
+++ b/cli/src/session.rs
@@ -1,16 +1,37 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use laburnumdeal_language::{
-    Command, ErrorReply, Line, OperatorReply, OperatorRequest, ParseError, parse_line,
+    Command, ErrorReply, Line, OperatorReply, OperatorRequest, ParseError,
 };
 use laburnumdeal_model::{Applied, CommandId};
 
-use crate::{AuditChain, AuditError, Client, Options, Outcome};
+use crate::{AuditChain, AuditError, Client, Options, Outcome, Prepared};
 
 /// Records that are asked for at a time.
 const AUDIT_PAGE_RECORDS: u64 = 500;
 
 /// Runs commands under the options of one command line.
+///
+/// # Examples
+///
+/// ```
+/// use laburnumdeal_cli::{Client, ClientSettings, Exit, Options, Session, Token};
+///
+/// # #[tokio::main(flavor = "current_thread")]
+/// # async fn main() -> Result<(), Box<dyn std::error::Error>> {
+/// let options = Options::read(["--address", "127.0.0.1:1", "show", "zones"])?;
+/// let client = Client::new(ClientSettings {
+///     addresses: options.addresses.clone(),
+///     token: Token::parse("secret-of-nadia")?,
+///     connect_timeout_ms: 2_000,
+///     timeout_ms: options.timeout_ms,
+/// });
+/// let session = Session::new(client, options);
+/// let outcome = session.run("show zones").await;
+/// assert_eq!(outcome.exit(), Exit::NotRun);
+/// # Ok(())
+/// # }
+/// ```
 #[derive(Clone, Debug)]
 pub struct Session {
     client: Client,
@@ -23,43 +44,52 @@
         Self { client, options }
     }
 
-    /// Returns the request that a command stands for. Times are absolute in it and a change has an
-    /// id, so that sending it again is the same command.
+    /// Returns the outcome of a command.
+    pub async fn run(&self, text: &str) -> Outcome {
+        match self.prepare(text) {
+            Ok(prepared) => self.send(prepared).await,
+            Err(error) => error.into(),
+        }
+    }
+
+    /// Returns what a text stands for under the session's options.
     ///
     /// # Errors
     ///
     /// Returns the word that the grammar does not accept.
-    pub fn request(&self, text: &str) -> Result<OperatorRequest, ParseError> {
+    pub fn prepare(&self, text: &str) -> Result<Prepared, ParseError> {
         let given = OperatorRequest {
-            command: text.to_owned(),
             base: self.options.base,
             dry_run: self.options.dry_run,
             force: self.options.force,
-            ..OperatorRequest::default()
+            ..OperatorRequest::query(text)
         };
-        let now_ms = now_ms();
-        if !parse_line(text, now_ms)?.command.is_change() {
-            return Ok(OperatorRequest::query(text));
+        let Line { command, options } = given.line(now_ms())?;
+        let query = OperatorRequest::query(command.to_string());
+        if !command.is_change() {
+            let request = query;
+            return Ok(Prepared { command, request });
         }
-        let Line { command, options } = given.line(now_ms)?;
-        Ok(OperatorRequest {
-            command: command.to_string(),
+        let request = OperatorRequest {
             command_id: self.options.id.clone().or_else(new_id),
             base: options.base,
             dry_run: options.dry_run,
             force: options.force,
             wait_ms: self.options.wait_ms,
-        })
+            ..query
+        };
+        Ok(Prepared { command, request })
     }
 
-    /// Returns the outcome of a request.
-    pub async fn send(&self, request: OperatorRequest) -> Outcome {
-        match parse_line(&request.command, now_ms()).map(|line| line.command) {
-            Ok(Command::AuditVerify) => self.verify().await.into(),
-            Ok(Command::AuditRecords {
+    /// Returns the outcome of a prepared command.
+    pub async fn send(&self, prepared: Prepared) -> Outcome {
+        let Prepared { command, request } = prepared;
+        match command {
+            Command::AuditVerify => self.verify().await.into(),
+            Command::AuditRecords {
                 from_index,
                 limit: None,
-            }) => self.all_records(from_index).await.into(),
+            } => self.all_records(from_index).await.into(),
             _ => Outcome {
                 reply: self.client.send(&request).await,
                 request: Some(request),
--- a/cli/src/token.rs
+++ b/cli/src/token.rs
@@ -55,6 +55,16 @@
     /// # Errors
     ///
     /// Returns an error for an empty text and for one that no header may hold.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use laburnumdeal_cli::Token;
+    ///
+    /// let token = Token::parse("secret-of-nadia\n")?;
+    /// assert_eq!(format!("{token:?}"), "Token(hidden)");
+    /// # Ok::<(), laburnumdeal_cli::TokenError>(())
+    /// ```
     pub fn parse(text: &str) -> Result<Self, TokenError> {
         let text = text.trim();
         if text.is_empty() {
--- a/cli/src/usage.rs
+++ b/cli/src/usage.rs
@@ -4,6 +4,14 @@
 use crate::{Exit, TOKEN_VARIABLE};
 
 /// Returns the help text: options, commands and exit statuses.
+///
+/// # Examples
+///
+/// ```
+/// use laburnumdeal_cli::usage;
+///
+/// assert!(usage().contains("--dry-run"));
+/// ```
 pub fn usage() -> String {
     let brief = format!(
         "Usage: laburnumctl [OPTIONS] [COMMAND]\n\n\
@@ -32,6 +40,14 @@
 }
 
 /// Returns the name and version of the client.
+///
+/// # Examples
+///
+/// ```
+/// use laburnumdeal_cli::version;
+///
+/// assert!(version().starts_with("laburnumctl "));
+/// ```
 pub fn version() -> String {
     format!("laburnumctl {}", env!("CARGO_PKG_VERSION"))
 }
--- a/cli/tests/sessions/client.rs
+++ b/cli/tests/sessions/client.rs
@@ -1,10 +1,12 @@
 //! Tests of sending commands to instances that fail in every way.
 
-use laburnumdeal_cli::Input;
+use std::io::{self, Write};
+
+use laburnumdeal_cli::{Exit, Input, run};
 use laburnumdeal_language::{ChangeReply, OperatorReply, OperatorRequest, Table};
 use laburnumdeal_model::{Refusal, Verdict, Version};
 
-use crate::fake::{ClosedPort, Fake, Step, options, run_with};
+use crate::fake::{ClosedPort, Fake, Step, options, run_with, session};
 
 fn accept(request: &OperatorRequest) -> OperatorReply {
     verdict(
@@ -101,7 +103,6 @@
     let lost = [
         Step::Close,
         Step::Silence,
-        Step::Half(accept),
         Step::Reply(other_command),
         Step::Reply(leader_lost),
         Step::Answer(200, "what?".to_owned()),
@@ -115,6 +116,15 @@
     }
 }
 
+#[tokio::test]
+async fn run_answer_cut_anywhere_is_unknown() {
+    let whole_bytes = Fake::answer_bytes(accept, "c-1");
+    for bytes in 0..whole_bytes {
+        let (status, _, err, others) = change_with(Step::Cut(bytes, accept)).await;
+        assert_eq!((status, others), (3, 0), "after {bytes} bytes: {err}");
+    }
+}
+
 #[tokio::test]
 async fn run_lost_answer_asked_again_has_same_request() {
     let fake = Fake::spawn(vec![Step::Close, Step::Reply(accept)]);
@@ -175,7 +185,7 @@
     for step in [
         Step::Close,
         Step::Silence,
-        Step::Half(zones),
+        Step::Cut(90, zones),
         Step::Answer(502, String::new()),
     ] {
         assert_eq!(query_with(step).await.0, 0);
@@ -238,7 +248,11 @@
         "to",
         "7",
     ];
-    run_with(&options(&[&fake.address], &words), Input::Pipe, "").await;
+    let (_, out, err) = run_with(&options(&[&fake.address], &words), Input::Pipe, "").await;
+    assert!(
+        !out.contains("secret") && !err.contains("secret"),
+        "{out}{err}"
+    );
     let head = fake.first_head().to_lowercase();
     assert!(head.starts_with("post /v1/command http/1.1\r\n"), "{head}");
     assert!(
@@ -277,3 +291,25 @@
     assert!(out.contains("undrain upstream|zone|region NAME"), "{out}");
     assert_eq!(err.matches("laburnumctl> ").count(), 4);
 }
+
+#[tokio::test]
+async fn run_answer_not_printed_keeps_status() {
+    let fake = Fake::spawn(vec![Step::Reply(accept)]);
+    let options = options(&[&fake.address], &["revert", "to", "7"]);
+    let (full, input) = (Full, (Input::Pipe, "".as_bytes()));
+    let exit = run(&session(&options), &options, input, full, std::io::sink()).await;
+    assert_eq!(exit.unwrap(), Exit::Done);
+}
+
+/// Output that takes no bytes.
+struct Full;
+
+impl Write for Full {
+    fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+        Err(io::ErrorKind::BrokenPipe.into())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
--- a/cli/tests/sessions/fake.rs
+++ b/cli/tests/sessions/fake.rs
@@ -16,8 +16,8 @@
     Answer(u16, String),
     /// Sends a reply made from the request.
     Reply(fn(&OperatorRequest) -> OperatorReply),
-    /// Sends the first half of a reply made from the request, and closes.
-    Half(fn(&OperatorRequest) -> OperatorReply),
+    /// Sends so many bytes of a reply made from the request, and closes.
+    Cut(usize, fn(&OperatorRequest) -> OperatorReply),
     /// Reads the request and closes.
     Close,
     /// Reads the request and keeps silent until the client leaves.
@@ -46,6 +46,15 @@
         Self { address, requests }
     }
 
+    /// Returns the length of the whole answer to a change.
+    pub fn answer_bytes(reply: fn(&OperatorRequest) -> OperatorReply, id: &str) -> usize {
+        let request = OperatorRequest {
+            command_id: Some(id.parse().unwrap()),
+            ..OperatorRequest::default()
+        };
+        answer(200, &json(reply(&request))).len()
+    }
+
     /// Returns the requests so far.
     pub fn requests(&self) -> Vec<OperatorRequest> {
         let requests = self.requests.lock().unwrap();
@@ -123,9 +132,10 @@
     match step {
         Step::Answer(status, body) => stream.write_all(&answer(*status, body)),
         Step::Reply(reply) => stream.write_all(&answer(200, &json(reply(&request)))),
-        Step::Half(reply) => {
+        Step::Cut(bytes, reply) => {
             let whole = answer(200, &json(reply(&request)));
-            stream.write_all(&whole[..whole.len() - 20])
+            assert!(*bytes < whole.len(), "the answer is whole");
+            stream.write_all(&whole[..*bytes])
         }
         Step::Close => Ok(()),
         Step::Silence => stream.read(&mut [0]).map(drop),
--- a/language/src/command.rs
+++ b/language/src/command.rs
@@ -44,6 +44,14 @@
 
 impl Command {
     /// Returns whether the command changes the configuration.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use laburnumdeal_language::Command;
+    ///
+    /// assert!(!Command::AuditVerify.is_change());
+    /// ```
     pub fn is_change(&self) -> bool {
         matches!(self, Self::Change(_))
     }
--- a/language/src/error_reply.rs
+++ b/language/src/error_reply.rs
@@ -31,6 +31,16 @@
     }
 
     /// Returns an error that points at a word of the command.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use laburnumdeal_language::ErrorReply;
+    ///
+    /// let command = "undrain zone nas";
+    /// let error = ErrorReply::about("zone \"nas\" does not exist", command, "nas");
+    /// assert_eq!(error.offset, Some(13));
+    /// ```
     pub fn about(message: impl Into<String>, command: &str, word: &str) -> Self {
         let Some(offset) = find_word(command, word) else {
             return Self::new(message);
--- a/language/src/filter.rs
+++ b/language/src/filter.rs
@@ -26,6 +26,15 @@
 
 impl Filter {
     /// Returns whether a cell passes.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use laburnumdeal_language::{Filter, Relation};
+    ///
+    /// let filter = Filter { column: "zone".into(), relation: Relation::NotEqual, value: "nasr".into() };
+    /// assert!(filter.accepts("maadi"));
+    /// ```
     pub fn accepts(&self, cell: &str) -> bool {
         match self.relation {
             Relation::Equal => cell == self.value,
--- a/language/src/table.rs
+++ b/language/src/table.rs
@@ -46,6 +46,18 @@
     /// # Errors
     ///
     /// Returns an error that points at the column that the table does not have.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use laburnumdeal_language::{Command, Table, parse};
+    ///
+    /// let text = "show zones where zone = nasr";
+    /// let table = Table::new("zones", &["zone"], vec![vec!["nasr".into()], vec!["borg".into()]]);
+    /// let Command::Show(show) = parse(text, 0)? else { panic!("no query") };
+    /// assert_eq!(table.filtered(&show.filters, text).unwrap().rows, [["nasr"]]);
+    /// # Ok::<(), laburnumdeal_language::ParseError>(())
+    /// ```
     pub fn filtered(mut self, filters: &[Filter], command: &str) -> Result<Self, ErrorReply> {
         for filter in filters {
             let found = self.columns.iter().position(|c| *c == filter.column);
