Run the thin path: demo over separate processes, tests over real daemons

Cause: nothing showed the path from a caller to an upstream and back.

An unlock sent through three instances runs once.

Hedges: an idempotent request that takes longer than the pool's hedge delay gets a second attempt on another upstream, paid from the retry budget.

Not proved yet: every fault; that is the matrix's work. The first request after a start may wait until the first load report, because a new owner assumes that slots are taken.

--- a/daemon/src/attempt.rs
+++ b/daemon/src/attempt.rs
@@ -38,8 +38,6 @@
     Unknown {
         /// Why it is not known.
         reason: String,
-        /// Whether the other side broke off, as it does when it crashes.
-        crashed: bool,
     },
 }
 
@@ -119,10 +117,7 @@
         }
         (_, Some("not-run")) => said_not_run(&reason, retry_after),
         (Ok(response), Some("answer")) => Attempt::Answered(response),
-        (Ok(_), _) => Attempt::Unknown {
-            reason,
-            crashed: false,
-        },
+        (Ok(_), _) => Attempt::Unknown { reason },
         (Err(error), _) => failed(name, error),
     }
 }
@@ -206,14 +201,7 @@
             reason,
             retry_after,
         },
-        ExchangeError::Broken(_) => Attempt::Unknown {
-            reason,
-            crashed: true,
-        },
-        ExchangeError::Silent => Attempt::Unknown {
-            reason,
-            crashed: false,
-        },
+        ExchangeError::Broken(_) | ExchangeError::Silent => Attempt::Unknown { reason },
     }
 }
 
--- a/daemon/src/exchange_error.rs
+++ b/daemon/src/exchange_error.rs
@@ -16,10 +16,3 @@
     #[display("no answer before the deadline")]
     Silent,
 }
-
-impl ExchangeError {
-    /// Returns whether this proves that the request did not run.
-    pub fn proves_not_run(&self) -> bool {
-        matches!(self, Self::Refused(_) | Self::NotSent)
-    }
-}
--- a/daemon/src/peer_client.rs
+++ b/daemon/src/peer_client.rs
@@ -66,8 +66,7 @@
     ///
     /// # Errors
     ///
-    /// Returns how the exchange failed; only [`PeerError::proves_not_run`] says that the receiver
-    /// did not get the message.
+    /// Returns how the exchange failed; the receiver may have acted on the message all the same.
     pub async fn call(
         &self,
         to: InstanceId,
--- a/daemon/src/peer_error.rs
+++ b/daemon/src/peer_error.rs
@@ -29,14 +29,3 @@
     #[display("reply is of another kind than expected")]
     WrongReply,
 }
-
-impl PeerError {
-    /// Returns whether this proves that the other instance did not get the message.
-    pub fn proves_not_run(&self) -> bool {
-        match self {
-            Self::Exchange(error) => error.proves_not_run(),
-            Self::Refused { .. } | Self::Encode(_) => true,
-            _ => false,
-        }
-    }
-}
--- a/daemon/src/request_path.rs
+++ b/daemon/src/request_path.rs
@@ -212,8 +212,8 @@
             }
             self.tried.push(upstream);
             self.attempts += 1;
+            let (upstream, attempt) = self.with_hedge(slot).await;
             let name = self.state.topology.upstream(upstream).name.clone();
-            let attempt = attempt::at_upstream(self.state, self.prepared, slot).await;
             if let Some(served) = self.judge(&name, attempt) {
                 return Some(served);
             }
@@ -221,6 +221,60 @@
         None
     }
 
+    /// Makes an attempt, and a second one beside it when an idempotent request takes unusually
+    /// long. Returns the attempt that answered, or the one that ended last.
+    async fn with_hedge(&mut self, slot: Slot) -> (UpstreamId, Attempt) {
+        let (state, prepared, upstream) = (self.state, self.prepared, slot.upstream());
+        let first = attempt::at_upstream(state, prepared, slot);
+        tokio::pin!(first);
+        let patience = state.pool.hedge_after(prepared.service);
+        if let Ok(attempt) = tokio::time::timeout(patience, first.as_mut()).await {
+            return (upstream, attempt);
+        }
+        let Some(second_slot) = self.hedge_slot() else {
+            return (upstream, first.await);
+        };
+        let other = second_slot.upstream();
+        self.tried.push(other);
+        self.attempts += 1;
+        let name = &state.topology.upstream(other).name;
+        self.trace
+            .step(name, format!("hedge after {} ms", patience.as_millis()));
+        let second = attempt::at_upstream(state, prepared, second_slot);
+        tokio::pin!(second);
+        tokio::select! {
+            attempt = first.as_mut() => match attempt {
+                Attempt::Answered(_) => (upstream, attempt),
+                _ => (other, second.await),
+            },
+            attempt = second.as_mut() => match attempt {
+                Attempt::Answered(_) => (other, attempt),
+                _ => (upstream, first.await),
+            },
+        }
+    }
+
+    /// Returns a slot for a second attempt, paid from the budget of retries.
+    fn hedge_slot(&self) -> Option<Slot> {
+        let may_hedge = self.prepared.idempotent
+            && self.prepared.is_replayable()
+            && !self.is_suspect
+            && self.may_go_on();
+        if !may_hedge {
+            return None;
+        }
+        let slot = self
+            .state
+            .pool
+            .try_acquire(self.prepared.service, &self.tried)?;
+        if !self.state.budget.withdraw() {
+            return None;
+        }
+        let service = self.state.topology.service(self.prepared.service);
+        self.state.metrics.hedged(&service.name);
+        Some(slot)
+    }
+
     async fn slot(&mut self, queueing: Queueing) -> Option<Slot> {
         let (pool, service) = (&self.state.pool, self.prepared.service);
         if queueing == Queueing::Refused {
@@ -304,7 +358,7 @@
                 self.note(&reason, Some(retry_after));
                 None
             }
-            Attempt::Unknown { reason, .. } => {
+            Attempt::Unknown { reason } => {
                 self.trace
                     .step(candidate, format!("may have run: {reason}"));
                 if self.may_repeat() {
--- a/model/src/topology.rs
+++ b/model/src/topology.rs
@@ -35,7 +35,7 @@
     pub upstreams: Vec<Upstream>,
     /// Links between regions.
     pub links: Vec<Link>,
-    /// Hash of the settings that this was built from.
+    /// Hash of names, order and relations, which give keys their meaning; addresses may differ.
     pub digest: Digest,
 }
 
@@ -289,7 +289,7 @@
                     })
                 })
                 .collect::<Result<_, _>>()?,
-            digest: Digest::of(&[&rmp_serde::to_vec(settings).expect("plain data encodes")]),
+            digest: digest(settings),
         })
     }
 
@@ -407,6 +407,30 @@
     }
 }
 
+/// Hashes what keys mean: equal where every key stands for the same thing.
+fn digest(settings: &TopologySettings) -> Digest {
+    let regions: Vec<_> = settings.regions.iter().map(|r| &r.name).collect();
+    let zones: Vec<_> = settings
+        .zones
+        .iter()
+        .map(|z| (&z.name, &z.region))
+        .collect();
+    let instances: Vec<_> = settings
+        .instances
+        .iter()
+        .map(|i| (&i.name, &i.zone, i.control))
+        .collect();
+    let services: Vec<_> = settings.services.iter().map(|s| &s.name).collect();
+    let upstreams: Vec<_> = settings
+        .upstreams
+        .iter()
+        .map(|u| (&u.name, &u.service, &u.zone))
+        .collect();
+    let links: Vec<_> = settings.links.iter().map(|l| (&l.from, &l.to)).collect();
+    let all = (regions, zones, instances, services, upstreams, links);
+    Digest::of(&[&rmp_serde::to_vec(&all).expect("plain data encodes")])
+}
+
 /// Positions of names of one kind.
 struct Names<'a> {
     kind: NameKind,
--- /dev/null
+++ b/tests/src/cluster.rs
@@ -0,0 +1,259 @@
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use laburnumdeal_daemon::{Daemon, DaemonError};
+use laburnumdeal_model::{InstanceSettings, TopologySettings};
+use slog::{Discard, Logger, o};
+use tempfile::TempDir;
+use tokio::time::Instant;
+
+use crate::caller::{Ask, Caller, Got, LookupAnswer};
+use crate::fake_link::{FakeLink, LinkState};
+use crate::fake_upstream::FakeUpstream;
+use crate::loopback::Loopback;
+use crate::operator::Operator;
+use crate::plan::Plan;
+
+/// Longest time that a test waits for a condition.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Time between two looks at a condition.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+
+/// Real daemons in this process over loopback, with fake upstreams, and a link that can be cut
+/// between each two instances.
+pub struct Cluster {
+    plan: Plan,
+    topology: TopologySettings,
+    folder: TempDir,
+    daemons: HashMap<String, Daemon>,
+    upstreams: HashMap<String, FakeUpstream>,
+    links: HashMap<(String, String), FakeLink>,
+    seen_by: HashMap<String, TopologySettings>,
+    platform: Option<SocketAddr>,
+    loopback: Loopback,
+}
+
+impl Cluster {
+    /// Starts everything of a plan and waits until each instance is ready.
+    pub async fn spawn(plan: Plan) -> Self {
+        let mut cluster = Self::prepare(plan).await;
+        cluster.start_all().await;
+        cluster
+    }
+
+    /// Starts links and upstreams, but no instance.
+    pub async fn prepare(plan: Plan) -> Self {
+        let mut loopback = Loopback::new();
+        let topology = plan.topology(&mut loopback);
+        let mut cluster = Self {
+            plan,
+            folder: tempfile::tempdir().expect("a temporary folder can be made"),
+            daemons: HashMap::new(),
+            upstreams: HashMap::new(),
+            links: HashMap::new(),
+            seen_by: HashMap::new(),
+            platform: None,
+            topology,
+            loopback,
+        };
+        cluster.start_upstreams().await;
+        cluster.start_links().await;
+        cluster
+    }
+
+    /// Starts every instance and waits until each is ready.
+    pub async fn start_all(&mut self) {
+        let names: Vec<String> = self
+            .topology
+            .instances
+            .iter()
+            .map(|instance| instance.name.clone())
+            .collect();
+        for name in &names {
+            self.start(name)
+                .await
+                .expect("an instance of the plan starts");
+        }
+        for name in &names {
+            self.wait_ready(name).await;
+        }
+    }
+
+    /// Starts one instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the instance does not start.
+    pub async fn start(&mut self, name: &str) -> Result<(), DaemonError> {
+        let mut settings = self.plan.settings(&self.seen_by[name], name);
+        settings.platform_list = self.platform;
+        if self.instance(name).control {
+            settings.data_folder = Some(self.folder.path().join(name));
+        }
+        let log = Logger::root(Discard, o!());
+        let daemon = Daemon::spawn(settings, log).await?;
+        self.daemons.insert(name.to_owned(), daemon);
+        Ok(())
+    }
+
+    /// Ends an instance at once.
+    pub async fn crash(&mut self, name: &str) {
+        self.daemons
+            .remove(name)
+            .expect("the instance runs")
+            .crash()
+            .await;
+    }
+
+    /// Takes an instance out, so that the test can stop it while it does other things.
+    pub fn take(&mut self, name: &str) -> Daemon {
+        self.daemons.remove(name).expect("the instance runs")
+    }
+
+    /// Removes the data folder of an instance that does not run.
+    pub fn lose_disk(&self, name: &str) {
+        let _ = std::fs::remove_dir_all(self.folder.path().join(name));
+    }
+
+    /// Waits until an instance says that it is ready.
+    pub async fn wait_ready(&self, name: &str) {
+        let address = self.instance(name).operator_address;
+        wait_until(&format!("{name} is ready"), async || {
+            let got = Caller.send(address, &Ask::get("", "/ready")).await;
+            got.is_ok_and(|got| got.status.is_success())
+        })
+        .await;
+    }
+
+    /// Starts telling instances that are started from now on of a platform list.
+    pub fn use_platform(&mut self) -> SocketAddr {
+        let address = self.loopback.address();
+        self.platform = Some(address);
+        address
+    }
+
+    /// Changes the link from one instance to another.
+    pub fn set_link(&self, from: &str, to: &str, state: LinkState) {
+        self.links[&(from.to_owned(), to.to_owned())].set(state);
+    }
+
+    /// Changes every link between a zone and the others, in both directions.
+    pub fn set_zone_links(&self, zone: &str, state: LinkState) {
+        for ((from, to), link) in &self.links {
+            let is_inside = |name: &String| self.instance(name).zone == zone;
+            if is_inside(from) != is_inside(to) {
+                link.set(state);
+            }
+        }
+    }
+
+    /// Changes every link of an instance, in both directions.
+    pub fn set_instance_links(&self, name: &str, state: LinkState) {
+        for ((from, to), link) in &self.links {
+            if from == name || to == name {
+                link.set(state);
+            }
+        }
+    }
+
+    /// Returns an upstream.
+    pub fn upstream(&self, name: &str) -> &FakeUpstream {
+        &self.upstreams[name]
+    }
+
+    /// Returns every upstream.
+    pub fn upstreams(&self) -> impl Iterator<Item = &FakeUpstream> {
+        self.upstreams.values()
+    }
+
+    /// Returns how often each operation ran, over all upstreams.
+    pub fn runs(&self) -> HashMap<String, u32> {
+        let mut counts: HashMap<String, u32> = HashMap::new();
+        for upstream in self.upstreams.values() {
+            for (operation, runs) in upstream.runs_by_operation() {
+                *counts.entry(operation).or_default() += runs;
+            }
+        }
+        counts
+    }
+
+    /// Returns the settings of an instance.
+    pub fn instance(&self, name: &str) -> &InstanceSettings {
+        let mut instances = self.topology.instances.iter();
+        instances
+            .find(|instance| instance.name == name)
+            .expect("the instance is in the plan")
+    }
+
+    /// Returns the topology as the test sees it.
+    pub fn topology(&self) -> &TopologySettings {
+        &self.topology
+    }
+
+    /// Returns an operator at an instance.
+    pub fn operator(&self, name: &str) -> Operator {
+        Operator::new(self.instance(name).operator_address)
+    }
+
+    /// Sends a request to an instance.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error that the caller saw.
+    pub async fn send(&self, name: &str, ask: &Ask) -> io::Result<Got> {
+        Caller.send(self.instance(name).caller_address, ask).await
+    }
+
+    /// Asks an instance for a look-up.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error that the caller saw.
+    pub async fn look_up(&self, name: &str, service: &str) -> io::Result<LookupAnswer> {
+        Caller
+            .look_up(self.instance(name).caller_address, service, "192.0.2.7")
+            .await
+    }
+
+    async fn start_upstreams(&mut self) {
+        for settings in &self.topology.upstreams {
+            let upstream = FakeUpstream::bind(&settings.name, settings.address)
+                .await
+                .expect("the address of an upstream is free");
+            upstream.set(|behavior| behavior.slots = u32::from(settings.slots));
+            self.upstreams.insert(settings.name.clone(), upstream);
+        }
+    }
+
+    async fn start_links(&mut self) {
+        for from in self.topology.instances.clone() {
+            let mut seen = self.topology.clone();
+            for to in seen.instances.iter_mut().filter(|to| to.name != from.name) {
+                let address = self.loopback.address();
+                let link = FakeLink::bind(address, to.peer_address)
+                    .await
+                    .expect("the address of a link is free");
+                to.peer_address = address;
+                self.links
+                    .insert((from.name.clone(), to.name.clone()), link);
+            }
+            self.seen_by.insert(from.name, seen);
+        }
+    }
+}
+
+/// Waits until a condition holds.
+///
+/// # Panics
+///
+/// Panics with `what` when it does not hold in time.
+pub async fn wait_until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let until = Instant::now() + PATIENCE;
+    while !holds().await {
+        assert!(Instant::now() < until, "waited in vain until {what}");
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -9,14 +9,22 @@
 
 mod behavior;
 mod caller;
+mod cluster;
 mod fake_link;
 mod fake_platform;
 mod fake_upstream;
 mod loopback;
+mod operator;
+mod plan;
+mod process;
 
 pub use behavior::{Behavior, Fault};
 pub use caller::{Ask, Caller, Got, LookupAnswer, LookupInstance};
+pub use cluster::{Cluster, PATIENCE, wait_until};
 pub use fake_link::{FakeLink, LinkState};
 pub use fake_platform::FakePlatform;
 pub use fake_upstream::{DOWN_FOR, FakeUpstream, Run};
 pub use loopback::Loopback;
+pub use operator::Operator;
+pub use plan::{OPERATOR_TOKEN, Plan, service};
+pub use process::{Process, Signal, binary};
--- /dev/null
+++ b/tests/src/process.rs
@@ -0,0 +1,148 @@
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+use laburnumdeal_model::Settings;
+
+/// One daemon as a process of its own. Dropping it kills the process.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+/// Signal that a test sends to a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// Asks for a planned stop.
+    Terminate,
+    /// Freezes the process.
+    Stop,
+    /// Thaws the process.
+    Continue,
+}
+
+impl Process {
+    /// Starts a daemon with settings that are written into `folder`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of writing the settings or of starting the process.
+    pub fn spawn(folder: &Path, settings: &Settings) -> io::Result<Self> {
+        let file = folder.join(format!("{}.jsonc", settings.instance));
+        let text = serde_json::to_string_pretty(settings).map_err(io::Error::other)?;
+        std::fs::write(&file, format!("// Settings of one instance.\n{text}\n"))?;
+        let log = std::fs::File::create(folder.join(format!("{}.log", settings.instance)))?;
+        let child = Command::new(binary("laburnumdeald")?)
+            .arg("--settings")
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        Ok(Self { child })
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the command that sends it.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        let name = match signal {
+            Signal::Terminate => "-TERM",
+            Signal::Stop => "-STOP",
+            Signal::Continue => "-CONT",
+        };
+        Command::new("kill")
+            .arg(name)
+            .arg(self.child.id().to_string())
+            .status()
+            .map(drop)
+    }
+
+    /// Kills the process at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of killing it.
+    pub fn kill(&mut self) -> io::Result<ExitStatus> {
+        self.child.kill()?;
+        self.child.wait()
+    }
+
+    /// Waits until the process has ended by itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of waiting, or that it has not ended after `most`.
+    pub async fn wait(&mut self, most: Duration) -> io::Result<ExitStatus> {
+        let until = tokio::time::Instant::now() + most;
+        while tokio::time::Instant::now() < until {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        Err(io::Error::new(
+            io::ErrorKind::TimedOut,
+            "the process has not ended",
+        ))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns the path of a binary of this workspace, which is built when it is missing.
+///
+/// # Errors
+///
+/// Returns the error of building it.
+pub fn binary(name: &str) -> io::Result<PathBuf> {
+    let folder = target_folder()?;
+    let path = folder.join(name);
+    if !path.exists() {
+        build(&folder)?;
+    }
+    Ok(path)
+}
+
+/// Returns the folder in which cargo puts the binaries of the running profile.
+fn target_folder() -> io::Result<PathBuf> {
+    let running = std::env::current_exe()?;
+    let parent = running.parent().unwrap_or(Path::new("."));
+    let is_nested = parent.ends_with("deps") || parent.ends_with("examples");
+    let folder = if is_nested {
+        parent.parent().unwrap_or(parent)
+    } else {
+        parent
+    };
+    Ok(folder.to_owned())
+}
+
+fn build(folder: &Path) -> io::Result<()> {
+    let cargo = std::env::var("CARGO").unwrap_or_else(|_| "cargo".to_owned());
+    let mut command = Command::new(cargo);
+    command.args(["build", "--quiet", "--locked", "--bins"]);
+    command.args([
+        "--package",
+        "laburnumdeal-daemon",
+        "--package",
+        "laburnumdeal-cli",
+    ]);
+    if folder.ends_with("release") {
+        command.arg("--release");
+    }
+    let status = command.current_dir(env!("CARGO_MANIFEST_DIR")).status()?;
+    if status.success() {
+        return Ok(());
+    }
+    Err(io::Error::other(
+        "the binaries of the workspace do not build",
+    ))
+}
--- /dev/null
+++ b/tests/tests/thin_path.rs
@@ -0,0 +1,98 @@
+//! The whole path over real daemons: look-up, request, drain, planned stop.
+
+use laburnumdeal_tests::{Ask, Cluster, Plan, wait_until};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn path_read_reaches_upstream_and_answers_whole() {
+    let cluster = Cluster::spawn(Plan::default()).await;
+    let found = cluster.look_up("nasr-1", "catalog").await.unwrap();
+    assert!(!found.instances.is_empty());
+    let ask = Ask::get("catalog", "/units").header("x-operation", "read-1");
+    let got = cluster.send(&found.instances[0].name, &ask).await.unwrap();
+    assert_eq!(
+        (got.status.as_u16(), got.outcome()),
+        (200, "answer"),
+        "{}",
+        got.text()
+    );
+    assert!(
+        got.text().contains("ran read-1 /units with 0 bytes"),
+        "{}",
+        got.text()
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn path_unlock_with_key_runs_once_over_resends() {
+    let cluster = Cluster::spawn(Plan::default()).await;
+    wait_until("nasr-1 knows its zone", async || {
+        let rows = cluster.operator("nasr-1").rows("show instances").await;
+        rows.iter().all(|row| row[3] == "live")
+    })
+    .await;
+    let token = cluster.look_up("nasr-1", "gatekeeper").await.unwrap().token;
+    let ask = Ask::post("gatekeeper", "/unlock/7", "please")
+        .header("laburnum-key", format!("{token}.door-7"))
+        .header("x-operation", "unlock-7");
+    for instance in ["nasr-1", "nasr-2", "smouha-1"] {
+        let got = cluster.send(instance, &ask).await.unwrap();
+        assert_eq!(
+            (got.status.as_u16(), got.outcome()),
+            (200, "answer"),
+            "{}",
+            got.text()
+        );
+    }
+    assert_eq!(cluster.runs()["unlock-7"], 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn path_unlock_without_key_gets_clear_refusal() {
+    let cluster = Cluster::spawn(Plan::default()).await;
+    let got = cluster
+        .send("nasr-1", &Ask::post("gatekeeper", "/unlock/7", ""))
+        .await
+        .unwrap();
+    assert_eq!(got.status.as_u16(), 428);
+    assert_eq!(got.outcome(), "not-run");
+    assert!(got.text().contains("laburnum-key"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn path_drained_upstream_gets_no_new_work_anywhere() {
+    let cluster = Cluster::spawn(Plan::default()).await;
+    let (version, in_force) = cluster
+        .operator("nasr-1")
+        .change("drain upstream catalog-nasr-1")
+        .await;
+    assert_eq!((version, in_force.len()), (1, 3));
+    let drained = cluster.upstream("catalog-nasr-1");
+    wait_until("the drain has moved everything", async || {
+        let rows = cluster.operator("nasr-2").rows("show drains").await;
+        rows.iter()
+            .any(|row| row[0] == "upstream catalog-nasr-1" && row[5] == "1000")
+    })
+    .await;
+    wait_until("the drain is in force on its owner", async || {
+        let mut standings = Vec::new();
+        for name in ["nasr-1", "nasr-2"] {
+            let question = "show upstreams where upstream = catalog-nasr-1";
+            standings.extend(cluster.operator(name).rows(question).await);
+        }
+        standings
+            .iter()
+            .any(|row| row[7] == "drained" || row[7] == "draining")
+    })
+    .await;
+    let before = drained.runs().len();
+    for number in 0..20 {
+        let ask = Ask::get("catalog", &format!("/units/{number}"));
+        for instance in ["nasr-1", "nasr-2", "smouha-1"] {
+            assert_eq!(
+                cluster.send(instance, &ask).await.unwrap().outcome(),
+                "answer"
+            );
+        }
+    }
+    assert_eq!(drained.runs().len(), before);
+}
