Give every change an id in the client; say so when a trail is incomplete

Client::send took a change without an id for a query: a lost answer sent it to the next address, and an answer under the instance's own id was refused as another command's. It now gives every change an id and sends canonical text.

An instance that answers 'not run' is passed over for the next one: that answer is true, and another may reach the leader.

A replica keeps its latest 4096 records, so after more changes 'audit verify' named a whole record as broken. The first record is now taken as it is, the rest checked, and the trail reported as incomplete with status 1. Ruled out: status 0 there, since dropped records look like removed ones.

--- a/cli/src/audit_error.rs
+++ b/cli/src/audit_error.rs
@@ -17,6 +17,17 @@
         /// Hash over the record before it and its own fields.
         expected: Digest,
     },
+    /// The first record is not the trail's first; all after it are as they were written.
+    #[display(
+        "audit records {first} to {last} follow each other, but those before {first} are missing \
+         or it was altered; check the records saved since the start"
+    )]
+    Incomplete {
+        /// Log index of the first record.
+        first: u64,
+        /// Log index of the last record.
+        last: u64,
+    },
     /// A record does not follow the one before it.
     #[display("audit record {index} does not follow record {previous}")]
     Order {
--- a/cli/src/audit_file.rs
+++ b/cli/src/audit_file.rs
@@ -38,5 +38,5 @@
         })?;
         chain.check(&record)?;
     }
-    Ok(chain)
+    chain.finish()
 }
--- a/cli/src/client.rs
+++ b/cli/src/client.rs
@@ -3,7 +3,7 @@
 use laburnumdeal_model::CommandId;
 
 use crate::exchange::Exchange;
-use crate::{ClientError, ClientSettings};
+use crate::{ClientError, ClientSettings, Prepared};
 
 /// Time after which another attempt makes sense when no instance could be reached.
 const RETRY_AFTER_MS: u64 = 1_000;
@@ -22,15 +22,25 @@
 
     /// Returns the answer to a command.
     ///
-    /// A change goes to another instance only while no byte of it has left; when its answer is
-    /// lost the outcome is unknown. Queries and dry runs go to the next instance in any case.
+    /// A change gets an id when it has none. It goes to another instance only while no byte of it
+    /// has left or when an instance says that it did not run; when its answer is lost the outcome
+    /// is unknown. Queries and dry runs go to the next instance in any case.
     pub async fn send(&self, request: &OperatorRequest) -> OperatorReply {
-        let body = match serde_json::to_vec(request) {
+        match Prepared::read(request) {
+            Ok(prepared) => self.send_prepared(&prepared).await,
+            Err(error) => OperatorReply::Error(error.into()),
+        }
+    }
+
+    /// Returns the answer to a prepared command.
+    pub async fn send_prepared(&self, prepared: &Prepared) -> OperatorReply {
+        let body = match serde_json::to_vec(&prepared.request) {
             Ok(body) => Bytes::from(body),
             Err(error) => return OperatorReply::Error(ErrorReply::new(error.to_string())),
         };
-        let wait_ms = request.wait_ms.unwrap_or(0);
+        let wait_ms = prepared.request.wait_ms.unwrap_or(0);
         let mut failures = Vec::new();
+        let mut wait_least_ms = RETRY_AFTER_MS;
         for address in &self.settings.addresses {
             let exchange = Exchange {
                 settings: &self.settings,
@@ -38,37 +48,42 @@
                 deadline_ms: self.settings.timeout_ms.saturating_add(wait_ms),
             };
             let answer = exchange.run(body.clone()).await;
-            match (answer, changing_id(request)) {
-                (Ok(reply), _) => return checked(reply, request, address),
+            match (answer, prepared.changing_id()) {
+                (
+                    Ok(OperatorReply::NotRun {
+                        reason,
+                        retry_after_ms,
+                    }),
+                    _,
+                ) => {
+                    failures.push(format!("{address}: {reason}"));
+                    wait_least_ms = retry_after_ms;
+                }
+                (Ok(reply), _) => return checked(reply, prepared, address),
                 (Err(error @ ClientError::Lost { .. }), Some(id)) => return unknown(id, error),
                 (Err(error), _) => failures.push(error.to_string()),
             }
         }
         OperatorReply::NotRun {
-            reason: format!("no instance answered: {}", failures.join("; ")),
-            retry_after_ms: RETRY_AFTER_MS,
+            reason: failures.join("; "),
+            retry_after_ms: wait_least_ms,
         }
     }
 }
 
-/// Returns the id of a request that may change the configuration.
-fn changing_id(request: &OperatorRequest) -> Option<&CommandId> {
-    request.command_id.as_ref().filter(|_| !request.dry_run)
-}
-
-/// Returns the reply when it belongs to the request.
-fn checked(reply: OperatorReply, request: &OperatorRequest, address: &str) -> OperatorReply {
+/// Returns the reply when it belongs to the command.
+fn checked(reply: OperatorReply, prepared: &Prepared, address: &str) -> OperatorReply {
     let answered = match &reply {
         OperatorReply::Verdict(change) => Some(&change.command_id),
         OperatorReply::Unknown { command_id, .. } => Some(command_id),
         _ => None,
     };
-    if answered.is_none() || answered == request.command_id.as_ref() {
+    if answered.is_none() || answered == prepared.request.command_id.as_ref() {
         return reply;
     }
     let reason = "the answer belongs to another command".to_owned();
     let address = address.to_owned();
-    match changing_id(request) {
+    match prepared.changing_id() {
         Some(id) => unknown(id, ClientError::Lost { address, reason }),
         None => OperatorReply::Error(ErrorReply::new(format!("{address}: {reason}"))),
     }
--- a/cli/src/session.rs
+++ b/cli/src/session.rs
@@ -1,9 +1,5 @@
-use std::time::{SystemTime, UNIX_EPOCH};
-
-use laburnumdeal_language::{
-    Command, ErrorReply, Line, OperatorReply, OperatorRequest, ParseError,
-};
-use laburnumdeal_model::{Applied, CommandId};
+use laburnumdeal_language::{Command, ErrorReply, OperatorReply, OperatorRequest, ParseError};
+use laburnumdeal_model::Applied;
 
 use crate::{AuditChain, AuditError, Client, Options, Outcome, Prepared};
 
@@ -58,41 +54,27 @@
     ///
     /// Returns the word that the grammar does not accept.
     pub fn prepare(&self, text: &str) -> Result<Prepared, ParseError> {
-        let given = OperatorRequest {
+        Prepared::read(&OperatorRequest {
+            command: text.to_owned(),
+            command_id: self.options.id.clone(),
             base: self.options.base,
             dry_run: self.options.dry_run,
             force: self.options.force,
-            ..OperatorRequest::query(text)
-        };
-        let Line { command, options } = given.line(now_ms())?;
-        let query = OperatorRequest::query(command.to_string());
-        if !command.is_change() {
-            let request = query;
-            return Ok(Prepared { command, request });
-        }
-        let request = OperatorRequest {
-            command_id: self.options.id.clone().or_else(new_id),
-            base: options.base,
-            dry_run: options.dry_run,
-            force: options.force,
             wait_ms: self.options.wait_ms,
-            ..query
-        };
-        Ok(Prepared { command, request })
+        })
     }
 
     /// Returns the outcome of a prepared command.
     pub async fn send(&self, prepared: Prepared) -> Outcome {
-        let Prepared { command, request } = prepared;
-        match command {
+        match prepared.command {
             Command::AuditVerify => self.verify().await.into(),
             Command::AuditRecords {
                 from_index,
                 limit: None,
             } => self.all_records(from_index).await.into(),
             _ => Outcome {
-                reply: self.client.send(&request).await,
-                request: Some(request),
+                reply: self.client.send_prepared(&prepared).await,
+                request: Some(prepared.request),
             },
         }
     }
@@ -106,7 +88,7 @@
                 Err(reply) => return reply,
             };
             if records.is_empty() {
-                return audit_reply(Ok(chain));
+                return audit_reply(chain.finish());
             }
             for record in &records {
                 if let Err(error) = chain.check(record) {
@@ -161,12 +143,3 @@
         Err(error) => OperatorReply::Error(ErrorReply::new(error.to_string())),
     }
 }
-
-fn new_id() -> Option<CommandId> {
-    format!("{:032x}", rand::random::<u128>()).parse().ok()
-}
-
-fn now_ms() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_epoch.map_or(0, |since| since.as_millis() as u64)
-}
