Point at the word that a refusal is about

An instance refuses a name that does not exist with the name, not its place. The client knows the command as sent and draws it with carets under the name.

--- a/cli/src/render.rs
+++ b/cli/src/render.rs
@@ -1,6 +1,8 @@
 use comfy_table::{ContentArrangement, Table as Grid, presets};
 use laburnumdeal_language::{ChangeReply, ChangeText, ErrorReply, OperatorReply, Table, UtcTime};
-use laburnumdeal_model::Applied;
+use laburnumdeal_model::{Applied, Refusal, Verdict};
+
+use crate::Outcome;
 
 /// Returns an answer as JSON, one object a line; audit records are one object each.
 pub(crate) fn render_json(reply: &OperatorReply) -> Result<String, serde_json::Error> {
@@ -14,10 +16,11 @@
 }
 
 /// Returns an answer as text for a terminal, without control characters of others.
-pub(crate) fn render_text(reply: &OperatorReply) -> String {
-    let text = match reply {
+pub(crate) fn render_text(outcome: &Outcome) -> String {
+    let command = outcome.request.as_ref().map(|r| r.command.as_str());
+    let text = match &outcome.reply {
         OperatorReply::Table(table) => render_table(table),
-        OperatorReply::Verdict(change) => render_change(change),
+        OperatorReply::Verdict(change) => render_change(change, command.unwrap_or_default()),
         OperatorReply::Audit { records } => render_records(records),
         OperatorReply::Error(error) => render_error(error),
         OperatorReply::Unknown { command_id, reason } => {
@@ -45,11 +48,14 @@
     text
 }
 
-fn render_change(change: &ChangeReply) -> String {
-    let mut lines = vec![
-        change.verdict.to_string(),
-        format!("command {}, {} ms", change.command_id, change.took_ms),
-    ];
+fn render_change(change: &ChangeReply, command: &str) -> String {
+    let pointed = ErrorReply::about("", command, refused_word(&change.verdict));
+    let mut lines = vec![change.verdict.to_string()];
+    lines.extend(pointed.caret);
+    lines.push(format!(
+        "command {}, {} ms",
+        change.command_id, change.took_ms
+    ));
     let groups = [
         ("in force", &change.in_force),
         ("fenced", &change.fenced),
@@ -61,6 +67,16 @@
     lines.join("\n")
 }
 
+/// Returns the word of the command that a refusal is about, or nothing.
+fn refused_word(verdict: &Verdict) -> &str {
+    match verdict {
+        Verdict::Refused(Refusal::UnknownName { name, .. }) => name,
+        Verdict::Refused(Refusal::WrongService { upstream, .. }) => upstream,
+        Verdict::Refused(Refusal::NoSteering { block }) => block,
+        _ => "",
+    }
+}
+
 fn render_records(records: &[Applied]) -> String {
     let columns = ["index", "at", "operator", "command id", "change", "verdict"];
     let rows: Vec<Vec<String>> = records.iter().map(record_row).collect();
--- a/cli/src/run.rs
+++ b/cli/src/run.rs
@@ -125,9 +125,9 @@
         if self.options.json {
             writeln!(self.out, "{}", render_json(&outcome.reply)?)?;
         } else if matches!(outcome.exit(), Exit::Done) {
-            writeln!(self.out, "{}", render_text(&outcome.reply))?;
+            writeln!(self.out, "{}", render_text(outcome))?;
         } else {
-            writeln!(self.err, "{}", render_text(&outcome.reply))?;
+            writeln!(self.err, "{}", render_text(outcome))?;
         }
         if let Some(line) = outcome.ask_again(&self.options.addresses) {
             writeln!(self.err, "ask again with:\n  {line}")?;
--- a/cli/tests/sessions/client.rs
+++ b/cli/tests/sessions/client.rs
@@ -4,7 +4,7 @@
 
 use laburnumdeal_cli::{Exit, Input, run};
 use laburnumdeal_language::{ChangeReply, OperatorReply, OperatorRequest, Table};
-use laburnumdeal_model::{Refusal, Verdict, Version};
+use laburnumdeal_model::{NameKind, Refusal, Verdict, Version};
 
 use crate::fake::{ClosedPort, Fake, Step, client, options, run_with, session};
 
@@ -22,6 +22,14 @@
     verdict(request, Verdict::Refused(Refusal::NoRoom { service }))
 }
 
+fn unknown_zone(request: &OperatorRequest) -> OperatorReply {
+    let (kind, name) = (NameKind::Zone, "borgg".to_owned());
+    verdict(
+        request,
+        Verdict::Refused(Refusal::UnknownName { kind, name }),
+    )
+}
+
 fn verdict(request: &OperatorRequest, verdict: Verdict) -> OperatorReply {
     OperatorReply::Verdict(ChangeReply {
         verdict,
@@ -98,6 +106,15 @@
     );
 }
 
+#[tokio::test]
+async fn run_unknown_name_points_at_word() {
+    let fake = Fake::spawn(vec![Step::Reply(unknown_zone)]);
+    let words = ["--id", "c-1", "steer", "10.1.0.0/16", "to", "nasr,borgg"];
+    let (status, _, err) = run_with(&options(&[&fake.address], &words), Input::Pipe, "").await;
+    assert_eq!(status, 1);
+    insta::assert_snapshot!(err);
+}
+
 #[tokio::test]
 async fn run_lost_answer_is_unknown() {
     let lost = [
