Run the fault matrix of requests that may not be repeated; never take a boot id from the seed

Cause: the matrix (10 steps, 9 faults, home and mirror: 90 cells over real daemons) showed requests that ran twice, and 'not run' told of requests that ran, in every cell that restarts the home after the upstream answered. A boot id was drawn from the generator that the setting 'seed' starts, so a restarted home took its own old tokens for current.

Ruled out: the fence of the mirror (cells without a restart all held) and the hand-over (no planned stop in these cells).

Conclusion: boot ids come from the system's generator alone.

--- a/daemon/src/attempt.rs
+++ b/daemon/src/attempt.rs
@@ -11,6 +11,7 @@
 use crate::exchange;
 use crate::exchange_error::ExchangeError;
 use crate::exchange_guard::Place;
+use crate::fault_points::Step;
 use crate::header;
 use crate::prepared::Prepared;
 use crate::request_body::RequestBody;
@@ -63,6 +64,7 @@
         Ok(answered) => answered,
         Err(error) => return failed(name, error),
     };
+    state.faults.at(Step::AnswerHead).await;
     if is_shed(&response) {
         guard.shed();
         return said_not_run("upstream shed the request", retry_after(&response));
--- a/daemon/src/claim_path.rs
+++ b/daemon/src/claim_path.rs
@@ -15,6 +15,7 @@
 
 use crate::answer_body::AnswerBody;
 use crate::attempt::{self, Attempt};
+use crate::fault_points::Step;
 use crate::peer_message::{PeerReply, PeerRequest};
 use crate::prepared::Prepared;
 use crate::request_error::RequestError;
@@ -146,6 +147,7 @@
 ) -> Served {
     let _in_progress = state.count_request();
     let mirror = claim.mirror();
+    state.faults.at(Step::Claimed).await;
     if let Some(mirror) = mirror {
         let Some(reply) = ask_mirror(&state, &prepared, mirror).await else {
             trace.step("claim", "the mirror gave no reply: fenced");
@@ -159,10 +161,12 @@
             Err(_) => return already_ran(),
         }
     }
+    state.faults.at(Step::Mirrored).await;
     let Ok(started) = claim.start() else {
         trace.step("claim", "fenced before the start");
         return fenced();
     };
+    state.faults.at(Step::Started).await;
     let served = request_path::serve(&state, &prepared, Role::Home, &trace).await;
     settle(&state, &prepared, started, mirror, served).await
 }
@@ -195,7 +199,9 @@
     match served {
         Served::Answer(response) => match hold(response).await {
             Ok(answer) => {
+                state.faults.at(Step::Answered).await;
                 let kept = started.finish(answer);
+                state.faults.at(Step::Stored).await;
                 tell_answer(state, prepared, mirror, &kept);
                 finished(ClaimFinish::Answer(kept))
             }
--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -11,6 +11,7 @@
 use crate::caller_handler::CallerHandler;
 use crate::configuration_store::ConfigurationStore;
 use crate::daemon_error::DaemonError;
+use crate::fault_points::Step;
 use crate::http_server::HttpServer;
 use crate::leaving_upstreams::LeavingUpstreams;
 use crate::operator_server::OperatorServer;
@@ -100,12 +101,15 @@
         state.leave();
         tell_peers(&state).await;
         tokio::time::sleep(LEAVE_HEARD).await;
+        state.faults.at(Step::Leaving).await;
         hand_over_upstreams(&state).await;
+        state.faults.at(Step::UpstreamsHandedOver).await;
         tokio::time::sleep(Duration::from_millis(state.settings.lookup_ttl_ms)).await;
         let most = Duration::from_millis(state.settings.stop_ms);
         self.callers.stop(most).await;
         wait_for_requests(&state, most).await;
         hand_over_claims(&state).await;
+        state.faults.at(Step::ClaimsHandedOver).await;
         if let Some(replica) = &state.replica {
             replica.stop().await;
         }
@@ -116,6 +120,12 @@
             "took_ms" => started_at.elapsed().as_millis() as u64);
     }
 
+    /// Returns the steps at which tests hold what they want to fail.
+    #[cfg(feature = "faults")]
+    pub fn faults(&self) -> crate::fault_points::FaultPoints {
+        self.state.faults.clone()
+    }
+
     /// Ends at once and breaks every connection, as a crash does.
     pub async fn crash(mut self) {
         if let Some(replica) = &self.state.replica {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -32,6 +32,7 @@
 mod exchange_error;
 mod exchange_guard;
 mod explain;
+mod fault_points;
 mod flights;
 mod get_json;
 mod header;
@@ -69,5 +70,6 @@
 
 pub use daemon::Daemon;
 pub use daemon_error::DaemonError;
+pub use fault_points::*;
 pub use logger::open as open_logger;
 pub use options::{Options, OptionsError};
--- a/daemon/src/peer_handler.rs
+++ b/daemon/src/peer_handler.rs
@@ -13,6 +13,7 @@
 
 use crate::answer_body::AnswerBody;
 use crate::beat::Beat;
+use crate::fault_points::Step;
 use crate::header;
 use crate::heartbeat;
 use crate::http_server::Handle;
@@ -77,10 +78,15 @@
                 key,
                 fingerprint,
                 home_boot,
-            } => self.with_key(&key, |key| {
-                let claims = &state.claims;
-                PeerReply::Mirror(claims.mirror_claim(key, fingerprint, from, home_boot))
-            }),
+            } => {
+                state.faults.at(Step::MirrorAsked).await;
+                let reply = self.with_key(&key, |key| {
+                    let claims = &state.claims;
+                    PeerReply::Mirror(claims.mirror_claim(key, fingerprint, from, home_boot))
+                });
+                state.faults.at(Step::MirrorClaimed).await;
+                reply
+            }
             PeerRequest::Fence { key, fingerprint } => self.with_key(&key, |key| {
                 PeerReply::Fence(state.claims.fence(key, fingerprint))
             }),
--- a/daemon/src/request_path.rs
+++ b/daemon/src/request_path.rs
@@ -8,6 +8,7 @@
 
 use crate::attempt::{self, Attempt};
 use crate::configuration_view::InForce;
+use crate::fault_points::Step;
 use crate::prepared::Prepared;
 use crate::role::Role;
 use crate::served::Served;
@@ -212,6 +213,7 @@
             }
             self.tried.push(upstream);
             self.attempts += 1;
+            self.state.faults.at(Step::Chosen).await;
             let (upstream, attempt) = self.with_hedge(slot).await;
             let name = self.state.topology.upstream(upstream).name.clone();
             if let Some(served) = self.judge(&name, attempt) {
--- a/daemon/src/state.rs
+++ b/daemon/src/state.rs
@@ -19,6 +19,7 @@
 
 use crate::configuration_view::ConfigurationView;
 use crate::connection_pool::ConnectionPool;
+use crate::fault_points::FaultPoints;
 use crate::flights::Flights;
 use crate::metrics::Metrics;
 use crate::operator_auth::OperatorAuth;
@@ -82,6 +83,8 @@
     pub digests: RwLock<ZoneDigests>,
     /// Room on upstreams that other instances of this zone own.
     pub peers_room: PeersRoom,
+    /// Steps at which tests hold what they want to fail.
+    pub faults: FaultPoints,
     /// Replica of the change log, on control replicas.
     pub replica: Option<Replica<PeerClient>>,
     upstream_pools: Vec<ConnectionPool>,
@@ -110,7 +113,8 @@
             Some(seed) => ChaCha8Rng::seed_from_u64(seed),
             None => ChaCha8Rng::from_os_rng(),
         };
-        let boot = BootId(random.next_u64());
+        // Never from the seed: a restart with the same settings must have another identity.
+        let boot = BootId(rand::random());
         let now = Instant::now();
         let timings = MembershipSettings::new(settings.peer_timeout_ms);
         let membership = Membership::new(me, boot, topology.clone(), timings);
@@ -143,6 +147,7 @@
             configuration: ConfigurationView::new(topology.clone(), lease),
             digests: RwLock::new(ZoneDigests::new(topology.zones.len())),
             peers_room: PeersRoom::new(topology.instances.len()),
+            faults: FaultPoints::default(),
             replica: None,
             upstream_pools: upstream_pools(&topology),
             peer_pools: peer_pools(&topology),
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -3,15 +3,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use laburnumdeal_daemon::{Daemon, DaemonError};
+use laburnumdeal_daemon::DaemonError;
 use laburnumdeal_model::{InstanceSettings, TopologySettings};
-use slog::{Discard, Logger, o};
 use tempfile::TempDir;
 use tokio::time::Instant;
 
 use crate::caller::{Ask, Caller, Got, LookupAnswer};
 use crate::fake_link::{FakeLink, LinkState};
 use crate::fake_upstream::FakeUpstream;
+use crate::host::Host;
 use crate::loopback::Loopback;
 use crate::operator::Operator;
 use crate::plan::Plan;
@@ -28,7 +28,7 @@
     plan: Plan,
     topology: TopologySettings,
     folder: TempDir,
-    daemons: HashMap<String, Daemon>,
+    hosts: HashMap<String, Host>,
     upstreams: HashMap<String, FakeUpstream>,
     links: HashMap<(String, String), FakeLink>,
     seen_by: HashMap<String, TopologySettings>,
@@ -51,7 +51,7 @@
         let mut cluster = Self {
             plan,
             folder: tempfile::tempdir().expect("a temporary folder can be made"),
-            daemons: HashMap::new(),
+            hosts: HashMap::new(),
             upstreams: HashMap::new(),
             links: HashMap::new(),
             seen_by: HashMap::new(),
@@ -93,24 +93,41 @@
         if self.instance(name).control {
             settings.data_folder = Some(self.folder.path().join(name));
         }
-        let log = Logger::root(Discard, o!());
-        let daemon = Daemon::spawn(settings, log).await?;
-        self.daemons.insert(name.to_owned(), daemon);
+        let host = Host::spawn(settings).await?;
+        self.hosts.insert(name.to_owned(), host);
         Ok(())
     }
 
     /// Ends an instance at once.
-    pub async fn crash(&mut self, name: &str) {
-        self.daemons
-            .remove(name)
-            .expect("the instance runs")
-            .crash()
-            .await;
+    pub fn kill(&mut self, name: &str) {
+        self.take(name).kill();
     }
 
     /// Takes an instance out, so that the test can stop it while it does other things.
-    pub fn take(&mut self, name: &str) -> Daemon {
-        self.daemons.remove(name).expect("the instance runs")
+    pub fn take(&mut self, name: &str) -> Host {
+        self.hosts.remove(name).expect("the instance runs")
+    }
+
+    /// Returns the host of an instance that runs.
+    pub fn host(&self, name: &str) -> &Host {
+        &self.hosts[name]
+    }
+
+    /// Returns whether an instance runs.
+    pub fn is_running(&self, name: &str) -> bool {
+        self.hosts.contains_key(name)
+    }
+
+    /// Waits until every instance that runs holds every other one for live.
+    pub async fn wait_members(&self) {
+        for name in self.hosts.keys() {
+            wait_until(&format!("{name} knows the others"), async || {
+                let rows = self.operator(name).rows("show instances").await;
+                rows.iter()
+                    .all(|row| !self.is_running(&row[0]) || row[3] == "live")
+            })
+            .await;
+        }
     }
 
     /// Removes the data folder of an instance that does not run.
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -13,10 +13,13 @@
 mod fake_link;
 mod fake_platform;
 mod fake_upstream;
+mod host;
 mod loopback;
+mod matrix;
 mod operator;
 mod plan;
 mod process;
+mod run_cells;
 
 pub use behavior::{Behavior, Fault};
 pub use caller::{Ask, Caller, Got, LookupAnswer, LookupInstance};
@@ -24,7 +27,12 @@
 pub use fake_link::{FakeLink, LinkState};
 pub use fake_platform::FakePlatform;
 pub use fake_upstream::{DOWN_FOR, FakeUpstream, Run};
+pub use host::Host;
 pub use loopback::Loopback;
+pub use matrix::{
+    Broken, MatrixRun, Place, RequestCell, RequestFault, request_cells, wait_serving,
+};
 pub use operator::Operator;
 pub use plan::{OPERATOR_TOKEN, Plan, service};
 pub use process::{Process, Signal, binary};
+pub use run_cells::run_cells;
--- /dev/null
+++ b/tests/src/run_cells.rs
@@ -0,0 +1,46 @@
+use std::fmt::Display;
+use std::sync::Mutex;
+
+use crate::matrix::Broken;
+
+/// Cells that run at the same time, each on a thread of its own.
+const CELLS_AT_A_TIME: usize = 8;
+
+/// Runs every cell and returns a line for each promise that one broke.
+///
+/// # Panics
+///
+/// Panics when a cell panics.
+pub fn run_cells<C: Copy + Display + Send + Sync>(
+    cells: Vec<C>,
+    run: impl AsyncFn(C) -> Vec<Broken> + Sync,
+) -> Vec<String> {
+    let waiting = Mutex::new(cells.into_iter());
+    let failures = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..CELLS_AT_A_TIME {
+            scope.spawn(|| {
+                let runtime = tokio::runtime::Builder::new_current_thread()
+                    .enable_all()
+                    .build()
+                    .expect("a runtime can be made");
+                while let Some(cell) = next(&waiting) {
+                    let broken = runtime.block_on(run(cell));
+                    let lines = broken
+                        .into_iter()
+                        .map(|promise| format!("{cell}: {promise}"));
+                    failures
+                        .lock()
+                        .expect("no panic while locked")
+                        .extend(lines);
+                }
+                runtime.shutdown_background();
+            });
+        }
+    });
+    failures.into_inner().expect("no panic while locked")
+}
+
+fn next<C>(waiting: &Mutex<impl Iterator<Item = C>>) -> Option<C> {
+    waiting.lock().expect("no panic while locked").next()
+}
