Hedge through other owners and zones; add the matrix of upstream faults

A hedge looked only among the upstreams of the same instance, and after the split of ownership an instance may own a single one.

Conclusion: a hedge may go to another owner of the zone or, within the caps, to another zone.

--- a/daemon/src/request_path.rs
+++ b/daemon/src/request_path.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use laburnumdeal_model::{InstanceId, UpstreamId};
-use laburnumdeal_policy::{PoisonCheck, RetryRequest, RouteInput, Slot, ZoneChoice, may_retry};
+use laburnumdeal_policy::{
+    PoisonCheck, RetryRequest, RouteInput, RouteRefusal, Slot, ZoneChoice, may_retry,
+};
 use tokio::time::Instant;
 
 use crate::attempt::{self, Attempt};
@@ -55,6 +57,28 @@
     Refused,
 }
 
+/// Where a second attempt beside a slow first one goes.
+enum HedgePlace {
+    Upstream(Slot),
+    Peer(InstanceId, Role),
+}
+
+impl HedgePlace {
+    fn name(&self, state: &State) -> String {
+        match self {
+            Self::Upstream(slot) => state.topology.upstream(slot.upstream()).name.clone(),
+            Self::Peer(peer, _) => state.topology.instance(*peer).name.clone(),
+        }
+    }
+
+    async fn attempt(self, state: &State, prepared: &Prepared) -> Attempt {
+        match self {
+            Self::Upstream(slot) => attempt::at_upstream(state, prepared, slot).await,
+            Self::Peer(peer, role) => attempt::at_peer(state, prepared, peer, role).await,
+        }
+    }
+}
+
 /// What has been tried for one request.
 struct RequestPath<'a> {
     state: &'a State,
@@ -62,6 +86,7 @@
     trace: &'a TraceBuilder,
     attempts: u32,
     tried: Vec<UpstreamId>,
+    choices: Vec<ZoneChoice>,
     reason: String,
     soonest: Option<Duration>,
     is_suspect: bool,
@@ -75,6 +100,7 @@
             trace,
             attempts: 0,
             tried: Vec::new(),
+            choices: Vec::new(),
             reason: "no upstream takes work".to_owned(),
             soonest: None,
             is_suspect: false,
@@ -103,7 +129,8 @@
 
     /// Tries every zone in the router's order: first where there is room, then in a queue.
     async fn in_any_zone(&mut self, in_force: &InForce) -> Option<Served> {
-        let choices = self.choices(in_force);
+        self.choices = self.choose(in_force);
+        let choices = self.choices.clone();
         let home = in_force.table.home(
             self.prepared.service,
             self.prepared.caller,
@@ -124,7 +151,7 @@
         self.in_own_zone(own, home, Queueing::Allowed).await
     }
 
-    fn choices(&self, in_force: &InForce) -> Vec<ZoneChoice> {
+    fn choose(&self, in_force: &InForce) -> Vec<ZoneChoice> {
         let digests = self.state.digests.read().expect("no panic while locked");
         let input = RouteInput {
             service: self.prepared.service,
@@ -214,8 +241,7 @@
             self.tried.push(upstream);
             self.attempts += 1;
             self.state.faults.at(Step::Chosen).await;
-            let (upstream, attempt) = self.with_hedge(slot).await;
-            let name = self.state.topology.upstream(upstream).name.clone();
+            let (name, attempt) = self.with_hedge(slot).await;
             if let Some(served) = self.judge(&name, attempt) {
                 return Some(served);
             }
@@ -224,40 +250,40 @@
     }
 
     /// Makes an attempt, and a second one beside it when an idempotent request takes unusually
-    /// long. Returns the attempt that answered, or the one that ended last.
-    async fn with_hedge(&mut self, slot: Slot) -> (UpstreamId, Attempt) {
-        let (state, prepared, upstream) = (self.state, self.prepared, slot.upstream());
+    /// long. Returns the attempt that answered, or the one that ended last, with its candidate.
+    async fn with_hedge(&mut self, slot: Slot) -> (String, Attempt) {
+        let (state, prepared) = (self.state, self.prepared);
+        let name = state.topology.upstream(slot.upstream()).name.clone();
         let first = attempt::at_upstream(state, prepared, slot);
         tokio::pin!(first);
         let patience = state.pool.hedge_after(prepared.service);
         if let Ok(attempt) = tokio::time::timeout(patience, first.as_mut()).await {
-            return (upstream, attempt);
+            return (name, attempt);
         }
-        let Some(second_slot) = self.hedge_slot() else {
-            return (upstream, first.await);
+        let Some(place) = self.hedge_place() else {
+            return (name, first.await);
         };
-        let other = second_slot.upstream();
-        self.tried.push(other);
         self.attempts += 1;
-        let name = &state.topology.upstream(other).name;
+        let other = place.name(state);
         self.trace
-            .step(name, format!("hedge after {} ms", patience.as_millis()));
-        let second = attempt::at_upstream(state, prepared, second_slot);
+            .step(&*other, format!("hedge after {} ms", patience.as_millis()));
+        let second = place.attempt(state, prepared);
         tokio::pin!(second);
         tokio::select! {
             attempt = first.as_mut() => match attempt {
-                Attempt::Answered(_) => (upstream, attempt),
+                Attempt::Answered(_) => (name, attempt),
                 _ => (other, second.await),
             },
             attempt = second.as_mut() => match attempt {
                 Attempt::Answered(_) => (other, attempt),
-                _ => (upstream, first.await),
+                _ => (name, first.await),
             },
         }
     }
 
-    /// Returns a slot for a second attempt, paid from the budget of retries.
-    fn hedge_slot(&self) -> Option<Slot> {
+    /// Returns where a second attempt goes, paid from the budget of retries: another upstream of
+    /// this instance, another owner of the zone, or another zone.
+    fn hedge_place(&mut self) -> Option<HedgePlace> {
         let may_hedge = self.prepared.idempotent
             && self.prepared.is_replayable()
             && !self.is_suspect
@@ -265,16 +291,33 @@
         if !may_hedge {
             return None;
         }
-        let slot = self
-            .state
-            .pool
-            .try_acquire(self.prepared.service, &self.tried)?;
+        let place = self.free_place()?;
         if !self.state.budget.withdraw() {
             return None;
         }
         let service = self.state.topology.service(self.prepared.service);
         self.state.metrics.hedged(&service.name);
-        Some(slot)
+        Some(place)
+    }
+
+    fn free_place(&mut self) -> Option<HedgePlace> {
+        if let Some(slot) = self
+            .state
+            .pool
+            .try_acquire(self.prepared.service, &self.tried)
+        {
+            self.tried.push(slot.upstream());
+            return Some(HedgePlace::Upstream(slot));
+        }
+        if let Some(owner) = self.owners_with_room().first() {
+            return Some(HedgePlace::Peer(*owner, Role::Owner));
+        }
+        let now = Instant::now();
+        let is_other = |choice: &&ZoneChoice| choice.zone != self.state.my_zone;
+        let choice = *self.choices.iter().find(is_other)?;
+        self.spend_departure(&choice, now).ok()?;
+        let peer = *self.state.membership.live_in(choice.zone, now).first()?;
+        Some(HedgePlace::Peer(peer, Role::Zone))
     }
 
     async fn slot(&mut self, queueing: Queueing) -> Option<Slot> {
@@ -308,22 +351,11 @@
 
     async fn in_other_zone(&mut self, choice: &ZoneChoice) -> Option<Served> {
         let now = Instant::now();
-        let service = self.prepared.service;
-        if let Err(refusal) = self.state.router.depart(service, choice, now) {
+        if let Err(refusal) = self.spend_departure(choice, now) {
             let after = Duration::from_millis(refusal.retry_after_ms());
             self.note(&refusal.to_string(), Some(after));
             return None;
         }
-        if let Some(link) = choice.link {
-            let bytes = self.prepared.request_bytes();
-            if let Err(over) = self.state.shares.spend(link, bytes, now) {
-                self.note(
-                    &over.to_string(),
-                    Some(Duration::from_millis(over.retry_after_ms)),
-                );
-                return None;
-            }
-        }
         let mut live = self.state.membership.live_in(choice.zone, now);
         for _ in 0..MAX_PEERS_PER_ZONE {
             if live.is_empty() || !self.may_go_on() {
@@ -337,6 +369,20 @@
         None
     }
 
+    /// Spends what it takes to send the request to another zone: a part of the shift cap, and the
+    /// bytes on the link.
+    fn spend_departure(&self, choice: &ZoneChoice, now: Instant) -> Result<(), RouteRefusal> {
+        self.state
+            .router
+            .depart(self.prepared.service, choice, now)?;
+        if let Some(link) = choice.link {
+            self.state
+                .shares
+                .spend(link, self.prepared.request_bytes(), now)?;
+        }
+        Ok(())
+    }
+
     async fn through(&mut self, peer: InstanceId, role: Role) -> Option<Served> {
         self.attempts += 1;
         let name = self.state.topology.instance(peer).name.clone();
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -20,6 +20,7 @@
 mod plan;
 mod process;
 mod run_cells;
+mod upstream_matrix;
 
 pub use behavior::{Behavior, Fault};
 pub use caller::{Ask, Caller, Got, LookupAnswer, LookupInstance};
@@ -36,3 +37,4 @@
 pub use plan::{OPERATOR_TOKEN, Plan, service};
 pub use process::{Process, Signal, binary};
 pub use run_cells::run_cells;
+pub use upstream_matrix::{RequestKind, UpstreamCell, UpstreamFault, UpstreamRun, upstream_cells};
--- a/tests/src/matrix.rs
+++ b/tests/src/matrix.rs
@@ -156,6 +156,32 @@
         /// Time waited.
         waited_ms: u64,
     },
+    /// A request ended without an outcome.
+    #[display("operation {operation} ended without an outcome")]
+    NoOutcome {
+        /// Operation of the request.
+        operation: String,
+    },
+    /// A request that could have been answered was not.
+    #[display("operation {operation} was not answered although healthy upstreams had room: {seen}")]
+    NotAnswered {
+        /// Operation of the request.
+        operation: String,
+        /// Outcome as it came.
+        seen: String,
+    },
+    /// A refusal names no time to come back.
+    #[display("operation {operation} was refused without a time to come back")]
+    NoTimeToComeBack {
+        /// Operation of the request.
+        operation: String,
+    },
+    /// An upstream that is leaving got new work.
+    #[display("an upstream that has been leaving for seconds got {requests} requests")]
+    WorkWhileLeaving {
+        /// Requests that it got.
+        requests: usize,
+    },
     /// New requests are refused long after the fault.
     #[display("new requests get no answer after the fault: {seen}")]
     NotServing {
--- /dev/null
+++ b/tests/tests/upstream_faults.rs
@@ -0,0 +1,13 @@
+//! The matrix of upstreams: every fault on one upstream, for reads and writes.
+
+use laburnumdeal_tests::{UpstreamRun, run_cells, upstream_cells};
+
+#[test]
+fn matrix_every_upstream_fault_keeps_the_promises() {
+    let failures = run_cells(upstream_cells(), UpstreamRun::of);
+    assert!(
+        failures.is_empty(),
+        "broken promises:\n{}",
+        failures.join("\n")
+    );
+}
