Hold requests back from slow upstreams; bench the choice in virtual time

Changed: a request waits for a faster upstream when that is expected to answer sooner (bounded by what is gained, and by its deadline); latency comes before load in the score; a shed holds the upstream at what it ran then instead of pausing it. Found by the bench and mended: a ticket was used again before its grant was handed out, so that a waiting request could lose its slot; tickets now have turns.

--- /dev/null
+++ b/policy/benches/choice/main.rs
@@ -0,0 +1,176 @@
+//! Choice of upstream against simpler ways and an all-knowing queue, on the same arrivals and
+//! service times in virtual time; then the time of one choice.
+
+mod central;
+mod ours;
+mod plain;
+mod router;
+mod scenario;
+mod world;
+
+use std::time::Duration;
+
+use criterion::Criterion;
+use laburnumdeal_model::{ServiceId, UpstreamId};
+use laburnumdeal_policy::{Ending, OwnedUpstream, PoolCore, PoolSettings};
+use tokio::time::Instant;
+
+use crate::central::Central;
+use crate::ours::Ours;
+use crate::plain::{Plain, Rule};
+use crate::router::run;
+use crate::scenario::{Fault, Fleet, Scenario};
+use crate::world::Outcome;
+
+const FLEETS: [Fleet; 6] = [
+    fleet("Catalog 14x9", 14, 9),
+    fleet("Gatekeeper 12x7", 12, 7),
+    fleet("Billing 12x3", 12, 3),
+    fleet("Lecteur 18x5", 18, 5),
+    fleet("Redacteur 12x4", 12, 4),
+    fleet("Adherent 12x3", 12, 3),
+];
+
+const FAULTS: [Fault; 4] = [Fault::None, Fault::Slow, Fault::Sheds, Fault::Cold];
+
+const LOADS_PERCENT: [u32; 4] = [50, 80, 95, 200];
+
+const SEED: u64 = 20;
+
+/// Highest load at which the 99th percentile is bound, in percent.
+const P99_LOAD_MAX_PERCENT: u32 = 80;
+
+/// Bound on the 99th percentile as a multiple of the all-knowing queue's.
+const P99_RATIO_MAX: f64 = 1.1;
+
+/// Bound on the goodput at twice the load, as a share of the slots.
+const GOODPUT_MIN: f64 = 0.95;
+
+fn main() {
+    let is_bench = std::env::args().any(|arg| arg == "--bench");
+    let is_test = std::env::args().any(|arg| arg == "--test");
+    match is_bench && !is_test {
+        true => {
+            compare(&FLEETS, 20);
+            time_a_choice();
+        }
+        false => compare(&FLEETS[5..], 2),
+    }
+}
+
+/// Prints the table; every cell has the same requests for each policy.
+fn compare(fleets: &[Fleet], seconds: u64) {
+    println!(
+        "seed {SEED}, {seconds} s of virtual time a cell; p99 in ms, unanswered ones count as late"
+    );
+    println!(
+        "{:<16}{:<11}{:>5} |{:>7}{:>7}{:>7}{:>7}{:>7} |{:>6} |{:>7}{:>7} |{:>7}{:>6}{:>5}  bound",
+        "service",
+        "fault",
+        "load",
+        "ours",
+        "queue",
+        "robin",
+        "random",
+        "least",
+        "ratio",
+        "good",
+        "queue",
+        "refus",
+        "room",
+        "shed"
+    );
+    let mut missed = 0;
+    for fleet in fleets {
+        for fault in FAULTS {
+            for load_percent in LOADS_PERCENT {
+                let scenario = Scenario {
+                    fleet: *fleet,
+                    fault,
+                    load_percent,
+                    seconds,
+                    seed: SEED,
+                };
+                missed += u32::from(!compare_one(&scenario));
+            }
+        }
+    }
+    println!("cells that miss a bound: {missed}");
+}
+
+/// Prints one row; returns whether the bounds hold.
+fn compare_one(scenario: &Scenario) -> bool {
+    let requests = scenario.requests();
+    let ours = run(Ours::new(scenario, requests.len()), scenario, &requests);
+    let eager = run(Central::new(false, scenario), scenario, &requests);
+    let holding = run(Central::new(true, scenario), scenario, &requests);
+    let plain = |rule| run(Plain::new(rule, scenario), scenario, &requests);
+    let p99 = |outcome: &Outcome| outcome.percentile_us(99.0) as f64 / 1_000.0;
+    let queue_p99 = p99(&eager).min(p99(&holding));
+    let queue_goodput = eager.goodput(scenario).max(holding.goodput(scenario));
+    let ratio = p99(&ours) / queue_p99;
+    let goodput = ours.goodput(scenario);
+    let holds = (scenario.load_percent > P99_LOAD_MAX_PERCENT || ratio <= P99_RATIO_MAX)
+        && (scenario.load_percent < 200 || goodput >= GOODPUT_MIN)
+        && ours.refused_with_room == 0;
+    println!(
+        "{:<16}{:<11}{:>4}% |{:>7.1}{:>7.1}{:>7.1}{:>7.1}{:>7.1} |{:>6.2} |{:>7.3}{:>7.3} |{:>7}{:>6}{:>5}  {}",
+        scenario.fleet.name,
+        scenario.fault.to_string(),
+        scenario.load_percent,
+        p99(&ours),
+        queue_p99,
+        p99(&plain(Rule::RoundRobin)),
+        p99(&plain(Rule::Random)),
+        p99(&plain(Rule::LeastReported)),
+        ratio,
+        goodput,
+        queue_goodput,
+        ours.refused,
+        ours.refused_with_room,
+        ours.sheds,
+        if holds { "holds" } else { "MISSED" }
+    );
+    holds
+}
+
+/// Times one choice with its release, on the largest fleet at a load of four fifths.
+fn time_a_choice() {
+    let mut core = PoolCore::new(PoolSettings::default());
+    let start = Instant::now();
+    let upstreams: Vec<OwnedUpstream> = (0..18)
+        .map(|id| OwnedUpstream {
+            id: UpstreamId(id),
+            service: ServiceId(0),
+            slots: 5,
+            connections: 390,
+            moved_permille: 0,
+            leaving: false,
+        })
+        .collect();
+    core.configure(start, &upstreams);
+    let now = start + Duration::from_millis(PoolSettings::default().cold_start_ms);
+    for _ in 0..72 {
+        core.try_admit(ServiceId(0), &[], now)
+            .expect("there is room");
+    }
+    let ending = Ending::Answered {
+        latency: Duration::from_millis(20),
+    };
+    Criterion::default().bench_function("choice and release, 18x5 at 80 %", |bencher| {
+        bencher.iter(|| {
+            let grant = core
+                .try_admit(ServiceId(0), &[], now)
+                .expect("there is room");
+            core.release(grant, ending, now);
+        });
+    });
+}
+
+const fn fleet(name: &'static str, upstreams: u32, slots: u16) -> Fleet {
+    Fleet {
+        name,
+        upstreams,
+        slots,
+    }
+}
--- /dev/null
+++ b/policy/benches/choice/world.rs
@@ -0,0 +1,215 @@
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+use crate::scenario::{DEADLINE_US, Fault, Request, SLOW_FACTOR, Scenario};
+
+/// Answers for each slot after which caches are warm.
+const WARM_ANSWERS: f64 = 40.0;
+
+/// Factor by which a full upstream with cold caches takes longer, less one.
+const COLD_EXTRA: f64 = 5.0;
+
+/// Something that happens at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Event {
+    /// A request arrives.
+    Arrival { request: usize },
+    /// An exchange ends, with an answer or at its deadline.
+    End {
+        request: usize,
+        upstream: usize,
+        answered: bool,
+    },
+    /// A waiting request may have to give up.
+    GiveUp { request: usize },
+    /// The policy asked to be called.
+    Tick,
+    /// Load reports are made.
+    Report,
+}
+
+/// One upstream as it really is.
+#[derive(Clone, Debug)]
+pub struct TrueUpstream {
+    pub slots: u16,
+    pub running: u16,
+    pub backlog: VecDeque<usize>,
+    slow: f64,
+    is_cold: bool,
+    answers: u32,
+}
+
+/// Outcome of one run.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    pub latencies_us: Vec<u64>,
+    pub useful_us: u64,
+    pub refused: u64,
+    pub refused_with_room: u64,
+    pub late: u64,
+    pub sheds: u64,
+}
+
+/// Virtual time, the upstreams as they are, and what became of the requests.
+#[derive(Debug)]
+pub struct World {
+    pub now_us: u64,
+    pub requests: Vec<Request>,
+    pub upstreams: Vec<TrueUpstream>,
+    pub outcome: Outcome,
+    end_us: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    next_event: u64,
+}
+
+impl TrueUpstream {
+    /// Returns how many times longer than at full speed a new request would take.
+    pub fn factor(&self) -> f64 {
+        if !self.is_cold {
+            return self.slow;
+        }
+        let slots = f64::from(self.slots);
+        let warm = (f64::from(self.answers) / (WARM_ANSWERS * slots)).min(1.0);
+        self.slow * (1.0 + COLD_EXTRA * (1.0 - warm) * f64::from(self.running + 1) / slots)
+    }
+}
+
+impl World {
+    /// Returns the world of a scenario before the first arrival.
+    pub fn new(scenario: &Scenario, requests: &[Request]) -> Self {
+        let fleet = scenario.fleet;
+        let upstream = |number: u32| TrueUpstream {
+            slots: match scenario.fault == Fault::Sheds && number == 0 {
+                true => fleet.slots.div_ceil(2),
+                false => fleet.slots,
+            },
+            running: 0,
+            backlog: VecDeque::new(),
+            slow: match scenario.fault == Fault::Slow && number == 0 {
+                true => SLOW_FACTOR,
+                false => 1.0,
+            },
+            is_cold: number < scenario.cold(),
+            answers: 0,
+        };
+        let mut world = Self {
+            now_us: 0,
+            requests: requests.to_vec(),
+            upstreams: (0..fleet.upstreams).map(upstream).collect(),
+            outcome: Outcome::default(),
+            end_us: scenario.seconds * 1_000_000,
+            events: BinaryHeap::new(),
+            next_event: 0,
+        };
+        world.schedule(0, Event::Report);
+        world.schedule_arrival(0);
+        world
+    }
+
+    /// Returns the next event and moves the time to it.
+    pub fn next(&mut self) -> Option<Event> {
+        let Reverse((at_us, _, event)) = self.events.pop()?;
+        self.now_us = at_us;
+        match event {
+            Event::Arrival { request } => self.schedule_arrival(request + 1),
+            Event::End {
+                request,
+                upstream,
+                answered,
+            } => self.end(request, upstream, answered),
+            Event::Report if at_us < self.end_us => {
+                self.schedule(at_us + 1_000_000, Event::Report);
+            }
+            _ => {}
+        }
+        Some(event)
+    }
+
+    /// Adds an event.
+    pub fn schedule(&mut self, at_us: u64, event: Event) {
+        self.next_event += 1;
+        let at_us = at_us.max(self.now_us);
+        self.events.push(Reverse((at_us, self.next_event, event)));
+    }
+
+    /// Returns the deadline of a request.
+    pub fn deadline_us(&self, request: usize) -> u64 {
+        self.requests[request].at_us + DEADLINE_US
+    }
+
+    /// Starts a request on an upstream; returns false when the upstream sheds it.
+    pub fn start(&mut self, request: usize, upstream: usize) -> bool {
+        let target = &mut self.upstreams[upstream];
+        if target.running >= target.slots {
+            self.outcome.sheds += 1;
+            return false;
+        }
+        let service_us = (self.requests[request].service_us as f64 * target.factor()) as u64;
+        target.running += 1;
+        let end_us = self.now_us + service_us;
+        let deadline_us = self.deadline_us(request);
+        let answered = end_us <= deadline_us;
+        self.schedule(
+            end_us.min(deadline_us),
+            Event::End {
+                request,
+                upstream,
+                answered,
+            },
+        );
+        true
+    }
+
+    /// Counts a refusal.
+    pub fn refuse(&mut self) {
+        self.outcome.refused += 1;
+        let has_room = self
+            .upstreams
+            .iter()
+            .any(|upstream| upstream.running < upstream.slots);
+        self.outcome.refused_with_room += u64::from(has_room);
+    }
+
+    /// Counts a request whose deadline passed before it started.
+    pub fn expire(&mut self) {
+        self.outcome.late += 1;
+    }
+
+    fn end(&mut self, request: usize, upstream: usize, answered: bool) {
+        let target = &mut self.upstreams[upstream];
+        target.running -= 1;
+        if !answered {
+            self.outcome.late += 1;
+            return;
+        }
+        target.answers += 1;
+        let Request { at_us, service_us } = self.requests[request];
+        self.outcome.latencies_us.push(self.now_us - at_us);
+        if self.now_us <= self.end_us {
+            self.outcome.useful_us += service_us;
+        }
+    }
+
+    fn schedule_arrival(&mut self, request: usize) {
+        if let Some(next) = self.requests.get(request) {
+            let at_us = next.at_us;
+            self.schedule(at_us, Event::Arrival { request });
+        }
+    }
+}
+
+impl Outcome {
+    /// Returns a percentile of the latency, where requests without an answer count as late.
+    pub fn percentile_us(&self, percent: f64) -> u64 {
+        let mut all = self.latencies_us.clone();
+        all.resize(all.len() + (self.refused + self.late) as usize, DEADLINE_US);
+        all.sort_unstable();
+        let rank = (all.len() as f64 * percent / 100.0).ceil() as usize;
+        all[rank.clamp(1, all.len()) - 1]
+    }
+
+    /// Returns the useful work as a share of what the slots could do.
+    pub fn goodput(&self, scenario: &Scenario) -> f64 {
+        self.useful_us as f64 / (scenario.capacity() * scenario.seconds as f64 * 1e6)
+    }
+}
--- a/policy/src/latency.rs
+++ b/policy/src/latency.rs
@@ -3,23 +3,23 @@
 use tokio::time::Instant;
 
 /// Weight of one sample in the moving average.
-const SAMPLE_WEIGHT: f64 = 0.1;
+const SAMPLE_WEIGHT: f64 = 0.03;
 
 /// Moving average of one upstream's latency, which fades towards a reference without new samples.
 #[derive(Clone, Copy, Default, Debug)]
 pub(crate) struct Latency {
     average_s: f64,
     sampled_at: Option<Instant>,
+    samples: u32,
 }
 
 impl Latency {
     /// Takes in one latency.
     pub fn record(&mut self, latency: Duration, now: Instant) {
         let sample_s = latency.as_secs_f64();
-        self.average_s = match self.sampled_at {
-            Some(_) => self.average_s + SAMPLE_WEIGHT * (sample_s - self.average_s),
-            None => sample_s,
-        };
+        self.samples = self.samples.saturating_add(1);
+        let weight = SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples));
+        self.average_s += weight * (sample_s - self.average_s);
         self.sampled_at = Some(now);
     }
 
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -16,6 +16,7 @@
 mod admission;
 mod assumed_slots;
 mod candidate;
+mod choosing;
 mod ejection;
 mod ending;
 mod grant;
@@ -27,6 +28,7 @@
 mod pool;
 mod pool_core;
 mod pool_settings;
+mod queueing;
 mod reported_load;
 mod room;
 mod service_entry;
--- a/policy/src/pool_settings.rs
+++ b/policy/src/pool_settings.rs
@@ -24,7 +24,7 @@
     pub distrust_ms: u64,
     /// Time between two requests that check whether a report is right.
     pub probe_every_ms: u64,
-    /// First pause after an upstream shed a request.
+    /// Pause until an upstream that shed a request gets one more than it ran then.
     pub shed_pause_ms: u64,
     /// Longest pause after sheds.
     pub shed_pause_max_ms: u64,
@@ -52,7 +52,7 @@
             leaving_kept_ms: 60_000,
             distrust_ms: 10_000,
             probe_every_ms: 1_000,
-            shed_pause_ms: 20,
+            shed_pause_ms: 100,
             shed_pause_max_ms: 2_000,
             eject_ms: 250,
             eject_max_ms: 30_000,
--- a/policy/src/reported_load.rs
+++ b/policy/src/reported_load.rs
@@ -14,8 +14,15 @@
     credited_at: Option<Instant>,
     probe_at: Option<Instant>,
     probe_in_flight: bool,
-    own_least: u32,
-    own_most: u32,
+    own: OwnRange,
+    own_before: OwnRange,
+}
+
+/// Least and most own requests in flight between two reports.
+#[derive(Clone, Copy, Default, Debug)]
+struct OwnRange {
+    least: u32,
+    most: u32,
 }
 
 impl ReportedLoad {
@@ -26,10 +33,15 @@
         }
         self.last = Some((report, at));
         self.missing = false;
-        self.others = clamp(report.in_flight.saturating_sub(self.own_most));
-        let others_max = clamp(report.in_flight.saturating_sub(self.own_least));
-        self.own_least = own;
-        self.own_most = own;
+        let own_most = self.own.most.max(self.own_before.most);
+        let own_least = self.own.least.min(self.own_before.least);
+        self.others = clamp(report.in_flight.saturating_sub(own_most));
+        let others_max = clamp(report.in_flight.saturating_sub(own_least));
+        self.own_before = self.own;
+        self.own = OwnRange {
+            least: own,
+            most: own,
+        };
         Some(others_max)
     }
 
@@ -40,8 +52,8 @@
 
     /// Notes how many own requests run now.
     pub fn own_changed(&mut self, own: u32) {
-        self.own_least = self.own_least.min(own);
-        self.own_most = self.own_most.max(own);
+        self.own.least = self.own.least.min(own);
+        self.own.most = self.own.most.max(own);
     }
 
     /// Returns the state that the upstream reported, unless that is unknown by now.
--- a/policy/src/upstream_entry.rs
+++ b/policy/src/upstream_entry.rs
@@ -105,6 +105,17 @@
         self.ejection.is_suspect() && !self.takes_nothing(owned, settings, now) && taken < bound
     }
 
+    /// Returns whether the upstream takes new work and its last requests did not fail.
+    pub fn is_trusted(&self, settings: &PoolSettings, now: Instant) -> bool {
+        !self.is_closed(settings, now) && !self.ejection.is_suspect()
+    }
+
+    /// Returns the share of the slots that own requests use.
+    pub fn load(&self) -> f64 {
+        let slots = self.owned.map_or(1, |owned| owned.slots.max(1));
+        f64::from(self.in_flight) / f64::from(slots)
+    }
+
     /// Returns whether the upstream takes no new work until an operator or itself says otherwise.
     pub fn is_closed(&self, settings: &PoolSettings, now: Instant) -> bool {
         match &self.owned {
@@ -122,6 +133,7 @@
     pub fn take(&mut self, use_of: SlotUse, settings: &PoolSettings, now: Instant) {
         self.in_flight += 1;
         self.reports.own_changed(self.in_flight);
+        self.shed.sent(self.own(), now);
         match use_of {
             SlotUse::Work => {}
             SlotUse::ReturnProbe => self.ejection.set_probe(true),
@@ -142,7 +154,9 @@
         self.reports.own_changed(self.in_flight);
         self.end_probe(grant, ending, settings, now);
         match ending {
-            Ending::Answered { latency } => self.answered(latency, reference_s, settings, now),
+            Ending::Answered { latency } => {
+                self.answered(grant, latency, reference_s, settings, now)
+            }
             Ending::Shed => self.was_shed(settings, now),
             Ending::Refused | Ending::Failed | Ending::Silent => {
                 self.ejection.failed(ending, grant.at, settings, now);
@@ -184,7 +198,7 @@
             .slow_start
             .next_step(owned.slots, cold_period(settings), now);
         let times = [
-            self.shed.paused_until(),
+            self.shed.grows_at(),
             self.ejection.until(),
             self.assumed.until(),
             self.reports.probe_at(),
@@ -218,7 +232,8 @@
         if self.ejection.is_ejected(now) {
             return Some(CandidateReason::Failing);
         }
-        self.shed.is_paused(now).then_some(CandidateReason::Shed)
+        let is_paused = self.shed.limit(now) == Some(0);
+        is_paused.then_some(CandidateReason::Shed)
     }
 
     fn probing(&self, now: Instant) -> Standing {
@@ -245,7 +260,7 @@
             open = limit;
             reason = CandidateReason::Cold { open, slots };
         }
-        if let Some(limit) = self.shed.limit().filter(|limit| *limit < open) {
+        if let Some(limit) = self.shed.limit(now).filter(|limit| *limit < open) {
             open = limit;
             reason = CandidateReason::ShedLately { open, slots };
         }
@@ -296,6 +311,7 @@
 
     fn answered(
         &mut self,
+        grant: &Grant,
         latency: Duration,
         reference_s: f64,
         settings: &PoolSettings,
@@ -307,7 +323,8 @@
         }
         if let Some(owned) = &self.owned {
             let slots = capacity(owned);
-            self.shed.answered(slots);
+            let pause = Duration::from_millis(settings.shed_pause_ms);
+            self.shed.answered(grant.at, slots, pause, now);
             self.slow_start.answered(latency.as_secs_f64(), reference_s);
             self.slow_start.settle(slots, cold_period(settings), now);
         }
@@ -316,7 +333,7 @@
     fn was_shed(&mut self, settings: &PoolSettings, now: Instant) {
         let pause = Duration::from_millis(settings.shed_pause_ms);
         let pause_max = Duration::from_millis(settings.shed_pause_max_ms);
-        self.shed.shed(self.in_flight, pause, pause_max, now);
+        self.shed.shed(self.own(), pause, pause_max, now);
         self.ejection.answered();
     }
 }
