Use slow upstreams when the queue grows; test every failure of the choice

Requests held back for fast upstreams left cold slots idle, so that caches warmed later. Changed: a request is held only while the wait for the whole queue costs less than 0.15 of the gain; slow answers of a cold upstream open a quarter of a slot. Found by tests and mended: a crash with many requests in flight at the same instant ejected twice; a held request was not looked at again before it gave up.

--- a/policy/src/choosing.rs
+++ b/policy/src/choosing.rs
@@ -12,6 +12,9 @@
 /// Multiple of a faster upstream's latency from which on a wait for it is considered.
 const HOLD_FACTOR: f64 = 2.0;
 
+/// Share of the gain that a wait may cost.
+const HOLD_SHARE: f64 = 0.15;
+
 /// An upstream that a request could be sent to.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Choice {
@@ -75,7 +78,7 @@
         let faster_s = running / ends_per_s;
         let wait_s = (ahead as f64 + 1.0) / ends_per_s;
         let gain_s = choice.expected_s - faster_s;
-        (wait_s < gain_s).then(|| now + Duration::from_secs_f64(gain_s))
+        (wait_s < gain_s * HOLD_SHARE).then(|| now + Duration::from_secs_f64(gain_s))
     }
 
     /// Collects the upstreams with room; returns one that only its reports call full.
--- a/policy/src/ejection.rs
+++ b/policy/src/ejection.rs
@@ -17,6 +17,7 @@
     silent: u32,
     ejections: u32,
     until: Option<Instant>,
+    ejected_at: Option<Instant>,
     last_failure_at: Option<Instant>,
     probe_in_flight: bool,
 }
@@ -30,9 +31,8 @@
         settings: &PoolSettings,
         now: Instant,
     ) -> bool {
-        let earlier = self.last_failure_at;
         self.last_failure_at = Some(now);
-        if self.until.is_some() && earlier.is_some_and(|at| sent_at < at) {
+        if self.ejected_at.is_some_and(|at| sent_at <= at) {
             return false;
         }
         match ending {
@@ -94,6 +94,7 @@
             .saturating_mul(1 << doublings)
             .min(Duration::from_millis(settings.eject_max_ms));
         self.until = Some(now + period);
+        self.ejected_at = Some(now);
         self.ejections += 1;
         self.failed = 0;
         self.silent = 0;
--- a/policy/src/queueing.rs
+++ b/policy/src/queueing.rs
@@ -85,11 +85,12 @@
         let mut queue = std::mem::take(&mut self.service_mut(service).queue);
         let mut position = 0;
         while position < queue.len() {
+            let ahead = queue.len() - 1;
             if queue[position].give_up_at < now {
                 position += 1;
                 continue;
             }
-            match self.choose_for(service, &mut queue[position], position, now) {
+            match self.choose_for(service, &mut queue[position], ahead, now) {
                 Some(choice) => {
                     let grant = self.take(&choice, now);
                     if let Some(waiter) = queue.remove(position) {
--- a/policy/src/slow_start.rs
+++ b/policy/src/slow_start.rs
@@ -42,7 +42,7 @@
             return;
         }
         match latency_s > reference_s * SLOW_FACTOR {
-            true => self.open = (self.open - 1.0).max(FIRST_SLOTS),
+            true => self.open += 0.25,
             false => self.open += 1.0,
         }
     }
--- a/policy/src/waiting.rs
+++ b/policy/src/waiting.rs
@@ -4,6 +4,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout_at};
 
+use crate::pool::Inner;
 use crate::{Ending, Grant, NoSlot, NoSlotReason, Pool, Slot, Ticket};
 
 /// A request's place in the queue. Dropping it gives the place, or the slot, back.
@@ -55,10 +56,8 @@
 
     fn wake_at(&self) -> Instant {
         let now = Instant::now();
-        let change = self
-            .pool
-            .with(|inner| inner.core.next_change(self.service, now));
-        change.map_or(self.give_up_at, |at| at.min(self.give_up_at))
+        let check = |inner: &mut Inner| inner.core.next_check(self.service, now);
+        self.pool.with(check).min(self.give_up_at)
     }
 
     /// Uses what has changed with time; returns whether the request has left the queue for good.
--- /dev/null
+++ b/policy/tests/choice_health.rs
@@ -0,0 +1,116 @@
+//! Tests of ejection and return of upstreams that fail.
+
+mod choice_setup;
+
+use choice_setup::*;
+use laburnumdeal_model::UpstreamId;
+use laburnumdeal_policy::{CandidateReason, Ending, Pool, UpstreamState};
+
+const BAD: UpstreamId = UpstreamId(0);
+const GOOD: UpstreamId = UpstreamId(1);
+
+fn end_on_bad(pool: &Pool, ending: Ending) {
+    pool.try_acquire(SERVICE, &[GOOD]).unwrap().finish(ending);
+}
+
+#[tokio::test(start_paused = true)]
+async fn finish_refused_ejects_at_once() {
+    let pool = warm(&several(2, 2)).await;
+    end_on_bad(&pool, Ending::Refused);
+    assert_eq!(reason(&pool, 0), CandidateReason::Failing);
+    assert!(take_all(&pool).iter().all(|slot| slot.upstream() == GOOD));
+}
+
+#[tokio::test(start_paused = true)]
+async fn finish_failed_once_does_not_eject() {
+    let pool = warm(&several(2, 2)).await;
+    end_on_bad(&pool, Ending::Failed);
+    assert_eq!(reason(&pool, 0), CandidateReason::HasRoom);
+    end_on_bad(&pool, answered(10));
+    end_on_bad(&pool, Ending::Failed);
+    assert_eq!(reason(&pool, 0), CandidateReason::HasRoom);
+    end_on_bad(&pool, Ending::Failed);
+    assert_eq!(reason(&pool, 0), CandidateReason::Failing);
+}
+
+#[tokio::test(start_paused = true)]
+async fn finish_silent_thrice_ejects() {
+    let pool = warm(&several(2, 2)).await;
+    for _ in 0..2 {
+        end_on_bad(&pool, Ending::Silent);
+        assert_eq!(reason(&pool, 0), CandidateReason::HasRoom);
+    }
+    end_on_bad(&pool, Ending::Silent);
+    assert_eq!(reason(&pool, 0), CandidateReason::Failing);
+}
+
+#[tokio::test(start_paused = true)]
+async fn finish_of_one_crash_ejects_once() {
+    let pool = warm(&several(2, 5)).await;
+    let running: Vec<_> = (0..5)
+        .map(|_| pool.try_acquire(SERVICE, &[GOOD]).unwrap())
+        .collect();
+    running
+        .into_iter()
+        .for_each(|slot| slot.finish(Ending::Failed));
+    advance_ms(250).await;
+    assert_eq!(reason(&pool, 0), CandidateReason::Probing);
+}
+
+#[tokio::test(start_paused = true)]
+async fn acquire_after_ejection_sends_one_probe() {
+    let pool = warm(&several(2, 4)).await;
+    end_on_bad(&pool, Ending::Refused);
+    advance_ms(250).await;
+    let slots = take_all(&pool);
+    let probes = slots.iter().filter(|slot| slot.upstream() == BAD).count();
+    assert_eq!((slots.len(), probes), (5, 1));
+    slots.into_iter().for_each(|slot| slot.finish(answered(10)));
+    assert_eq!(
+        reason(&pool, 0),
+        CandidateReason::Cold { open: 2, slots: 4 }
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn finish_failed_probe_doubles_ejection() {
+    let pool = warm(&several(2, 4)).await;
+    end_on_bad(&pool, Ending::Refused);
+    for period_ms in [250, 500, 1_000] {
+        advance_ms(period_ms - 1).await;
+        assert_eq!(reason(&pool, 0), CandidateReason::Failing);
+        advance_ms(1).await;
+        end_on_bad(&pool, Ending::Refused);
+    }
+    advance_ms(1_999).await;
+    assert_eq!(reason(&pool, 0), CandidateReason::Failing);
+}
+
+#[tokio::test(start_paused = true)]
+async fn drop_of_probe_lets_next_one_go() {
+    let pool = warm(&several(2, 4)).await;
+    end_on_bad(&pool, Ending::Refused);
+    advance_ms(250).await;
+    drop(pool.try_acquire(SERVICE, &[GOOD]).unwrap());
+    assert!(pool.try_acquire(SERVICE, &[GOOD]).is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn try_acquire_all_failing_uses_least_recently_failed() {
+    let pool = warm(&several(2, 8)).await;
+    end_on_bad(&pool, Ending::Refused);
+    advance_ms(10).await;
+    pool.try_acquire(SERVICE, &[BAD])
+        .unwrap()
+        .finish(Ending::Refused);
+    assert_eq!(take(&pool).upstream(), BAD);
+    assert_eq!(take_all(&pool).len(), 4);
+}
+
+#[tokio::test(start_paused = true)]
+async fn report_ready_does_not_undo_ejection() {
+    let pool = warm(&several(2, 4)).await;
+    end_on_bad(&pool, Ending::Refused);
+    pool.report(BAD, report(0, 4, UpstreamState::Ready), in_ms(0));
+    assert_eq!(reason(&pool, 0), CandidateReason::Failing);
+}
--- /dev/null
+++ b/policy/tests/choice_latency.rs
@@ -0,0 +1,77 @@
+//! Tests of latency in the choice.
+
+mod choice_setup;
+
+use std::time::Duration;
+
+use choice_setup::*;
+use laburnumdeal_model::UpstreamId;
+use laburnumdeal_policy::{Pool, PoolSettings};
+use tokio::task::yield_now;
+
+const SLOW: UpstreamId = UpstreamId(0);
+const FAST: UpstreamId = UpstreamId(1);
+
+async fn one_slow() -> Pool {
+    let pool = warm(&several(2, 2)).await;
+    for _ in 0..30 {
+        pool.try_acquire(SERVICE, &[FAST])
+            .unwrap()
+            .finish(answered(200));
+        pool.try_acquire(SERVICE, &[SLOW])
+            .unwrap()
+            .finish(answered(10));
+    }
+    pool
+}
+
+#[tokio::test(start_paused = true)]
+async fn try_acquire_prefers_fast_upstream() {
+    let pool = one_slow().await;
+    let chosen: Vec<_> = take_all(&pool).iter().map(|slot| slot.upstream()).collect();
+    assert_eq!(chosen, [FAST, FAST, SLOW, SLOW]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn explain_slow_upstream_is_forgiven_with_time() {
+    let pool = one_slow().await;
+    let latency = |pool: &Pool| pool.explain(SERVICE)[0].latency;
+    assert_eq!(latency(&pool), Duration::from_millis(200));
+    advance_ms(60_000).await;
+    assert!(latency(&pool) < Duration::from_millis(120));
+}
+
+#[tokio::test(start_paused = true)]
+async fn acquire_waits_for_fast_upstream() {
+    let pool = one_slow().await;
+    let mut running = vec![take(&pool), take(&pool)];
+    let other = pool.clone();
+    let waiting = tokio::spawn(async move { other.acquire(SERVICE, in_ms(2_000), &[]).await });
+    yield_now().await;
+    assert_eq!(pool.room(SERVICE).queued, 1);
+    running.pop().unwrap().finish(answered(10));
+    assert_eq!(waiting.await.unwrap().unwrap().upstream(), FAST);
+}
+
+#[tokio::test(start_paused = true)]
+async fn acquire_takes_slow_upstream_when_fast_one_hangs() {
+    let pool = one_slow().await;
+    let _hung = [take(&pool), take(&pool)];
+    let before = in_ms(0);
+    let slot = pool.acquire(SERVICE, in_ms(2_000), &[]).await.unwrap();
+    assert_eq!(slot.upstream(), SLOW);
+    assert!(in_ms(0) - before < Duration::from_millis(400));
+}
+
+#[tokio::test(start_paused = true)]
+async fn hedge_after_follows_slowest_answers() {
+    let pool = warm(&[owned(0, 2)]).await;
+    let initial = Duration::from_millis(PoolSettings::default().hedge_ms);
+    assert_eq!(pool.hedge_after(SERVICE), initial);
+    for number in 0..100 {
+        let ms = if number < 90 { 10 } else { 80 };
+        take(&pool).finish(answered(ms));
+    }
+    let delay = pool.hedge_after(SERVICE);
+    assert!(delay >= Duration::from_millis(79) && delay <= Duration::from_millis(82));
+}
