Bench upstreams that lose their caches without a word

Cause: slow start covers upstreams that are known to be cold; whether one that turns cold unannounced needs a ramp as well was open.

--- a/policy/benches/choice/main.rs
+++ b/policy/benches/choice/main.rs
@@ -31,7 +31,13 @@
     fleet("Adherent 12x3", 12, 3),
 ];
 
-const FAULTS: [Fault; 4] = [Fault::None, Fault::Slow, Fault::Sheds, Fault::Cold];
+const FAULTS: [Fault; 5] = [
+    Fault::None,
+    Fault::Slow,
+    Fault::Sheds,
+    Fault::Cold,
+    Fault::Flushed,
+];
 
 const LOADS_PERCENT: [u32; 4] = [50, 80, 95, 200];
 
--- a/policy/benches/choice/ours.rs
+++ b/policy/benches/choice/ours.rs
@@ -183,6 +183,7 @@
                 self.core.dispatch(SERVICE, self.at(world.now_us));
             }
             Event::Report => self.report(world),
+            Event::Flush => {}
         }
         self.deliver(world);
         self.plan_tick(world);
--- a/policy/benches/choice/plain.rs
+++ b/policy/benches/choice/plain.rs
@@ -88,7 +88,7 @@
                     .map(|u| usize::from(u.running) + u.backlog.len())
                     .collect();
             }
-            Event::GiveUp { .. } | Event::Tick => {}
+            Event::GiveUp { .. } | Event::Tick | Event::Flush => {}
         }
     }
 }
--- a/policy/benches/choice/scenario.rs
+++ b/policy/benches/choice/scenario.rs
@@ -37,6 +37,9 @@
     /// A third of the upstreams joins with cold caches at the start.
     #[display("third cold")]
     Cold,
+    /// A third of the upstreams loses its caches after a second and says nothing.
+    #[display("flushed")]
+    Flushed,
 }
 
 /// One cell of the table.
@@ -62,7 +65,7 @@
         let slots = f64::from(self.fleet.slots);
         let others = f64::from(self.fleet.upstreams - 1) * slots;
         match self.fault {
-            Fault::None | Fault::Cold => others + slots,
+            Fault::None | Fault::Cold | Fault::Flushed => others + slots,
             Fault::Slow => others + slots / SLOW_FACTOR,
             Fault::Sheds => others + f64::from(self.fleet.slots.div_ceil(2)),
         }
@@ -76,6 +79,14 @@
         }
     }
 
+    /// Returns the number of upstreams that lose their caches.
+    pub fn flushed(&self) -> u32 {
+        match self.fault {
+            Fault::Flushed => self.fleet.upstreams / 3,
+            _ => 0,
+        }
+    }
+
     /// Returns the requests in order of arrival.
     pub fn requests(&self) -> Vec<Request> {
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed);
--- a/policy/benches/choice/world.rs
+++ b/policy/benches/choice/world.rs
@@ -26,6 +26,8 @@
     Tick,
     /// Load reports are made.
     Report,
+    /// Some upstreams lose their caches.
+    Flush,
 }
 
 /// One upstream as it really is.
@@ -59,6 +61,7 @@
     pub upstreams: Vec<TrueUpstream>,
     pub outcome: Outcome,
     end_us: u64,
+    flushed: usize,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     next_event: u64,
 }
@@ -99,10 +102,12 @@
             upstreams: (0..fleet.upstreams).map(upstream).collect(),
             outcome: Outcome::default(),
             end_us: scenario.seconds * 1_000_000,
+            flushed: scenario.flushed() as usize,
             events: BinaryHeap::new(),
             next_event: 0,
         };
         world.schedule(0, Event::Report);
+        world.schedule(1_000_000, Event::Flush);
         world.schedule_arrival(0);
         world
     }
@@ -118,6 +123,12 @@
                 upstream,
                 answered,
             } => self.end(request, upstream, answered),
+            Event::Flush => {
+                for upstream in &mut self.upstreams[..self.flushed] {
+                    upstream.is_cold = true;
+                    upstream.answers = 0;
+                }
+            }
             Event::Report if at_us < self.end_us => {
                 self.schedule(at_us + 1_000_000, Event::Report);
             }
