--- a/policy/benches/choice/main.rs
+++ b/policy/benches/choice/main.rs
@@ -49,6 +49,9 @@
 /// Bound on the 99th percentile as a multiple of the all-knowing queue's.
 const P99_RATIO_MAX: f64 = 1.1;
 
+/// Owners in the runs that split the upstreams.
+const OWNERS: u32 = 3;
+
 /// Bound on the goodput at twice the load, as a share of the slots.
 const GOODPUT_MIN: f64 = 0.95;
 
@@ -75,18 +78,22 @@
         "seeds {SEEDS:?}, {seconds} s of virtual time for each; p99 in ms, unanswered ones count as late"
     );
     println!(
-        "{:<16}{:<11}{:>5} |{:>7}{:>7}{:>7}{:>7}{:>7} |{:>6} |{:>7}{:>7} |{:>8}{:>8}{:>5}{:>7}{:>5}  bound",
+        "{:<16}{:<11}{:>5} |{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7} |{:>6} |{:>7}{:>7}{:>7} |{:>6}{:>8}{:>8}{:>5}{:>7}{:>5}  bound",
         "service",
         "fault",
         "load",
         "ours",
         "queue",
+        "split",
+        "snaps",
         "robin",
         "random",
         "least",
         "ratio",
         "good",
         "queue",
+        "split",
+        "room3",
         "refus",
         "queue",
         "room",
@@ -130,18 +137,22 @@
         && (scenario.load_percent < 200 || goodput(ours) >= GOODPUT_MIN)
         && ours.refused_with_room == 0;
     println!(
-        "{:<16}{:<11}{:>4}% |{:>7.1}{:>7.1}{:>7.1}{:>7.1}{:>7.1} |{:>6.2} |{:>7.3}{:>7.3} |{:>8}{:>8}{:>5}{:>7}{:>5}  {}",
+        "{:<16}{:<11}{:>4}% |{:>7.1}{:>7.1}{:>7.1}{:>7.1}{:>7.1}{:>7.1}{:>7.1} |{:>6.2} |{:>7.3}{:>7.3}{:>7.3} |{:>6}{:>8}{:>8}{:>5}{:>7}{:>5}  {}",
         scenario.fleet.name,
         scenario.fault.to_string(),
         scenario.load_percent,
         p99(ours),
         queue_p99,
+        p99(&total.split),
+        p99(&total.snapshots),
         p99(&total.robin),
         p99(&total.random),
         p99(&total.least),
         ratio,
         goodput(ours),
         queue_goodput,
+        goodput(&total.split),
+        total.split.refused_with_room,
         ours.refused,
         total.eager.refused,
         ours.refused_with_room,
@@ -156,6 +167,8 @@
 #[derive(Default)]
 struct Compared {
     ours: Outcome,
+    split: Outcome,
+    snapshots: Outcome,
     eager: Outcome,
     holding: Outcome,
     robin: Outcome,
@@ -170,10 +183,16 @@
         let plain = |rule| run(Plain::new(rule, scenario), scenario, &requests);
         let central = |holds| run(Central::new(holds, scenario), scenario, &requests);
         self.ours.add(run(
-            Ours::new(scenario, requests.len()),
+            Ours::new(scenario, requests.len(), 1),
+            scenario,
+            &requests,
+        ));
+        self.split.add(run(
+            Ours::new(scenario, requests.len(), OWNERS),
             scenario,
             &requests,
         ));
+        self.snapshots.add(plain(Rule::Snapshots));
         self.eager.add(central(false));
         self.holding.add(central(true));
         self.robin.add(plain(Rule::RoundRobin));
--- a/policy/benches/choice/ours.rs
+++ b/policy/benches/choice/ours.rs
@@ -14,52 +14,47 @@
 /// Upstreams that a request may be sent to before it is refused.
 const TRIES_MAX: usize = 3;
 
-/// The product's choice.
+/// The product's choice, in one owner of all upstreams or split between several.
 #[derive(Debug)]
 pub struct Ours {
-    core: PoolCore,
+    owners: Vec<Owner>,
     zero: Instant,
     in_flight: Vec<Option<(Grant, u64)>>,
-    tickets: Vec<Option<Ticket>>,
-    waiting: Vec<usize>,
+    tickets: Vec<Option<(usize, Ticket)>>,
     excluded: Vec<Vec<UpstreamId>>,
     reports: Vec<LoadReport>,
+}
+
+/// One instance that owns some of the upstreams.
+#[derive(Debug)]
+struct Owner {
+    core: PoolCore,
+    waiting: Vec<usize>,
     tick_at_us: Option<u64>,
+    told_free: u32,
 }
 
 impl Ours {
     /// Returns the choice over warm upstreams and, from the start of the scenario, cold ones.
-    pub fn new(scenario: &Scenario, requests: usize) -> Self {
-        let settings = PoolSettings {
-            seed: scenario.seed,
-            ..PoolSettings::default()
-        };
-        let mut core = PoolCore::new(settings);
+    pub fn new(scenario: &Scenario, requests: usize, owners: u32) -> Self {
         let before = Instant::now();
-        let zero = before + Duration::from_millis(settings.cold_start_ms);
-        let upstream = |id: u32| OwnedUpstream {
-            id: UpstreamId(id),
-            service: SERVICE,
-            slots: scenario.fleet.slots,
-            connections: 330,
-            moved_permille: 0,
-            leaving: false,
-        };
-        let all: Vec<OwnedUpstream> = (0..scenario.fleet.upstreams).map(upstream).collect();
-        core.configure(before, &all[scenario.cold() as usize..]);
-        core.configure(zero, &all);
+        let zero = before + Duration::from_millis(PoolSettings::default().cold_start_ms);
+        let owner = |number| Owner::new(scenario, number, owners, before, zero);
         Self {
-            core,
+            owners: (0..owners).map(owner).collect(),
             zero,
             in_flight: vec![None; requests],
             tickets: vec![None; requests],
-            waiting: Vec::new(),
             excluded: vec![Vec::new(); requests],
             reports: Vec::new(),
-            tick_at_us: None,
         }
     }
 
+    fn owner_of(&mut self, upstream: UpstreamId) -> &mut Owner {
+        let count = self.owners.len();
+        &mut self.owners[upstream.index() % count]
+    }
+
     fn at(&self, us: u64) -> Instant {
         self.zero + Duration::from_micros(us)
     }
@@ -69,29 +64,57 @@
     }
 
     fn admit(&mut self, request: usize, world: &mut World) {
-        let (now, deadline) = (self.at(world.now_us), self.at(world.deadline_us(request)));
+        let home = request % self.owners.len();
         let exclude = std::mem::take(&mut self.excluded[request]);
-        let admission = self.core.admit(SERVICE, deadline, &exclude, now);
+        let admission = self.admit_anywhere(home, request, &exclude, world);
         self.excluded[request] = exclude;
         match admission {
-            Admission::Granted(grant) => self.send(request, grant, world),
-            Admission::Queued { ticket, give_up_at } => {
-                self.wait(request, ticket);
+            (_, Admission::Granted(grant)) => self.send(request, grant, world),
+            (number, Admission::Queued { ticket, give_up_at }) => {
+                self.tickets[request] = Some((number, ticket));
+                self.owners[number].wait(request, ticket);
                 world.schedule(self.micros(give_up_at) + 1, Event::GiveUp { request });
             }
-            Admission::Refused(_) => {
-                let is_free = self.excluded[request].is_empty();
-                world.refuse(is_free && self.core.room(SERVICE, now).free > 0);
+            (_, Admission::Refused(_)) => {
+                let now = self.at(world.now_us);
+                let is_free = |owner: &Owner| owner.core.room(SERVICE, now).free > 0;
+                let can_tell = self.excluded[request].is_empty();
+                world.refuse(can_tell && self.owners.iter().any(is_free));
             }
         }
     }
 
-    fn wait(&mut self, request: usize, ticket: Ticket) {
-        if ticket.index() >= self.waiting.len() {
-            self.waiting.resize(ticket.index() + 1, 0);
+    /// Asks the home for a free slot, then the peer that told of most room, then the home's
+    /// queue, then the other queues.
+    fn admit_anywhere(
+        &mut self,
+        home: usize,
+        request: usize,
+        exclude: &[UpstreamId],
+        world: &World,
+    ) -> (usize, Admission) {
+        let (now, deadline) = (self.at(world.now_us), self.at(world.deadline_us(request)));
+        let count = self.owners.len();
+        let roomiest = (0..count).max_by_key(|number| self.owners[*number].told_free);
+        for number in [Some(home), roomiest].into_iter().flatten() {
+            let owner = &mut self.owners[number];
+            let may_take = count > 1 && owner.core.room(SERVICE, now).queued == 0;
+            if may_take && let Some(grant) = owner.core.try_admit(SERVICE, exclude, now) {
+                owner.told_free = owner.told_free.saturating_sub(1);
+                return (number, Admission::Granted(grant));
+            }
         }
-        self.waiting[ticket.index()] = request;
-        self.tickets[request] = Some(ticket);
+        let mut last = None;
+        for number in (0..count).map(|step| (home + step) % count) {
+            let admission = self.owners[number]
+                .core
+                .admit(SERVICE, deadline, exclude, now);
+            last = Some((number, admission));
+            if !matches!(admission, Admission::Refused(_)) {
+                break;
+            }
+        }
+        last.expect("there is an owner")
     }
 
     fn send(&mut self, request: usize, grant: Grant, world: &mut World) {
@@ -99,8 +122,10 @@
             self.in_flight[request] = Some((grant, world.now_us));
             return;
         }
-        self.core
-            .release(grant, Ending::Shed, self.at(world.now_us));
+        let now = self.at(world.now_us);
+        self.owner_of(grant.upstream)
+            .core
+            .release(grant, Ending::Shed, now);
         self.excluded[request].push(grant.upstream);
         match self.excluded[request].len() < TRIES_MAX {
             true => self.admit(request, world),
@@ -117,12 +142,15 @@
             true => Ending::Answered { latency },
             false => Ending::Silent,
         };
-        self.core.release(grant, ending, self.at(world.now_us));
+        let now = self.at(world.now_us);
+        self.owner_of(grant.upstream)
+            .core
+            .release(grant, ending, now);
     }
 
     fn give_up(&mut self, request: usize, world: &mut World) {
-        if let Some(ticket) = self.tickets[request].take()
-            && self.core.cancel(SERVICE, ticket)
+        if let Some((number, ticket)) = self.tickets[request].take()
+            && self.owners[number].core.cancel(SERVICE, ticket)
         {
             world.expire();
         }
@@ -131,9 +159,11 @@
     fn report(&mut self, world: &World) {
         let now = self.at(world.now_us);
         let made_at = self.at(world.now_us.saturating_sub(1_000_000));
-        for (id, report) in self.reports.drain(..).enumerate() {
-            self.core
-                .report(UpstreamId(id as u32), report, made_at, now);
+        for (id, report) in std::mem::take(&mut self.reports).into_iter().enumerate() {
+            let upstream = UpstreamId(id as u32);
+            self.owner_of(upstream)
+                .core
+                .report(upstream, report, made_at, now);
         }
         let reports = world.upstreams.iter().map(|upstream| LoadReport {
             in_flight: u32::from(upstream.running),
@@ -145,13 +175,11 @@
 
     fn deliver(&mut self, world: &mut World) {
         loop {
-            let granted = self.core.granted();
-            if granted.is_empty() {
+            let sent: Vec<(usize, Grant)> =
+                self.owners.iter_mut().flat_map(Owner::granted).collect();
+            if sent.is_empty() {
                 return;
             }
-            let sent = granted.into_iter();
-            let sent: Vec<(usize, Grant)> =
-                sent.map(|(t, g)| (self.waiting[t.index()], g)).collect();
             for (request, grant) in sent {
                 self.tickets[request] = None;
                 self.send(request, grant, world);
@@ -159,14 +187,77 @@
         }
     }
 
-    fn plan_tick(&mut self, world: &mut World) {
+    fn plan_ticks(&mut self, world: &mut World) {
         let now = self.at(world.now_us);
-        if self.core.room(SERVICE, now).queued == 0 || self.tick_at_us.is_some() {
-            return;
+        for number in 0..self.owners.len() {
+            let owner = &self.owners[number];
+            if owner.tick_at_us.is_some() || owner.core.room(SERVICE, now).queued == 0 {
+                continue;
+            }
+            let at_us = self.micros(owner.core.next_check(SERVICE, now));
+            self.owners[number].tick_at_us = Some(at_us);
+            world.schedule(at_us, Event::Tick);
+        }
+    }
+
+    fn tick(&mut self, now_us: u64) {
+        let now = self.at(now_us);
+        for owner in &mut self.owners {
+            if owner.tick_at_us.take_if(|at_us| *at_us <= now_us).is_some() {
+                owner.core.dispatch(SERVICE, now);
+            }
+        }
+    }
+
+    fn tell_room(&mut self, now_us: u64) {
+        let now = self.at(now_us);
+        for owner in &mut self.owners {
+            owner.told_free = owner.core.room(SERVICE, now).free;
+        }
+    }
+}
+
+impl Owner {
+    fn new(scenario: &Scenario, number: u32, owners: u32, before: Instant, zero: Instant) -> Self {
+        let mut core = PoolCore::new(PoolSettings {
+            seed: scenario.seed,
+            ..PoolSettings::default()
+        });
+        let upstream = |id: u32| OwnedUpstream {
+            id: UpstreamId(id),
+            service: SERVICE,
+            slots: scenario.fleet.slots,
+            connections: 330,
+            moved_permille: 0,
+            leaving: false,
+        };
+        let own = (0..scenario.fleet.upstreams).filter(|id| id % owners == number);
+        let all: Vec<OwnedUpstream> = own.map(upstream).collect();
+        let is_cold = |owned: &OwnedUpstream| owned.id.0 < scenario.cold();
+        let warm: Vec<OwnedUpstream> = all.iter().copied().filter(|o| !is_cold(o)).collect();
+        core.configure(before, &warm);
+        core.configure(zero, &all);
+        Self {
+            core,
+            waiting: Vec::new(),
+            tick_at_us: None,
+            told_free: 0,
         }
-        let at_us = self.micros(self.core.next_check(SERVICE, now));
-        self.tick_at_us = Some(at_us);
-        world.schedule(at_us, Event::Tick);
+    }
+
+    fn wait(&mut self, request: usize, ticket: Ticket) {
+        if ticket.index() >= self.waiting.len() {
+            self.waiting.resize(ticket.index() + 1, 0);
+        }
+        self.waiting[ticket.index()] = request;
+    }
+
+    /// Returns the waiting requests that have a slot now.
+    fn granted(&mut self) -> Vec<(usize, Grant)> {
+        let granted = self.core.granted().into_iter();
+        granted
+            .map(|(ticket, grant)| (self.waiting[ticket.index()], grant))
+            .collect()
     }
 }
 
@@ -178,14 +269,12 @@
                 request, answered, ..
             } => self.end(request, answered, world),
             Event::GiveUp { request } => self.give_up(request, world),
-            Event::Tick => {
-                self.tick_at_us = None;
-                self.core.dispatch(SERVICE, self.at(world.now_us));
-            }
+            Event::Tick => self.tick(world.now_us),
             Event::Report => self.report(world),
+            Event::Tell => self.tell_room(world.now_us),
             Event::Flush => {}
         }
         self.deliver(world);
-        self.plan_tick(world);
+        self.plan_ticks(world);
     }
 }
--- a/policy/benches/choice/world.rs
+++ b/policy/benches/choice/world.rs
@@ -9,6 +9,9 @@
 /// Factor by which a full upstream with cold caches takes longer, less one.
 const COLD_EXTRA: f64 = 5.0;
 
+/// Time between two messages among instances about their room.
+const TELL_EVERY_US: u64 = 100_000;
+
 /// Something that happens at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Event {
@@ -26,6 +29,8 @@
     Tick,
     /// Load reports are made.
     Report,
+    /// Instances tell each other what they know.
+    Tell,
     /// Some upstreams lose their caches.
     Flush,
 }
@@ -107,6 +112,7 @@
             next_event: 0,
         };
         world.schedule(0, Event::Report);
+        world.schedule(0, Event::Tell);
         world.schedule(1_000_000, Event::Flush);
         world.schedule_arrival(0);
         world
@@ -129,6 +135,9 @@
                     upstream.answers = 0;
                 }
             }
+            Event::Tell if at_us < self.end_us => {
+                self.schedule(at_us + TELL_EVERY_US, Event::Tell);
+            }
             Event::Report if at_us < self.end_us => {
                 self.schedule(at_us + 1_000_000, Event::Report);
             }
