--- a/policy/benches/choice/ours.rs
+++ b/policy/benches/choice/ours.rs
@@ -99,7 +99,7 @@
         for number in [Some(home), roomiest].into_iter().flatten() {
             let owner = &mut self.owners[number];
             let may_take = count > 1 && owner.core.room(SERVICE, now).queued == 0;
-            if may_take && let Some(grant) = owner.core.try_admit(SERVICE, exclude, now) {
+            if may_take && let Some(grant) = owner.core.try_admit_fast(SERVICE, exclude, now) {
                 owner.told_free = owner.told_free.saturating_sub(1);
                 return (number, Admission::Granted(grant));
             }
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -27,6 +27,7 @@
 mod owned_upstream;
 mod pool;
 mod pool_core;
+mod pool_load;
 mod pool_settings;
 mod queueing;
 mod reported_load;
--- a/policy/src/pool.rs
+++ b/policy/src/pool.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::waiting::Waiting;
-use crate::{Admission, Candidate, Ending, Grant, LoadReport, NoSlot, OwnedUpstream};
+use crate::{Admission, Candidate, Ending, Grant, NoSlot, OwnedUpstream};
 use crate::{PoolCore, PoolSettings, Room, Slot, Ticket};
 
 /// Handle to the upstreams that this instance owns, with exact counts of its requests.
@@ -58,6 +58,21 @@
 
     /// Replaces the set of upstreams. New ones start cold; removed ones get no new work, and
     /// their counts live on until their requests end.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use laburnumdeal_model::{ServiceId, UpstreamId};
+    /// # use laburnumdeal_policy::*;
+    /// # use tokio::time::{Duration, Instant};
+    /// # let (service, upstream) = (ServiceId(0), UpstreamId(0));
+    /// # let owned = OwnedUpstream {
+    /// #     id: upstream, service, slots: 3, connections: 9, moved_permille: 0, leaving: false,
+    /// # };
+    /// # let pool = Pool::new(PoolSettings::default());
+    /// pool.configure(Instant::now(), &[owned]);
+    /// assert_eq!(pool.room(service).total, 1, "it starts cold");
+    /// ```
     pub fn configure(&self, now: Instant, upstreams: &[OwnedUpstream]) {
         self.with(|inner| inner.core.configure(now, upstreams));
     }
@@ -67,6 +82,27 @@
     /// # Errors
     ///
     /// Refuses at once when the request could not finish in time or too many wait already.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # #[tokio::main(flavor = "current_thread")]
+    /// # async fn main() {
+    /// # use laburnumdeal_model::{ServiceId, UpstreamId};
+    /// # use laburnumdeal_policy::*;
+    /// # use tokio::time::{Duration, Instant};
+    /// # let (service, upstream) = (ServiceId(0), UpstreamId(0));
+    /// # let owned = OwnedUpstream {
+    /// #     id: upstream, service, slots: 3, connections: 9, moved_permille: 0, leaving: false,
+    /// # };
+    /// # let pool = Pool::new(PoolSettings::default());
+    /// # pool.configure(Instant::now(), &[owned]);
+    /// # pool.assume_warm(upstream);
+    /// let deadline = Instant::now() + Duration::from_secs(1);
+    /// let slot = pool.acquire(service, deadline, &[]).await.unwrap();
+    /// assert_eq!(slot.upstream(), upstream);
+    /// # }
+    /// ```
     pub async fn acquire(
         &self,
         service: ServiceId,
@@ -87,51 +123,158 @@
     }
 
     /// Returns a slot if one is free now.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use laburnumdeal_model::{ServiceId, UpstreamId};
+    /// # use laburnumdeal_policy::*;
+    /// # use tokio::time::{Duration, Instant};
+    /// # let (service, upstream) = (ServiceId(0), UpstreamId(0));
+    /// # let owned = OwnedUpstream {
+    /// #     id: upstream, service, slots: 3, connections: 9, moved_permille: 0, leaving: false,
+    /// # };
+    /// # let pool = Pool::new(PoolSettings::default());
+    /// # pool.configure(Instant::now(), &[owned]);
+    /// # pool.assume_warm(upstream);
+    /// let slots: Vec<Slot> = std::iter::from_fn(|| pool.try_acquire(service, &[])).collect();
+    /// assert_eq!(slots.len(), 3);
+    /// ```
     pub fn try_acquire(&self, service: ServiceId, exclude: &[UpstreamId]) -> Option<Slot> {
         let now = Instant::now();
         let grant = self.with(|inner| inner.core.try_admit(service, exclude, now))?;
         Some(Slot::new(self.clone(), grant))
     }
 
-    /// Takes in a load report that was made at `at`.
-    pub fn report(&self, upstream: UpstreamId, report: LoadReport, at: Instant) {
-        let now = Instant::now();
-        self.with(|inner| inner.core.report(upstream, report, at, now));
-    }
-
-    /// Notes that a report was due at `at` and did not come.
-    pub fn report_missing(&self, upstream: UpstreamId, at: Instant) {
-        let now = Instant::now();
-        self.with(|inner| inner.core.report_missing(upstream, at, now));
-    }
-
-    /// Counts slots as taken by requests of a dead owner until `until` or until reports say less.
-    pub fn assume_taken(&self, upstream: UpstreamId, count: u16, until: Instant) {
+    /// Returns a slot if one is free now on an upstream that is no slower than a wait would be.
+    /// Where peers own upstreams of the service too, ask for this first, then ask them.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use laburnumdeal_model::{ServiceId, UpstreamId};
+    /// # use laburnumdeal_policy::*;
+    /// # use tokio::time::{Duration, Instant};
+    /// # let (service, upstream) = (ServiceId(0), UpstreamId(0));
+    /// # let owned = OwnedUpstream {
+    /// #     id: upstream, service, slots: 3, connections: 9, moved_permille: 0, leaving: false,
+    /// # };
+    /// # let pool = Pool::new(PoolSettings::default());
+    /// # pool.configure(Instant::now(), &[owned]);
+    /// # pool.assume_warm(upstream);
+    /// assert!(pool.try_acquire_fast(service, &[]).is_some());
+    /// ```
+    pub fn try_acquire_fast(&self, service: ServiceId, exclude: &[UpstreamId]) -> Option<Slot> {
         let now = Instant::now();
-        self.with(|inner| inner.core.assume_taken(upstream, count, until, now));
+        let grant = self.with(|inner| inner.core.try_admit_fast(service, exclude, now))?;
+        Some(Slot::new(self.clone(), grant))
     }
 
     /// Returns the room of a service, as peers are told.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use laburnumdeal_model::{ServiceId, UpstreamId};
+    /// # use laburnumdeal_policy::*;
+    /// # use tokio::time::{Duration, Instant};
+    /// # let (service, upstream) = (ServiceId(0), UpstreamId(0));
+    /// # let owned = OwnedUpstream {
+    /// #     id: upstream, service, slots: 3, connections: 9, moved_permille: 0, leaving: false,
+    /// # };
+    /// # let pool = Pool::new(PoolSettings::default());
+    /// # pool.configure(Instant::now(), &[owned]);
+    /// # pool.assume_warm(upstream);
+    /// let _slot = pool.try_acquire(service, &[]);
+    /// assert_eq!(pool.room(service), Room { free: 2, total: 3, queued: 0 });
+    /// ```
     pub fn room(&self, service: ServiceId) -> Room {
         self.with(|inner| inner.core.room(service, Instant::now()))
     }
 
     /// Returns the requests of this instance that run on an upstream.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use laburnumdeal_model::{ServiceId, UpstreamId};
+    /// # use laburnumdeal_policy::*;
+    /// # use tokio::time::{Duration, Instant};
+    /// # let (service, upstream) = (ServiceId(0), UpstreamId(0));
+    /// # let owned = OwnedUpstream {
+    /// #     id: upstream, service, slots: 3, connections: 9, moved_permille: 0, leaving: false,
+    /// # };
+    /// # let pool = Pool::new(PoolSettings::default());
+    /// # pool.configure(Instant::now(), &[owned]);
+    /// # pool.assume_warm(upstream);
+    /// let _slot = pool.try_acquire(service, &[]);
+    /// assert_eq!(pool.in_flight(upstream), 1);
+    /// ```
     pub fn in_flight(&self, upstream: UpstreamId) -> u32 {
         self.with(|inner| inner.core.in_flight(upstream))
     }
 
     /// Returns whether an upstream takes no new work and all that it had has ended.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use laburnumdeal_model::{ServiceId, UpstreamId};
+    /// # use laburnumdeal_policy::*;
+    /// # use tokio::time::{Duration, Instant};
+    /// # let (service, upstream) = (ServiceId(0), UpstreamId(0));
+    /// # let owned = OwnedUpstream {
+    /// #     id: upstream, service, slots: 3, connections: 9, moved_permille: 0, leaving: false,
+    /// # };
+    /// # let pool = Pool::new(PoolSettings::default());
+    /// # pool.configure(Instant::now(), &[owned]);
+    /// # pool.assume_warm(upstream);
+    /// pool.configure(Instant::now(), &[OwnedUpstream { moved_permille: 1000, ..owned }]);
+    /// assert!(pool.drained(upstream));
+    /// ```
     pub fn drained(&self, upstream: UpstreamId) -> bool {
         self.with(|inner| inner.core.drained(upstream, Instant::now()))
     }
 
     /// Returns how long to wait for an answer before sending a hedge.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use laburnumdeal_model::{ServiceId, UpstreamId};
+    /// # use laburnumdeal_policy::*;
+    /// # use tokio::time::{Duration, Instant};
+    /// # let (service, upstream) = (ServiceId(0), UpstreamId(0));
+    /// # let owned = OwnedUpstream {
+    /// #     id: upstream, service, slots: 3, connections: 9, moved_permille: 0, leaving: false,
+    /// # };
+    /// # let pool = Pool::new(PoolSettings::default());
+    /// # pool.configure(Instant::now(), &[owned]);
+    /// # pool.assume_warm(upstream);
+    /// let settings = PoolSettings::default();
+    /// assert_eq!(pool.hedge_after(service), Duration::from_millis(settings.hedge_ms));
+    /// ```
     pub fn hedge_after(&self, service: ServiceId) -> Duration {
         self.with(|inner| inner.core.hedge_after(service))
     }
 
     /// Returns every upstream of a service with the reason why it would or would not be chosen.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use laburnumdeal_model::{ServiceId, UpstreamId};
+    /// # use laburnumdeal_policy::*;
+    /// # use tokio::time::{Duration, Instant};
+    /// # let (service, upstream) = (ServiceId(0), UpstreamId(0));
+    /// # let owned = OwnedUpstream {
+    /// #     id: upstream, service, slots: 3, connections: 9, moved_permille: 0, leaving: false,
+    /// # };
+    /// # let pool = Pool::new(PoolSettings::default());
+    /// # pool.configure(Instant::now(), &[owned]);
+    /// # pool.assume_warm(upstream);
+    /// assert_eq!(pool.explain(service)[0].reason.to_string(), "has room");
+    /// ```
     pub fn explain(&self, service: ServiceId) -> Vec<Candidate> {
         self.with(|inner| inner.core.explain(service, Instant::now()))
     }
--- a/policy/src/pool_core.rs
+++ b/policy/src/pool_core.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use crate::service_entry::ServiceEntry;
+use crate::slow_start::SlowStart;
 use crate::upstream_entry::UpstreamEntry;
 use crate::{Candidate, Ending, Grant, LoadReport};
 use crate::{OwnedUpstream, PoolSettings, Room, Ticket};
@@ -141,6 +142,12 @@
             .assume(count, until, now);
     }
 
+    /// Opens every slot of an upstream, whose caches another owner has kept warm.
+    pub fn assume_warm(&mut self, upstream: UpstreamId, now: Instant) {
+        self.entry_mut(upstream, now).slow_start = SlowStart::warm();
+        self.dispatch_for(upstream, now);
+    }
+
     /// Returns the room of a service.
     pub fn room(&self, service: ServiceId, now: Instant) -> Room {
         let mut room = Room::default();
--- a/policy/src/queueing.rs
+++ b/policy/src/queueing.rs
@@ -13,6 +13,9 @@
 /// Longest time that a refused caller is told to stay away.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(30);
 
+/// Time that a caller is told to stay away when no upstream takes work.
+const RETRY_AFTER_NO_UPSTREAM: Duration = Duration::from_secs(1);
+
 impl PoolCore {
     /// Returns a slot, a place in the queue or a refusal.
     pub fn admit(
@@ -53,7 +56,10 @@
             (Err(_), Some(choice)) => Admission::Granted(self.take(&choice, now)),
             (Err(reason), None) => Admission::Refused(NoSlot {
                 reason,
-                retry_after: self.retry_after(service, now),
+                retry_after: match reason {
+                    NoSlotReason::NoUpstream => RETRY_AFTER_NO_UPSTREAM,
+                    _ => self.retry_after(service, now),
+                },
             }),
         }
     }
@@ -69,6 +75,19 @@
         Some(self.take(&choice, now))
     }
 
+    /// Returns a slot if one is free now on an upstream that is no slower than a wait would be.
+    pub fn try_admit_fast(
+        &mut self,
+        service: ServiceId,
+        exclude: &[UpstreamId],
+        now: Instant,
+    ) -> Option<Grant> {
+        let choice = self.choose(service, exclude, now)?;
+        let ahead = self.services[service.index()].queue.len();
+        let hold = self.hold_until(service, &choice, exclude, ahead, now);
+        hold.is_none().then(|| self.take(&choice, now))
+    }
+
     /// Removes a request from the queue; returns whether it was there.
     pub fn cancel(&mut self, service: ServiceId, ticket: Ticket) -> bool {
         let queue = &mut self.service_mut(service).queue;
--- a/policy/src/slot.rs
+++ b/policy/src/slot.rs
@@ -3,6 +3,24 @@
 use crate::{Ending, Grant, Pool};
 
 /// One slot of an upstream. Dropping it frees the slot for the next request in the queue.
+///
+/// # Examples
+///
+/// ```
+/// # use laburnumdeal_model::{ServiceId, UpstreamId};
+/// # use laburnumdeal_policy::*;
+/// # use tokio::time::{Duration, Instant};
+/// # let (service, id) = (ServiceId(0), UpstreamId(0));
+/// # let owned = OwnedUpstream {
+/// #     id, service, slots: 3, connections: 9, moved_permille: 0, leaving: false,
+/// # };
+/// # let pool = Pool::new(PoolSettings::default());
+/// # pool.configure(Instant::now(), &[owned]);
+/// let slot = pool.try_acquire(service, &[]).unwrap();
+/// assert_eq!(slot.upstream(), id);
+/// slot.finish(Ending::Answered { latency: Duration::from_millis(12) });
+/// assert_eq!(pool.in_flight(id), 0);
+/// ```
 #[derive(Debug)]
 pub struct Slot {
     pool: Pool,
--- a/policy/src/slow_start.rs
+++ b/policy/src/slow_start.rs
@@ -5,11 +5,17 @@
 /// Slots that a cold upstream starts with.
 const FIRST_SLOTS: f64 = 1.0;
 
+/// Slots that an answer in good time opens.
+const GOOD_STEP: f64 = 1.0;
+
+/// Slots that a slow answer opens.
+const SLOW_STEP: f64 = 0.25;
+
 /// Multiple of the reference latency above which an answer counts as slow.
 const SLOW_FACTOR: f64 = 2.0;
 
-/// Ramp of the slots of a cold upstream. Answers in good time open it, slow ones hold it, and
-/// after a bounded time it is open.
+/// Ramp of the slots of a cold upstream. Answers open it, slow ones more slowly, and after a
+/// bounded time it is open.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct SlowStart {
     started_at: Option<Instant>,
@@ -25,6 +31,14 @@
         }
     }
 
+    /// Returns a ramp that is over.
+    pub fn warm() -> Self {
+        Self {
+            started_at: None,
+            open: FIRST_SLOTS,
+        }
+    }
+
     /// Returns the open slots, or nothing once all are open.
     pub fn limit(&self, slots: u16, period: Duration, now: Instant) -> Option<u16> {
         let elapsed = now.saturating_duration_since(self.started_at?);
@@ -36,14 +50,14 @@
         (open < slots).then_some(open.max(1))
     }
 
-    /// Takes in an answer; every one in good time opens one more slot.
+    /// Takes in an answer and opens the ramp by it.
     pub fn answered(&mut self, latency_s: f64, reference_s: f64) {
         if self.started_at.is_none() {
             return;
         }
         match latency_s > reference_s * SLOW_FACTOR {
-            true => self.open += 0.25,
-            false => self.open += 1.0,
+            true => self.open += SLOW_STEP,
+            false => self.open += GOOD_STEP,
         }
     }
 
--- a/policy/src/upstream_entry.rs
+++ b/policy/src/upstream_entry.rs
@@ -61,7 +61,7 @@
             return Standing::closed(reason);
         }
         if self.ejection.is_suspect() {
-            return self.probing(now);
+            return self.probing(owned, now);
         }
         let (open, reason) = self.open_slots(owned, settings, now);
         let assumed = self.assumed.taken(now);
@@ -236,8 +236,9 @@
         is_paused.then_some(CandidateReason::Shed)
     }
 
-    fn probing(&self, now: Instant) -> Standing {
-        let is_free = !self.ejection.has_probe() && self.assumed.taken(now) == 0;
+    fn probing(&self, owned: &OwnedUpstream, now: Instant) -> Standing {
+        let taken = self.own() + self.assumed.taken(now);
+        let is_free = !self.ejection.has_probe() && taken < capacity(owned);
         Standing {
             free: u16::from(is_free),
             open: 1,
--- a/policy/tests/choice_cold.rs
+++ b/policy/tests/choice_cold.rs
@@ -70,3 +70,11 @@
     assert_eq!(slot.upstream(), UpstreamId(0));
     assert_eq!(pool.in_flight(UpstreamId(0)), 2);
 }
+
+#[tokio::test(start_paused = true)]
+async fn assume_warm_opens_every_slot() {
+    let pool = Pool::new(PoolSettings::default());
+    pool.configure(in_ms(0), &[owned(0, 9)]);
+    pool.assume_warm(UpstreamId(0));
+    assert_eq!(take_all(&pool).len(), 9);
+}
--- a/policy/tests/choice_latency.rs
+++ b/policy/tests/choice_latency.rs
@@ -63,6 +63,14 @@
     assert!(in_ms(0) - before < Duration::from_millis(400));
 }
 
+#[tokio::test(start_paused = true)]
+async fn try_acquire_fast_leaves_slow_upstream() {
+    let pool = one_slow().await;
+    let _running = [take(&pool), take(&pool)];
+    assert!(pool.try_acquire_fast(SERVICE, &[]).is_none());
+    assert_eq!(take(&pool).upstream(), SLOW);
+}
+
 #[tokio::test(start_paused = true)]
 async fn hedge_after_follows_slowest_answers() {
     let pool = warm(&[owned(0, 2)]).await;
