--- /dev/null
+++ b/policy/tests/claims/claims_pair.rs
@@ -0,0 +1,205 @@
+use laburnumdeal_model::BootId;
+use laburnumdeal_policy::{
+    Begin, ClaimFinish, FenceReply, MirrorReply, Outcome, RequestKey, UnknownReason,
+};
+
+use crate::support::{
+    BOOT, HOME, MIRROR, OTHER, REQUEST, answer, claim, fence, key, key_of, mirror_claim, resend,
+    run, table, token,
+};
+
+const LATER_BOOT: BootId = BootId(11);
+
+#[test]
+fn begin_after_finish() {
+    let (home, mirror) = (table(HOME, BOOT), table(MIRROR, BOOT));
+    run(&home, &mirror, &key("a"), "opened");
+    let Begin::Finished(kept) = home.begin(&key("a"), REQUEST) else {
+        panic!("no answer kept");
+    };
+    assert_eq!(kept.body, b"opened");
+    mirror.store_copy(&key("a"), answer("opened"));
+    assert_eq!(fence(&mirror, &key("a")), Outcome::Answer);
+}
+
+#[tokio::test]
+async fn begin_while_running() {
+    let (home, mirror) = (table(HOME, BOOT), table(MIRROR, BOOT));
+    let mut first = claim(&home, &key("a"));
+    let Begin::Running(second) = home.begin(&key("a"), REQUEST) else {
+        panic!("claimed twice");
+    };
+    first
+        .confirm_mirror(mirror_claim(&mirror, &key("a")))
+        .unwrap();
+    let started = first.start().unwrap();
+    let Begin::Running(third) = home.begin(&key("a"), REQUEST) else {
+        panic!("claimed twice");
+    };
+    assert_eq!(third.finish(), None);
+    let kept = started.finish(answer("opened"));
+    assert_eq!(second.wait().await, ClaimFinish::Answer(kept.clone()));
+    assert_eq!(third.wait().await, ClaimFinish::Answer(kept));
+}
+
+#[test]
+fn begin_other_request() {
+    let (home, mirror) = (table(HOME, BOOT), table(MIRROR, BOOT));
+    run(&home, &mirror, &key("a"), "opened");
+    assert!(matches!(
+        home.begin(&key("a"), REQUEST + 1),
+        Begin::KeyReused
+    ));
+    assert_eq!(home.fence(&key("a"), REQUEST + 1), FenceReply::KeyReused);
+}
+
+#[test]
+fn begin_wrong_instance() {
+    let mirror = table(MIRROR, BOOT);
+    let reason = UnknownReason::OtherRun;
+    assert!(matches!(mirror.begin(&key("a"), REQUEST), Begin::Unknown(r) if r == reason));
+    let other = table(OTHER, BOOT);
+    assert_eq!(other.fence(&key("a"), REQUEST), FenceReply::Unknown(reason));
+}
+
+#[test]
+fn begin_without_mirror() {
+    let home = table(HOME, BOOT);
+    let mut alone = token(1);
+    alone.mirror = None;
+    let alone = key_of(&alone, "a");
+    let started = claim(&home, &alone).start().unwrap();
+    started.finish(answer("opened"));
+    assert_eq!(resend(&home, &alone), Some(Outcome::Answer));
+}
+
+#[test]
+fn start_unconfirmed() {
+    let home = table(HOME, BOOT);
+    assert!(claim(&home, &key("a")).start().is_err());
+    assert_eq!(resend(&home, &key("a")), Some(Outcome::NotRun));
+}
+
+#[test]
+fn abandon_lost_acknowledgement() {
+    let (home, mirror) = (table(HOME, BOOT), table(MIRROR, BOOT));
+    let claim = claim(&home, &key("a"));
+    let Begin::Running(waiting) = home.begin(&key("a"), REQUEST) else {
+        panic!("claimed twice");
+    };
+    mirror_claim(&mirror, &key("a"));
+    claim.abandon();
+    assert_eq!(waiting.finish(), Some(ClaimFinish::NotRun));
+    assert_eq!(resend(&home, &key("a")), Some(Outcome::NotRun));
+    assert_eq!(fence(&mirror, &key("a")), Outcome::Unknown);
+    mirror.store_fence(&key("a"), HOME, BOOT);
+    assert_eq!(fence(&mirror, &key("a")), Outcome::NotRun);
+}
+
+#[test]
+fn fence_home_out_of_reach() {
+    let (home, mirror) = (table(HOME, BOOT), table(MIRROR, BOOT));
+    assert_eq!(fence(&mirror, &key("a")), Outcome::NotRun);
+    let mut claim = claim(&home, &key("a"));
+    let reply = mirror_claim(&mirror, &key("a"));
+    assert_eq!(claim.confirm_mirror(reply), Err(Outcome::NotRun));
+    assert!(claim.start().is_err());
+    assert_eq!(resend(&home, &key("a")), Some(Outcome::NotRun));
+}
+
+#[test]
+fn fence_after_claim() {
+    let (home, mirror) = (table(HOME, BOOT), table(MIRROR, BOOT));
+    let mut claim = claim(&home, &key("a"));
+    let reply = mirror_claim(&mirror, &key("a"));
+    assert_eq!(fence(&mirror, &key("a")), Outcome::Unknown);
+    // The home was frozen here, and thaws: nobody was told that the request did not run.
+    claim.confirm_mirror(reply).unwrap();
+    let started = claim.start().unwrap();
+    assert_eq!(fence(&home, &key("a")), Outcome::Unknown);
+    started.finish_unknown();
+    assert_eq!(resend(&home, &key("a")), Some(Outcome::Unknown));
+}
+
+#[test]
+fn fence_pending_on_home() {
+    let (home, mirror) = (table(HOME, BOOT), table(MIRROR, BOOT));
+    let mut claim = claim(&home, &key("a"));
+    claim
+        .confirm_mirror(mirror_claim(&mirror, &key("a")))
+        .unwrap();
+    assert_eq!(fence(&home, &key("a")), Outcome::NotRun);
+    assert!(claim.start().is_err());
+}
+
+#[test]
+fn mirror_claim_repeated() {
+    let mirror = table(MIRROR, BOOT);
+    let claimed = MirrorReply::Claimed { mirror_boot: BOOT };
+    assert_eq!(mirror_claim(&mirror, &key("a")), claimed);
+    assert_eq!(mirror_claim(&mirror, &key("a")), claimed);
+    let other = mirror.mirror_claim(&key("a"), REQUEST, HOME, LATER_BOOT);
+    assert_eq!(other, MirrorReply::Unknown(UnknownReason::OtherRun));
+}
+
+#[test]
+fn mirror_claim_late() {
+    let (home, mirror) = (table(HOME, BOOT), table(MIRROR, BOOT));
+    claim(&home, &key("a")).abandon();
+    let late = mirror_claim(&mirror, &key("a"));
+    assert_eq!(late, MirrorReply::Claimed { mirror_boot: BOOT });
+    assert_eq!(resend(&home, &key("a")), Some(Outcome::NotRun));
+}
+
+#[test]
+fn finish_not_run_proof() {
+    let (home, mirror) = (table(HOME, BOOT), table(MIRROR, BOOT));
+    let mut claim = claim(&home, &key("a"));
+    claim
+        .confirm_mirror(mirror_claim(&mirror, &key("a")))
+        .unwrap();
+    claim.start().unwrap().finish_not_run();
+    assert_eq!(resend(&home, &key("a")), Some(Outcome::NotRun));
+}
+
+#[test]
+fn drop_started() {
+    let (home, mirror) = (table(HOME, BOOT), table(MIRROR, BOOT));
+    let mut claim = claim(&home, &key("a"));
+    claim
+        .confirm_mirror(mirror_claim(&mirror, &key("a")))
+        .unwrap();
+    drop(claim.start().unwrap());
+    assert_eq!(resend(&home, &key("a")), Some(Outcome::Unknown));
+}
+
+/// Tells a resend what home and mirror know after each was restarted or not.
+fn after_restart(run_key: &RequestKey, home_restarts: bool, mirror_restarts: bool) -> [Outcome; 2] {
+    let (mut home, mut mirror) = (table(HOME, BOOT), table(MIRROR, BOOT));
+    run(&home, &mirror, run_key, "opened");
+    if home_restarts {
+        home = table(HOME, LATER_BOOT);
+    }
+    if mirror_restarts {
+        mirror = table(MIRROR, LATER_BOOT);
+    }
+    [resend(&home, run_key).unwrap(), fence(&mirror, run_key)]
+}
+
+#[test]
+fn restart_one_or_both() {
+    use Outcome::{Answer, Unknown};
+    let key = key("a");
+    assert_eq!(after_restart(&key, false, false), [Answer, Unknown]);
+    assert_eq!(after_restart(&key, true, false), [Unknown, Unknown]);
+    assert_eq!(after_restart(&key, false, true), [Answer, Unknown]);
+    assert_eq!(after_restart(&key, true, true), [Unknown, Unknown]);
+}
+
+#[test]
+fn restart_new_key_old_token() {
+    let mirror = table(MIRROR, BOOT);
+    let restarted = table(HOME, LATER_BOOT);
+    assert_eq!(resend(&restarted, &key("new")), Some(Outcome::Unknown));
+    assert_eq!(fence(&mirror, &key("new")), Outcome::NotRun);
+}
--- /dev/null
+++ b/policy/tests/claims/support.rs
@@ -0,0 +1,103 @@
+use laburnumdeal_model::{BootId, InstanceId, ZoneId};
+use laburnumdeal_policy::{
+    BareStart, Begin, Claim, ClaimSettings, ClaimTable, ClaimToken, FenceReply, MirrorReply,
+    Outcome, RequestKey, StoredAnswer, TokenSealer,
+};
+
+pub const HOME: InstanceId = InstanceId(1);
+pub const MIRROR: InstanceId = InstanceId(2);
+pub const OTHER: InstanceId = InstanceId(3);
+pub const BOOT: BootId = BootId(10);
+pub const REQUEST: u64 = 5;
+pub const HORIZON_MS: u64 = 1_000;
+
+pub fn sealer() -> TokenSealer {
+    TokenSealer::new(b"secret of the test cluster")
+}
+
+pub fn settings(me: InstanceId, boot: BootId) -> ClaimSettings {
+    ClaimSettings {
+        resend_horizon_ms: HORIZON_MS,
+        members: vec![(HOME, ZoneId(0)), (MIRROR, ZoneId(1))],
+        ..ClaimSettings::new(me, boot)
+    }
+}
+
+pub fn table(me: InstanceId, boot: BootId) -> ClaimTable {
+    ClaimTable::new(settings(me, boot))
+}
+
+/// Table that may claim keys without a token at once.
+pub fn complete_table(me: InstanceId, boot: BootId) -> ClaimTable {
+    ClaimTable::new(ClaimSettings {
+        bare_start: BareStart::Complete,
+        ..settings(me, boot)
+    })
+}
+
+pub fn token(issued_ms: u64) -> ClaimToken {
+    ClaimToken {
+        home: HOME,
+        home_boot: BOOT,
+        mirror: Some((MIRROR, BOOT)),
+        issued_ms,
+    }
+}
+
+pub fn key_of(token: &ClaimToken, nonce: &str) -> RequestKey {
+    let text = format!("{}.{nonce}", sealer().seal(token));
+    RequestKey::parse(&text, &sealer()).unwrap()
+}
+
+pub fn key(nonce: &str) -> RequestKey {
+    key_of(&token(1), nonce)
+}
+
+pub fn bare_key(nonce: &str) -> RequestKey {
+    RequestKey::parse(nonce, &sealer()).unwrap()
+}
+
+pub fn answer(body: &str) -> StoredAnswer {
+    StoredAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: body.as_bytes().to_vec(),
+    }
+}
+
+pub fn claim(home: &ClaimTable, key: &RequestKey) -> Claim {
+    match home.begin(key, REQUEST) {
+        Begin::Claimed(claim) => claim,
+        other => panic!("{other:?}"),
+    }
+}
+
+pub fn mirror_claim(mirror: &ClaimTable, key: &RequestKey) -> MirrorReply {
+    mirror.mirror_claim(key, REQUEST, HOME, BOOT)
+}
+
+/// Runs a request on home and mirror to its answer.
+pub fn run(home: &ClaimTable, mirror: &ClaimTable, key: &RequestKey, body: &str) {
+    let mut claim = claim(home, key);
+    claim.confirm_mirror(mirror_claim(mirror, key)).unwrap();
+    claim.start().unwrap().finish(answer(body));
+}
+
+pub fn fence(table: &ClaimTable, key: &RequestKey) -> Outcome {
+    table.fence(key, REQUEST).outcome().unwrap()
+}
+
+/// Returns what a resend is told, or `None` while the request is in flight.
+pub fn resend(home: &ClaimTable, key: &RequestKey) -> Option<Outcome> {
+    match home.begin(key, REQUEST) {
+        Begin::Finished(_) => Some(Outcome::Answer),
+        Begin::Fenced => Some(Outcome::NotRun),
+        Begin::AlreadyRan | Begin::Unknown(_) => Some(Outcome::Unknown),
+        Begin::Running(running) => running.finish().map(|finish| finish.outcome()),
+        other => panic!("{other:?}"),
+    }
+}
+
+pub fn is_fenced(reply: &FenceReply) -> bool {
+    matches!(reply, FenceReply::Fenced)
+}
