--- a/policy/tests/claims/claims_hand_over.rs
+++ b/policy/tests/claims/claims_hand_over.rs
@@ -4,8 +4,8 @@
 };
 
 use crate::support::{
-    BOOT, HOME, MIRROR, OTHER, REQUEST, answer, claim, fence, is_fenced, key, mirror_claim, resend,
-    run, table,
+    BOOT, HOME, MIRROR, OTHER, REQUEST, answer, claim, fence, is_fenced, key, key_of, mirror_claim,
+    resend, run, small_table, table, token,
 };
 
 const NEXT: BootId = BootId(11);
@@ -138,3 +138,22 @@
     let reply = mirror_claim(&heir, &key("new"));
     assert_eq!(claim.confirm_mirror(reply), Err(Outcome::NotRun));
 }
+
+#[test]
+fn import_floor() {
+    let (small, heir) = (small_table(1), table(OTHER, BOOT));
+    for issued_ms in [1, 2] {
+        assert!(is_fenced(
+            &small.fence(&key_of(&token(issued_ms), "a"), REQUEST)
+        ));
+    }
+    hand_over(&small, &heir);
+    assert_eq!(
+        resend(&heir, &key_of(&token(1), "a")),
+        Some(Outcome::Unknown)
+    );
+    assert_eq!(
+        resend(&heir, &key_of(&token(2), "a")),
+        Some(Outcome::NotRun)
+    );
+}
--- /dev/null
+++ b/policy/tests/claims/claims_matrix.rs
@@ -0,0 +1,225 @@
+use std::fmt::Write;
+
+use laburnumdeal_model::BootId;
+use laburnumdeal_policy::{Begin, Claim, ClaimTable, Outcome, Started};
+
+use crate::support::{BOOT, HOME, MIRROR, OTHER, REQUEST, answer, claim, key, table};
+
+/// How far the first send of a key came before the fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    New,
+    ClaimedOnHome,
+    ClaimedOnBoth,
+    Sent,
+    Answered,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    None,
+    HomeOutOfReach,
+    MirrorOutOfReach,
+    BothOutOfReach,
+    HomeDies,
+    MirrorDies,
+    HomeRestarts,
+    MirrorRestarts,
+    BothRestart,
+    HomeStops,
+    MirrorStops,
+}
+
+const STAGES: [Stage; 5] = [
+    Stage::New,
+    Stage::ClaimedOnHome,
+    Stage::ClaimedOnBoth,
+    Stage::Sent,
+    Stage::Answered,
+];
+
+const FAULTS: [Fault; 11] = [
+    Fault::None,
+    Fault::HomeOutOfReach,
+    Fault::MirrorOutOfReach,
+    Fault::BothOutOfReach,
+    Fault::HomeDies,
+    Fault::MirrorDies,
+    Fault::HomeRestarts,
+    Fault::MirrorRestarts,
+    Fault::BothRestart,
+    Fault::HomeStops,
+    Fault::MirrorStops,
+];
+
+/// Home and mirror as a resend meets them, and the first send where it came to a halt.
+struct Cell {
+    home: Option<ClaimTable>,
+    mirror: Option<ClaimTable>,
+    old_mirror: ClaimTable,
+    claim: Option<Claim>,
+    is_confirmed: bool,
+    started: Option<Started>,
+    runs: u32,
+}
+
+impl Cell {
+    fn new(stage: Stage) -> Self {
+        let (home, mirror) = (table(HOME, BOOT), table(MIRROR, BOOT));
+        let mut cell = Self {
+            home: Some(home.clone()),
+            mirror: Some(mirror.clone()),
+            old_mirror: mirror.clone(),
+            claim: (stage >= Stage::ClaimedOnHome).then(|| claim(&home, &key("a"))),
+            is_confirmed: false,
+            started: None,
+            runs: 0,
+        };
+        if stage >= Stage::ClaimedOnBoth
+            && let Some(claim) = &mut cell.claim
+        {
+            let reply = mirror.mirror_claim(&key("a"), REQUEST, HOME, BOOT);
+            claim.confirm_mirror(reply).unwrap();
+            cell.is_confirmed = true;
+        }
+        if stage >= Stage::Sent {
+            cell.send();
+        }
+        if stage >= Stage::Answered {
+            cell.answer();
+        }
+        cell
+    }
+
+    fn send(&mut self) {
+        if let Some(Ok(started)) = self.claim.take().map(Claim::start) {
+            self.started = Some(started);
+            self.runs += 1;
+        }
+    }
+
+    fn answer(&mut self) {
+        if let Some(started) = self.started.take() {
+            started.finish(answer("opened"));
+            self.old_mirror.store_copy(&key("a"), answer("opened"));
+        }
+    }
+
+    fn apply(&mut self, fault: Fault) {
+        let next = BootId(11);
+        match fault {
+            Fault::None => {}
+            Fault::HomeOutOfReach | Fault::HomeDies => self.home = None,
+            Fault::MirrorOutOfReach | Fault::MirrorDies => self.mirror = None,
+            Fault::BothOutOfReach => (self.home, self.mirror) = (None, None),
+            Fault::HomeRestarts => self.home = Some(table(HOME, next)),
+            Fault::MirrorRestarts => self.mirror = Some(table(MIRROR, next)),
+            Fault::BothRestart => {
+                self.home = Some(table(HOME, next));
+                self.mirror = Some(table(MIRROR, next));
+            }
+            Fault::HomeStops => self.home = self.home.take().map(hand_over),
+            Fault::MirrorStops => self.mirror = self.mirror.take().map(hand_over),
+        }
+        let home_is_gone = matches!(
+            fault,
+            Fault::HomeDies | Fault::HomeRestarts | Fault::BothRestart
+        );
+        if home_is_gone {
+            (self.claim, self.started) = (None, None);
+        }
+    }
+
+    /// Sends the key again: to the home, and as a fence to the mirror if the home cannot tell.
+    fn resend(&mut self) -> Outcome {
+        let begun = self.home.clone().map(|home| home.begin(&key("a"), REQUEST));
+        match begun {
+            Some(Begin::Claimed(claim)) => {
+                self.claim = Some(claim);
+                self.go_on(true)
+            }
+            Some(Begin::Running(running)) => {
+                self.go_on(true);
+                running.finish().map_or(Outcome::Unknown, |f| f.outcome())
+            }
+            Some(Begin::Finished(_)) => Outcome::Answer,
+            Some(Begin::Fenced) => Outcome::NotRun,
+            _ => self.fence(),
+        }
+    }
+
+    fn fence(&self) -> Outcome {
+        let mirror = self.mirror.as_ref();
+        mirror
+            .and_then(|m| m.fence(&key("a"), REQUEST).outcome())
+            .unwrap_or(Outcome::Unknown)
+    }
+
+    /// Lets the home go on with the claim that it holds.
+    fn go_on(&mut self, gives_up: bool) -> Outcome {
+        if let Some(claim) = &mut self.claim
+            && !self.is_confirmed
+        {
+            let mirror = self.mirror.as_ref();
+            let reply = mirror.map(|m| m.mirror_claim(&key("a"), REQUEST, HOME, BOOT));
+            self.is_confirmed = reply.is_some_and(|r| claim.confirm_mirror(r).is_ok());
+        }
+        if self.is_confirmed {
+            self.send();
+        } else if gives_up {
+            self.claim = None;
+        }
+        if self.started.is_none() {
+            return Outcome::NotRun;
+        }
+        self.answer();
+        Outcome::Answer
+    }
+}
+
+/// Stops an instance as planned and returns the one that took its claims.
+fn hand_over(from: ClaimTable) -> ClaimTable {
+    let heir = table(OTHER, BOOT);
+    for message in from.export() {
+        heir.import(message);
+    }
+    heir
+}
+
+/// Returns what the first resend, and one after the first send went on, are told, and the runs.
+fn tell(stage: Stage, fault: Fault) -> String {
+    let mut cell = Cell::new(stage);
+    let home = cell.home.clone();
+    cell.apply(fault);
+    let first = cell.resend();
+    cell.go_on(false);
+    if fault == Fault::HomeOutOfReach || fault == Fault::BothOutOfReach {
+        cell.home = home;
+    }
+    let second = cell.resend();
+    assert!(cell.runs <= 1, "{stage:?} {fault:?}");
+    if first == Outcome::NotRun || second == Outcome::NotRun {
+        assert_eq!(cell.runs, 0, "{stage:?} {fault:?}");
+    }
+    if first == Outcome::Answer {
+        assert_eq!(second, Outcome::Answer, "{stage:?} {fault:?}");
+    }
+    format!("{first}, {second}")
+}
+
+#[test]
+fn resend_every_stage_and_fault() {
+    let mut matrix = String::from("| fault | new |");
+    for stage in &STAGES[1..] {
+        write!(matrix, " {stage:?} |").unwrap();
+    }
+    matrix.push_str("\n|---|---|---|---|---|---|\n");
+    for fault in FAULTS {
+        write!(matrix, "| {fault:?} |").unwrap();
+        for stage in STAGES {
+            write!(matrix, " {} |", tell(stage, fault)).unwrap();
+        }
+        matrix.push('\n');
+    }
+    insta::assert_snapshot!(matrix);
+}
--- a/policy/tests/claims/claims_pair.rs
+++ b/policy/tests/claims/claims_pair.rs
@@ -142,6 +142,15 @@
     assert_eq!(other, MirrorReply::Unknown(UnknownReason::OtherRun));
 }
 
+#[test]
+fn store_fence_after_answer() {
+    let (home, mirror) = (table(HOME, BOOT), table(MIRROR, BOOT));
+    run(&home, &mirror, &key("a"), "opened");
+    mirror.store_copy(&key("a"), answer("opened"));
+    mirror.store_fence(&key("a"), HOME, BOOT);
+    assert_eq!(fence(&mirror, &key("a")), Outcome::Answer);
+}
+
 #[test]
 fn mirror_claim_late() {
     let (home, mirror) = (table(HOME, BOOT), table(MIRROR, BOOT));
--- a/policy/tests/claims/main.rs
+++ b/policy/tests/claims/main.rs
@@ -3,6 +3,7 @@
 mod claims_bare;
 mod claims_hand_over;
 mod claims_key;
+mod claims_matrix;
 mod claims_memory;
 mod claims_model;
 mod claims_pair;
--- a/policy/tests/claims/support.rs
+++ b/policy/tests/claims/support.rs
@@ -27,6 +27,14 @@
     ClaimTable::new(settings(me, boot))
 }
 
+/// Table of the home with a limit on its records.
+pub fn small_table(record_limit: usize) -> ClaimTable {
+    ClaimTable::new(ClaimSettings {
+        record_limit,
+        ..settings(HOME, BOOT)
+    })
+}
+
 /// Table that may claim keys without a token at once.
 pub fn complete_table(me: InstanceId, boot: BootId) -> ClaimTable {
     ClaimTable::new(ClaimSettings {
