--- a/policy/src/claim.rs
+++ b/policy/src/claim.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Returns the key of the request.
+    pub fn key(&self) -> &RequestKey {
+        &self.key
+    }
+
     /// Returns the instance that must claim the key too, if there is one.
     pub fn mirror(&self) -> Option<InstanceId> {
         self.mirror
@@ -52,8 +57,8 @@
         match reply {
             MirrorReply::Claimed { mirror_boot } => {
                 let mut records = self.table.lock();
-                let partner = self.mirror.and_then(|m| records.partner_boots.get(&m));
-                if self.key.token.is_some() || partner.is_none_or(|boot| *boot == mirror_boot) {
+                let partner = self.mirror.and_then(|m| records.partners.boot(m));
+                if self.key.token.is_some() || partner.is_none_or(|boot| boot == mirror_boot) {
                     self.is_confirmed = true;
                     return Ok(());
                 }
--- a/policy/src/claim_begin.rs
+++ b/policy/src/claim_begin.rs
@@ -23,7 +23,7 @@
         }
         match records.vacancy(domain, key) {
             Err(reason) => Begin::Unknown(reason),
-            Ok(Vacancy::Open) if records.may_claim(domain) => {
+            Ok(Vacancy::Open) if records.may_claim(domain, key) => {
                 Begin::Claimed(self.claim(&mut records, domain, key, fingerprint))
             }
             Ok(Vacancy::Open) => {
@@ -61,9 +61,10 @@
 }
 
 impl ClaimRecords {
-    /// Returns whether new keys may be claimed; without a token, not after a restart or before a stop.
-    pub fn may_claim(&self, domain: DomainId) -> bool {
-        domain != DomainId::Bare || (self.is_bare_ready && !self.own.closed)
+    /// Returns whether a new key may be claimed; without a token, not while earlier fences may be lost.
+    pub fn may_claim(&self, domain: DomainId, key: &RequestKey) -> bool {
+        let partner = || self.bare_partner(key.id());
+        domain != DomainId::Bare || self.partners.knows_fences(partner())
     }
 }
 
--- a/policy/src/claim_hand_over.rs
+++ b/policy/src/claim_hand_over.rs
@@ -156,8 +156,11 @@
         let Some(domain) = self.domain_mut(id) else {
             return;
         };
-        if domain.entry(key).is_some() {
-            return;
+        let is_finished = matches!(state, RecordState::Finished(_));
+        match domain.entry(key).map(|entry| &entry.state) {
+            None => {}
+            Some(ClaimState::Mirrored { .. } | ClaimState::Ran) if is_finished => {}
+            Some(_) => return,
         }
         let (state, answer) = match state {
             RecordState::Claimed { home_boot } => (ClaimState::Mirrored { home_boot }, None),
--- a/policy/src/claim_mirror.rs
+++ b/policy/src/claim_mirror.rs
@@ -30,7 +30,7 @@
         }
         match records.vacancy(domain, key) {
             Err(reason) => MirrorReply::Unknown(reason),
-            Ok(Vacancy::Open) if records.may_claim(domain) => {
+            Ok(Vacancy::Open) if records.may_claim(domain, key) => {
                 let state = ClaimState::Mirrored { home_boot };
                 records.insert(domain, key, fingerprint, state);
                 records.claimed()
@@ -76,8 +76,8 @@
         match key.token {
             Some(token) => token.is_home(home, home_boot),
             None => {
-                let synced = self.partner_boots.get(&home);
-                self.bare_pair(key.id()).0 == home && synced.is_none_or(|boot| *boot == home_boot)
+                let synced = self.partners.boot(home);
+                self.bare_pair(key.id()).0 == home && synced.is_none_or(|boot| boot == home_boot)
             }
         }
     }
--- a/policy/src/claim_pair.rs
+++ b/policy/src/claim_pair.rs
@@ -32,6 +32,6 @@
 }
 
 fn weight(key: KeyId, instance: InstanceId) -> (u64, InstanceId) {
-    let hash = XxHash64::oneshot(u64::from(instance.0), &key.0.to_le_bytes());
+    let hash = XxHash64::oneshot(u64::from(instance.0), &key.to_bytes());
     (hash, instance)
 }
--- a/policy/src/claim_records.rs
+++ b/policy/src/claim_records.rs
@@ -1,16 +1,14 @@
-use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use laburnumdeal_model::{BootId, InstanceId};
 use tokio::time::Instant;
 
 use crate::answer_shelf::{AnswerShelf, DomainId};
+use crate::bare_partners::BarePartners;
 use crate::claim_domain::{ClaimDomain, Vacancy};
 use crate::claim_import::ClaimImport;
 use crate::claim_state::{ClaimEntry, ClaimState};
-use crate::{
-    BareStart, ClaimFinish, ClaimSettings, KeyId, RequestKey, StoredAnswer, UnknownReason,
-};
+use crate::{ClaimFinish, ClaimSettings, KeyId, RequestKey, StoredAnswer, UnknownReason};
 
 /// How many resend horizons records of keys without a token are kept: one for the last resend, one for
 /// the longest time between a claim and its start.
@@ -24,27 +22,22 @@
     pub bare: ClaimDomain,
     pub imports: Vec<ClaimImport>,
     pub answers: AnswerShelf,
-    /// Whether no key without a token can have been claimed or fenced here without a record.
-    pub is_bare_ready: bool,
-    /// Instances whose records of common keys without a token were adopted.
-    pub synced_from: HashSet<InstanceId>,
-    pub partner_boots: HashMap<InstanceId, BootId>,
+    /// What this run and its partners know of each other's keys without a token.
+    pub partners: BarePartners,
     pub next_serial: u64,
     started_at: Instant,
 }
 
 impl ClaimRecords {
     pub fn new(settings: ClaimSettings) -> Self {
-        let is_bare_ready = settings.bare_start == BareStart::Complete;
+        let partners = BarePartners::new(settings.bare_start);
         Self {
             settings,
             own: ClaimDomain::default(),
             bare: ClaimDomain::default(),
             imports: Vec::new(),
             answers: AnswerShelf::default(),
-            is_bare_ready,
-            synced_from: HashSet::new(),
-            partner_boots: HashMap::new(),
+            partners,
             next_serial: 0,
             started_at: Instant::now(),
         }
@@ -108,9 +101,9 @@
     }
 
     fn bare_vacancy(&self, key: KeyId) -> Result<Vacancy, UnknownReason> {
-        let partner = self.bare_partner(key);
-        let is_synced = partner.is_some_and(|p| self.synced_from.contains(&p));
-        if !self.is_bare_ready && !is_synced {
+        if self.own.closed {
+            Err(UnknownReason::Stopped)
+        } else if !self.partners.knows_claims(self.bare_partner(key)) {
             Err(UnknownReason::NotSynced)
         } else if self.bare.len() >= self.settings.bare_record_limit {
             Err(UnknownReason::Full)
@@ -147,7 +140,7 @@
         if now_ms < kept_ms {
             return;
         }
-        self.is_bare_ready = true;
+        self.partners.know_all();
         while let Some(state) = self.bare.expire_one(now_ms - kept_ms) {
             self.release(Some(state));
         }
--- a/policy/src/claim_replies.rs
+++ b/policy/src/claim_replies.rs
@@ -37,6 +37,9 @@
     /// This run does not know the earlier keys without a token yet.
     #[display("this run does not know the earlier keys yet")]
     NotSynced,
+    /// The instance has handed its claims over and stops.
+    #[display("the instance has handed its claims over and stops")]
+    Stopped,
     /// No room for a further key without a token.
     #[display("no room for a further key without a token")]
     Full,
--- a/policy/src/claim_settings.rs
+++ b/policy/src/claim_settings.rs
@@ -46,8 +46,8 @@
         Self {
             me,
             boot,
-            record_limit: 1_000_000,
-            bare_record_limit: 200_000,
+            record_limit: 300_000,
+            bare_record_limit: 100_000,
             answer_budget_bytes: 64 << 20,
             resend_horizon_ms: 600_000,
             members: Vec::new(),
--- a/policy/src/claim_sync.rs
+++ b/policy/src/claim_sync.rs
@@ -1,53 +1,107 @@
 use laburnumdeal_model::{BootId, InstanceId};
+use serde::{Deserialize, Serialize};
 
 use crate::answer_shelf::DomainId;
 use crate::claim_hand_over::record_of;
+use crate::claim_records::ClaimRecords;
 use crate::{ClaimRecord, ClaimTable};
 
+/// Records of the keys without a token that two instances share.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BareSync {
+    /// Records that the sender has.
+    pub records: Vec<ClaimRecord>,
+    /// Whether the earlier run of the receiver had handed all its records to the sender.
+    pub is_complete: bool,
+}
+
 impl ClaimTable {
-    /// Returns whether new keys without a token are claimed here.
+    /// Returns whether every new key without a token is claimed here.
     ///
-    /// A restarted run fences them instead, after it has synced, until all earlier records would have
-    /// expired: a fence that the earlier run alone had told is not among the records of the partner.
+    /// After a planned restart that is so for the keys shared with each partner that this run has synced
+    /// from. After a crash, new keys are fenced until all earlier records would have expired: a fence that
+    /// the earlier run alone had told is not among the records of the partner.
     pub fn bare_ready(&self) -> bool {
         let mut records = self.lock();
         records.expire_bare();
-        records.is_bare_ready && !records.own.closed
+        let partners = records.bare_partners();
+        let is_complete = !partners.is_empty()
+            && partners
+                .iter()
+                .all(|p| records.partners.knows_fences(Some(*p)));
+        !records.own.closed && (records.partners.knows_all() || is_complete)
     }
 
-    /// Returns the records of the keys without a token that this instance shares with a restarted partner,
-    /// or `None` if this run does not know them all.
+    /// Returns what a restarted partner must know of the keys without a token that it shares with this
+    /// instance, or `None` if this run does not know all of their claims.
     ///
     /// From then on claims of earlier runs of the partner are refused.
-    pub fn sync_records(
-        &self,
-        partner: InstanceId,
-        partner_boot: BootId,
-    ) -> Option<Vec<ClaimRecord>> {
+    pub fn sync_records(&self, partner: InstanceId, partner_boot: BootId) -> Option<BareSync> {
         let mut records = self.lock();
         records.expire_bare();
-        records.partner_boots.insert(partner, partner_boot);
-        if !records.is_bare_ready && !records.synced_from.contains(&partner) {
-            return None;
-        }
-        let boot = records.settings.boot;
-        let common = records
-            .bare
-            .entries()
-            .filter(|(key, _)| records.bare_partner(*key) == Some(partner))
-            .map(|(key, entry)| record_of(key, entry, boot))
-            .collect();
-        Some(common)
+        let horizon_ms = records.settings.resend_horizon_ms;
+        let oldest_ms = records.now_ms().saturating_sub(horizon_ms);
+        let is_complete = records.partners.restarted(partner, partner_boot, oldest_ms);
+        let knows_claims = records.partners.knows_claims(Some(partner));
+        knows_claims.then(|| BareSync {
+            records: records.shared_with(partner),
+            is_complete,
+        })
+    }
+
+    /// Adopts what a partner returned from [`ClaimTable::sync_records`].
+    pub fn sync_from(&self, partner: InstanceId, sync: BareSync) {
+        let mut records = self.lock();
+        records.adopt_bare(sync.records);
+        records.partners.synced_from(partner, sync.is_complete);
+    }
+
+    /// Returns, after [`ClaimTable::export`], all records of the keys without a token that this instance
+    /// shares with a partner; `None` before, or if earlier records are not known.
+    ///
+    /// They must reach [`ClaimTable::bare_import`] of the partner within the resend horizon.
+    pub fn bare_export(&self, partner: InstanceId) -> Option<Vec<ClaimRecord>> {
+        let records = self.lock();
+        let is_whole = records.own.closed && records.partners.knows_fences(Some(partner));
+        is_whole.then(|| records.shared_with(partner))
     }
 
-    /// Adopts the records that a partner returned from [`ClaimTable::sync_records`], all at once.
-    pub fn sync_from(&self, partner: InstanceId, told: Vec<ClaimRecord>) {
+    /// Adopts all records that a partner returned from [`ClaimTable::bare_export`] before it stopped.
+    pub fn bare_import(&self, from: InstanceId, from_boot: BootId, told: Vec<ClaimRecord>) {
         let mut records = self.lock();
-        let stamp_ms = records.now_ms();
+        records.adopt_bare(told);
+        let now_ms = records.now_ms();
+        records.partners.stopped(from, from_boot, now_ms);
+    }
+}
+
+impl ClaimRecords {
+    fn adopt_bare(&mut self, told: Vec<ClaimRecord>) {
+        let stamp_ms = self.now_ms();
         for record in told {
-            let record = ClaimRecord { stamp_ms, ..record };
-            records.adopt(DomainId::Bare, record);
+            self.adopt(DomainId::Bare, ClaimRecord { stamp_ms, ..record });
         }
-        records.synced_from.insert(partner);
+    }
+
+    fn shared_with(&self, partner: InstanceId) -> Vec<ClaimRecord> {
+        self.bare
+            .entries()
+            .filter(|(key, _)| self.bare_partner(*key) == Some(partner))
+            .map(|(key, entry)| record_of(key, entry, self.settings.boot))
+            .collect()
+    }
+
+    /// Returns the instances that this one can share a key without a token with.
+    fn bare_partners(&self) -> Vec<InstanceId> {
+        let members = &self.settings.members;
+        let me = self.settings.me;
+        let my_zone = members.iter().find(|(id, _)| *id == me).map(|(_, z)| *z);
+        let is_elsewhere = |zone| Some(zone) != my_zone;
+        let has_elsewhere = members.iter().any(|(_, zone)| is_elsewhere(*zone));
+        members
+            .iter()
+            .filter(|(id, zone)| *id != me && (!has_elsewhere || is_elsewhere(*zone)))
+            .map(|(id, _)| *id)
+            .collect()
     }
 }
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decisions of laburnumdeal without sockets: routing, slots, shares, claims, retries, membership.
 
 mod answer_shelf;
+mod bare_partners;
 mod claim;
 mod claim_begin;
 mod claim_domain;
@@ -43,6 +44,7 @@
 pub use claim_settings::{BareStart, ClaimSettings};
 pub use claim_started::Started;
 pub use claim_stats::ClaimStats;
+pub use claim_sync::BareSync;
 pub use claim_table::ClaimTable;
 pub use claim_token::ClaimToken;
 pub use fenced::Fenced;
