--- a/policy/src/claim_hand_over.rs
+++ b/policy/src/claim_hand_over.rs
@@ -46,6 +46,17 @@
     Finished(StoredAnswer),
 }
 
+/// Names one export of one run, also when that passes on what another run had handed to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ExportId {
+    /// Instance that exported.
+    pub by: InstanceId,
+    /// Run of that instance.
+    pub by_boot: BootId,
+    /// Number of the export in that run.
+    pub number: u64,
+}
+
 /// One message of a hand-over on a planned stop.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HandOver {
@@ -53,8 +64,8 @@
     pub from: InstanceId,
     /// Run of that instance.
     pub from_boot: BootId,
-    /// Number of the export; parts of different exports do not make a whole.
-    pub export: u64,
+    /// Export that this message is a part of; parts of different exports do not make a whole.
+    pub export: ExportId,
     /// Floor of that run.
     pub floor_ms: Option<u64>,
     /// Number of this message, from 0.
@@ -74,9 +85,13 @@
         let mut records = self.lock();
         records.close();
         records.next_serial += 1;
-        let export = records.next_serial;
-        let (me, boot) = (records.settings.me, records.settings.boot);
-        let mut messages = split(me, boot, export, &records.own);
+        let (by, by_boot) = (records.settings.me, records.settings.boot);
+        let export = ExportId {
+            by,
+            by_boot,
+            number: records.next_serial,
+        };
+        let mut messages = split(by, by_boot, export, &records.own);
         for import in records.imports.iter().filter(|i| i.is_complete()) {
             let (from, from_boot) = import.run();
             messages.extend(split(from, from_boot, export, &import.domain));
@@ -201,7 +216,12 @@
     }
 }
 
-fn split(from: InstanceId, from_boot: BootId, export: u64, domain: &ClaimDomain) -> Vec<HandOver> {
+fn split(
+    from: InstanceId,
+    from_boot: BootId,
+    export: ExportId,
+    domain: &ClaimDomain,
+) -> Vec<HandOver> {
     let mut parts = vec![Vec::new()];
     let mut answer_bytes = 0;
     for (key, entry) in domain.entries() {
--- a/policy/src/claim_import.rs
+++ b/policy/src/claim_import.rs
@@ -2,15 +2,15 @@
 
 use laburnumdeal_model::{BootId, InstanceId};
 
-use crate::HandOver;
 use crate::claim_domain::ClaimDomain;
+use crate::{ExportId, HandOver};
 
 /// Claims that a run of another instance handed over when it stopped.
 #[derive(Debug)]
 pub(crate) struct ClaimImport {
     from: InstanceId,
     boot: BootId,
-    export: u64,
+    export: ExportId,
     received: BTreeSet<u32>,
     total: u32,
     pub domain: ClaimDomain,
@@ -33,7 +33,7 @@
         (self.from, self.boot) == (from, boot)
     }
 
-    pub fn is_export(&self, export: u64) -> bool {
+    pub fn is_export(&self, export: ExportId) -> bool {
         self.export == export
     }
 
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -36,7 +36,7 @@
 pub use claim::Claim;
 pub use claim_finish::{ClaimFinish, RunningClaim};
 pub use claim_hand_over::{
-    ClaimRecord, HAND_OVER_ANSWER_BYTES, HAND_OVER_RECORDS, HandOver, MAX_IMPORTED_RUNS,
+    ClaimRecord, ExportId, HAND_OVER_ANSWER_BYTES, HAND_OVER_RECORDS, HandOver, MAX_IMPORTED_RUNS,
     RecordState,
 };
 pub use claim_pair::pair_for_bare_key;
--- a/policy/tests/claims/claims_hand_over.rs
+++ b/policy/tests/claims/claims_hand_over.rs
@@ -118,6 +118,26 @@
     assert_eq!(next.stats().imported_runs, 2);
 }
 
+#[test]
+fn import_parts_of_two_exporters() {
+    let home = table(HOME, BOOT);
+    let (heir, next) = (table(OTHER, BOOT), table(HOME, NEXT));
+    for n in 0..=HAND_OVER_RECORDS {
+        assert!(is_fenced(&home.fence(&numbered(n), REQUEST)));
+    }
+    let direct = home.export();
+    hand_over(&home, &heir);
+    let passed_on = heir.export();
+    assert!(!next.import(direct[0].clone()));
+    for part in passed_on
+        .into_iter()
+        .filter(|p| p.from == HOME && p.part > 0)
+    {
+        assert!(!next.import(part), "two parts of two exports");
+    }
+    assert_eq!(resend(&next, &key("new")), Some(Outcome::Unknown));
+}
+
 #[test]
 fn import_own_run() {
     let home = table(HOME, BOOT);
--- a/policy/tests/claims/world.rs
+++ b/policy/tests/claims/world.rs
@@ -93,6 +93,8 @@
     record_limit: usize,
     /// Share of fences, time-outs, restarts and stops that happen.
     trouble: f64,
+    /// Share of keys without a token.
+    bare_share: f64,
     keys: Vec<Known>,
     attempts: Vec<Attempt>,
     flying: Vec<(Known, BootId, Started)>,
@@ -113,6 +115,7 @@
     pub fn new(fault: Fault, mut rng: ChaCha8Rng) -> Self {
         let record_limit = *[4, 1_000].choose(&mut rng).unwrap();
         let trouble = *[0.1, 0.4, 1.0].choose(&mut rng).unwrap();
+        let bare_share = *[0.1, 0.9].choose(&mut rng).unwrap();
         let mut world = Self {
             fault,
             rng,
@@ -122,6 +125,7 @@
             now_ms: 0,
             record_limit,
             trouble,
+            bare_share,
             keys: Vec::new(),
             attempts: Vec::new(),
             flying: Vec::new(),
@@ -192,7 +196,7 @@
     fn make_key(&mut self) {
         let nonce = format!("n{}", self.number());
         let home = InstanceId(self.rng.random_range(0..INSTANCES));
-        let known = if self.rng.random_bool(0.3) {
+        let known = if self.rng.random_bool(self.bare_share) {
             let key = bare_key(&nonce);
             let members: Vec<_> = (0..INSTANCES).map(|i| (InstanceId(i), ZoneId(i))).collect();
             let (home, mirror) = pair_for_bare_key(key.id(), &members);
@@ -460,13 +464,14 @@
     }
 
     fn sync(&mut self) {
-        let (id, from) = (self.any_instance(), self.any_instance());
+        let id = self.any_instance();
         let boot = self.boots[id.index()];
-        if id == from {
-            return;
-        }
-        if let Some(records) = self.tables[from.index()].sync_records(id, boot) {
-            self.tables[id.index()].sync_from(from, records);
+        for from in (0..INSTANCES).map(InstanceId).filter(|from| *from != id) {
+            let sync = self.tables[from.index()].sync_records(id, boot);
+            // The reply may be lost.
+            if let Some(sync) = sync.filter(|_| self.rng.random_bool(0.8)) {
+                self.tables[id.index()].sync_from(from, sync);
+            }
         }
     }
 
