--- a/policy/src/pool_core.rs
+++ b/policy/src/pool_core.rs
@@ -87,6 +87,12 @@
         self.dispatch_all(now);
     }
 
+    /// Returns whether this instance owns an upstream.
+    pub fn owns(&self, upstream: UpstreamId) -> bool {
+        let entry = self.upstreams.get(upstream.index());
+        entry.is_some_and(|entry| entry.owned.is_some())
+    }
+
     /// Gives a slot back and hands it to the first waiting request that can use it.
     pub fn release(&mut self, grant: SlotGrant, ending: Ending, now: Instant) {
         let Some(owned) = self.upstreams[grant.upstream.index()].owned else {
