Test shares in seeded runs under faults

Instances with drifting clocks spend, lend, die and restart over a network that delays, loses, doubles and cuts; the sum of their use is checked against the cap in every second. Three planted faults show that the checker sees what it must: a lender that counts back without the borrower's last second, a borrower that times a grant from its arrival, and a restart without its fence.

--- /dev/null
+++ b/policy/tests/shares_book.rs
@@ -0,0 +1,304 @@
+//! Tests of shares, their limits in time and their loans.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use laburnumdeal_model::{
+    BootId, Change, Configuration, InstanceId, RegionId, ServiceId, Topology, Version,
+};
+use laburnumdeal_policy::{CapKey, Caps, Grant, ShareBook, ShareSettings};
+use support::{Shape, configured, topology};
+use tokio::time::Instant;
+
+const KEY: CapKey = CapKey::Shift(ServiceId(0));
+
+const SHAPE: Shape = Shape {
+    regions: 2,
+    zones: 1,
+    instances: 1,
+    upstreams: 1,
+};
+
+/// Two instances that share a cap, past the time in which a restart holds them back.
+struct Pair {
+    topology: Arc<Topology>,
+    lender: ShareBook,
+    borrower: ShareBook,
+    now: Instant,
+}
+
+fn cap(topology: &Topology, requests_per_s: u64, version: u64) -> Configuration {
+    let service = "s0".into();
+    let change = Change::CapShift {
+        service,
+        requests_per_s,
+    };
+    Configuration {
+        version: Version(version),
+        ..configured(topology, &[change])
+    }
+}
+
+fn pair(requests_per_s: u64) -> Pair {
+    let topology = topology(SHAPE, 1_000);
+    let started = Instant::now();
+    let open = |id| {
+        let settings = ShareSettings::default();
+        let book = ShareBook::new(
+            InstanceId(id),
+            BootId(1),
+            topology.clone(),
+            settings,
+            started,
+        );
+        book.configure(&cap(&topology, requests_per_s, 1));
+        book
+    };
+    Pair {
+        lender: open(0),
+        borrower: open(1),
+        now: started + Duration::from_secs(10),
+        topology,
+    }
+}
+
+fn after(now: Instant, ms: u64) -> Instant {
+    now + Duration::from_millis(ms)
+}
+
+/// Asks for one more request every millisecond and returns how many were let through.
+fn spend_all(book: &ShareBook, from: Instant, for_ms: u64) -> u64 {
+    let tries = (0..for_ms).filter(|ms| book.spend(KEY, 1, after(from, *ms)).is_ok());
+    tries.count() as u64
+}
+
+fn loan(pair: &Pair, amount: u64) -> Grant {
+    pair.lender
+        .lend(KEY, InstanceId(1), amount, pair.now)
+        .unwrap()
+}
+
+#[test]
+fn share_split_sums_to_cap() {
+    let shape = Shape {
+        regions: 3,
+        zones: 2,
+        instances: 2,
+        ..SHAPE
+    };
+    let topology = topology(shape, 997);
+    for requests_per_s in [0, 1, 5, 11, 12, 13, 50, 1_000_003] {
+        let configuration = cap(&topology, requests_per_s, 1);
+        let caps = Caps::new(&configuration, &topology);
+        let sum = |key| {
+            topology
+                .instance_ids()
+                .map(|id| caps.share_per_s(key, id))
+                .sum::<u64>()
+        };
+        assert_eq!(sum(KEY), requests_per_s);
+        assert_eq!(sum(CapKey::Region(RegionId(2))), 997);
+    }
+}
+
+#[test]
+fn spend_before_configure_is_refused() {
+    let topology = topology(SHAPE, 1_000);
+    let now = Instant::now();
+    let settings = ShareSettings::default();
+    let book = ShareBook::new(InstanceId(0), BootId(1), topology, settings, now);
+    assert!(book.spend(KEY, 1, after(now, 60_000)).is_err());
+}
+
+#[test]
+fn spend_steady_uses_nearly_whole_share() {
+    let pair = pair(200);
+    let spent = spend_all(&pair.lender, pair.now, 10_000);
+    assert!((970..=1_025).contains(&spent), "{spent} of 1000");
+}
+
+#[test]
+fn spend_burst_is_bounded() {
+    let pair = pair(200);
+    let spent = (0..100).filter(|_| pair.lender.spend(KEY, 1, pair.now).is_ok());
+    assert_eq!(spent.count(), 25);
+}
+
+#[test]
+fn spend_after_retry_after_fits() {
+    let pair = pair(7);
+    let mut now = pair.now;
+    for _ in 0..50 {
+        if let Err(over) = pair.lender.spend(KEY, 1, now) {
+            now = after(now, over.retry_after_ms);
+            assert!(pair.lender.spend(KEY, 1, now).is_ok());
+        }
+    }
+}
+
+#[test]
+fn spend_larger_than_burst_names_largest() {
+    let pair = pair(200);
+    let over = pair.lender.spend(KEY, 26, pair.now).unwrap_err();
+    assert_eq!(over.most, 25);
+    assert!(pair.lender.spend(KEY, over.most, pair.now).is_ok());
+}
+
+#[test]
+fn spend_cap_of_other_region_is_refused() {
+    let pair = pair(200);
+    assert!(
+        pair.lender
+            .spend(CapKey::Region(RegionId(1)), 1, pair.now)
+            .is_err()
+    );
+    assert!(
+        pair.lender
+            .spend(CapKey::Region(RegionId(0)), 1, pair.now)
+            .is_ok()
+    );
+}
+
+#[test]
+fn spend_without_cap_passes() {
+    let pair = pair(200);
+    let key = CapKey::Link(RegionId(0), RegionId(1));
+    assert!(
+        pair.lender
+            .spend(key, u64::from(u32::MAX), pair.now)
+            .is_ok()
+    );
+}
+
+#[test]
+fn configure_lower_cap_binds_at_once() {
+    let pair = pair(200);
+    assert_eq!(spend_all(&pair.lender, pair.now, 400), 64);
+    pair.lender.configure(&cap(&pair.topology, 20, 2));
+    assert_eq!(spend_all(&pair.lender, after(pair.now, 400), 500), 0);
+}
+
+#[test]
+fn configure_older_version_is_ignored() {
+    let pair = pair(200);
+    assert!(pair.lender.configure(&cap(&pair.topology, 20, 3)));
+    assert!(!pair.lender.configure(&cap(&pair.topology, 200, 2)));
+    assert_eq!(pair.lender.limit_per_s(KEY, pair.now), Some(10));
+}
+
+#[test]
+fn lend_idle_lender_moves_part() {
+    let pair = pair(200);
+    let grant = loan(&pair, 40);
+    assert!(pair.borrower.accept(&grant, pair.now, pair.now));
+    assert_eq!(pair.lender.limit_per_s(KEY, pair.now), Some(60));
+    assert_eq!(pair.borrower.limit_per_s(KEY, pair.now), Some(140));
+}
+
+#[test]
+fn lend_never_more_than_half() {
+    let pair = pair(200);
+    let lent: u64 = std::iter::from_fn(|| pair.lender.lend(KEY, InstanceId(1), 100, pair.now))
+        .map(|grant| grant.amount_per_s)
+        .sum();
+    assert_eq!(lent, 50);
+}
+
+#[test]
+fn lend_busy_lender_keeps_all() {
+    let pair = pair(200);
+    spend_all(&pair.lender, pair.now, 1_000);
+    let now = after(pair.now, 1_000);
+    assert!(pair.lender.demand(KEY, now) > 0);
+    assert_eq!(pair.lender.lend(KEY, InstanceId(1), 10, now), None);
+}
+
+#[test]
+fn lend_ends_at_borrower_before_lender() {
+    let pair = pair(200);
+    let grant = loan(&pair, 40);
+    pair.borrower.accept(&grant, pair.now, pair.now);
+    let ended = after(pair.now, grant.expires_after_ms);
+    assert_eq!(pair.borrower.limit_per_s(KEY, ended), Some(100));
+    assert_eq!(pair.lender.limit_per_s(KEY, after(ended, 1_000)), Some(60));
+    assert_eq!(pair.lender.limit_per_s(KEY, after(ended, 1_200)), Some(100));
+}
+
+#[test]
+fn accept_doubled_grant_counts_once() {
+    let pair = pair(200);
+    let grant = loan(&pair, 40);
+    assert!(pair.borrower.accept(&grant, pair.now, pair.now));
+    assert!(!pair.borrower.accept(&grant, pair.now, pair.now));
+    assert!(pair.borrower.give_back(&grant, pair.now).is_some());
+    assert!(!pair.borrower.accept(&grant, pair.now, pair.now));
+    assert_eq!(pair.borrower.limit_per_s(KEY, pair.now), Some(100));
+}
+
+#[test]
+fn accept_late_grant_is_refused() {
+    let pair = pair(200);
+    let grant = loan(&pair, 40);
+    let late = after(pair.now, grant.expires_after_ms);
+    assert!(!pair.borrower.accept(&grant, pair.now, late));
+}
+
+#[test]
+fn accept_grant_of_other_cap_is_refused() {
+    let pair = pair(200);
+    let grant = loan(&pair, 40);
+    pair.borrower.configure(&cap(&pair.topology, 100, 2));
+    assert!(!pair.borrower.accept(&grant, pair.now, pair.now));
+}
+
+#[test]
+fn configure_other_cap_ends_borrowing() {
+    let pair = pair(200);
+    let grant = loan(&pair, 40);
+    pair.borrower.accept(&grant, pair.now, pair.now);
+    pair.borrower.configure(&cap(&pair.topology, 100, 2));
+    assert_eq!(pair.borrower.limit_per_s(KEY, pair.now), Some(50));
+}
+
+#[test]
+fn give_back_counts_after_last_second() {
+    let pair = pair(200);
+    let grant = loan(&pair, 40);
+    pair.borrower.accept(&grant, pair.now, pair.now);
+    let message = pair.borrower.give_back(&grant, pair.now).unwrap();
+    pair.lender.returned(&message, pair.now);
+    assert_eq!(
+        pair.lender.limit_per_s(KEY, after(pair.now, 1_000)),
+        Some(60)
+    );
+    assert_eq!(
+        pair.lender.limit_per_s(KEY, after(pair.now, 1_100)),
+        Some(100)
+    );
+}
+
+#[test]
+fn restart_holds_back_until_longest_grant_ended() {
+    let topology = topology(SHAPE, 1_000);
+    let started = Instant::now();
+    let settings = ShareSettings::default();
+    let book = ShareBook::new(
+        InstanceId(0),
+        BootId(2),
+        topology.clone(),
+        settings,
+        started,
+    );
+    book.configure(&cap(&topology, 200, 1));
+    let limit = |ms| book.limit_per_s(KEY, after(started, ms));
+    assert_eq!(limit(1_000), Some(0));
+    assert_eq!(limit(1_100), Some(50));
+    assert_eq!(limit(4_000), Some(50));
+    assert_eq!(limit(4_200), Some(100));
+    assert_eq!(
+        book.lend(KEY, InstanceId(1), 9, after(started, 4_000)),
+        None
+    );
+}
--- /dev/null
+++ b/policy/tests/support/share_run.rs
@@ -0,0 +1,321 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use laburnumdeal_model::{BootId, Change, Configuration, InstanceId, ServiceId, Topology, Version};
+use laburnumdeal_policy::{CapKey, GiveBack, Grant, ShareBook, ShareSettings};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::time::Instant;
+
+use super::cap_checker::CapChecker;
+use super::{Shape, configured, topology};
+
+/// Time between two rounds of a run.
+const ROUND_US: u64 = 5_000;
+
+/// Longest time of a message on its way.
+const MAX_DELAY_US: u64 = 1_900_000;
+
+pub const KEY: CapKey = CapKey::Shift(ServiceId(0));
+
+/// Faults that are planted to show that the checker sees them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Planted {
+    Nothing,
+    /// Lenders spend a part again without waiting for the borrower's last second.
+    CountedBackEarly,
+    /// Borrowers count a grant's time from its arrival.
+    TimedFromArrival,
+    /// Processes use their whole share right after a restart.
+    RestartedUnfenced,
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Ask {
+        from: usize,
+        asked_us: u64,
+        boot: u64,
+    },
+    Grant {
+        grant: Grant,
+        asked_us: u64,
+        boot: u64,
+    },
+    GiveBack(GiveBack),
+}
+
+struct Node {
+    book: Option<ShareBook>,
+    boot: u64,
+    drift_ppm: u64,
+    is_greedy: bool,
+    version: usize,
+    grants: Vec<Grant>,
+}
+
+/// Faults of one run; a run without some of them is closer to its cap and shows more.
+#[derive(Clone, Copy, Debug)]
+struct Faults {
+    deaths: bool,
+    cuts: bool,
+    changes: bool,
+}
+
+/// Instances with clocks of their own that spend, lend, die and restart at random over a network
+/// that delays, loses, doubles and cuts.
+pub struct ShareRun {
+    rng: ChaCha8Rng,
+    topology: Arc<Topology>,
+    configurations: Vec<Configuration>,
+    settings: ShareSettings,
+    planted: Planted,
+    faults: Faults,
+    base: Instant,
+    now_us: u64,
+    nodes: Vec<Node>,
+    cut: Vec<Vec<bool>>,
+    messages: BTreeMap<(u64, u64), (usize, Message)>,
+    sent: u64,
+    pub checker: CapChecker,
+    pub grants_used: u64,
+}
+
+impl ShareRun {
+    pub fn new(seed: u64, planted: Planted) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let shape = Shape {
+            regions: 2,
+            zones: 1,
+            instances: rng.random_range(2..=3),
+            upstreams: 1,
+        };
+        let topology = topology(shape, 1_000);
+        let count = topology.instances.len();
+        let settings = match planted {
+            Planted::CountedBackEarly => ShareSettings {
+                count_back_margin_ms: 0,
+                ..ShareSettings::default()
+            },
+            _ => ShareSettings::default(),
+        };
+        let configurations = (1..6).map(|version| {
+            let requests_per_s = [200, 40, 200, 7, 400][rng.random_range(0..5)];
+            let service = "s0".into();
+            let cap = Change::CapShift {
+                service,
+                requests_per_s,
+            };
+            Configuration {
+                version: Version(version),
+                ..configured(&topology, &[cap])
+            }
+        });
+        let configurations = configurations.collect();
+        let mut run = Self {
+            topology,
+            configurations,
+            settings,
+            planted,
+            faults: Faults {
+                deaths: rng.random(),
+                cuts: rng.random(),
+                changes: rng.random(),
+            },
+            base: Instant::now(),
+            now_us: 0,
+            nodes: Vec::new(),
+            cut: vec![vec![false; count]; count],
+            messages: BTreeMap::new(),
+            sent: 0,
+            checker: CapChecker::default(),
+            grants_used: 0,
+            rng,
+        };
+        for _ in 0..count {
+            let drift_ppm = run.rng.random_range(990_000..=1_010_000);
+            run.nodes.push(Node {
+                book: None,
+                boot: 0,
+                drift_ppm,
+                is_greedy: false,
+                version: 0,
+                grants: Vec::new(),
+            });
+        }
+        run
+    }
+
+    /// Runs for a time and returns the largest excess over the cap.
+    pub fn run(&mut self, run_ms: u64) -> u64 {
+        for node in 0..self.nodes.len() {
+            self.restart(node);
+        }
+        while self.now_us < run_ms * 1_000 {
+            self.now_us += ROUND_US;
+            self.deliver();
+            for node in 0..self.nodes.len() {
+                self.round(node);
+            }
+        }
+        self.checker.excess
+    }
+
+    /// Time on a node's own clock.
+    fn local(&self, node: usize, at_us: u64) -> Instant {
+        let drift = self.nodes[node].drift_ppm;
+        self.base + Duration::from_micros(at_us * drift / 1_000_000)
+    }
+
+    fn chance(&mut self, one_in: u32) -> bool {
+        self.rng.random_ratio(1, one_in)
+    }
+
+    fn restart(&mut self, node: usize) {
+        let started = match self.planted {
+            Planted::RestartedUnfenced => self.base,
+            _ => self.local(node, self.now_us),
+        };
+        let boot = self.nodes[node].boot + 1;
+        let id = InstanceId(node as u16);
+        let book = ShareBook::new(
+            id,
+            BootId(boot),
+            self.topology.clone(),
+            self.settings,
+            started,
+        );
+        book.configure(&self.configurations[self.nodes[node].version]);
+        self.nodes[node].book = Some(book);
+        self.nodes[node].boot = boot;
+        self.nodes[node].grants.clear();
+    }
+
+    fn round(&mut self, node: usize) {
+        let phase = if self.nodes[node].is_greedy { 800 } else { 200 };
+        if self.chance(phase) {
+            self.nodes[node].is_greedy ^= true;
+        }
+        if self.faults.cuts && self.chance(1_500) {
+            let other = self.rng.random_range(0..self.nodes.len());
+            self.cut[node][other] ^= true;
+        }
+        if self.faults.deaths && self.chance(3_000) {
+            self.nodes[node].book = None;
+        }
+        if self.nodes[node].book.is_none() && self.chance(150) {
+            self.restart(node);
+        }
+        if self.faults.changes
+            && self.chance(1_500)
+            && self.nodes[node].version + 1 < self.configurations.len()
+        {
+            self.nodes[node].version += 1;
+            let version = self.nodes[node].version;
+            if let Some(book) = &self.nodes[node].book {
+                book.configure(&self.configurations[version]);
+            }
+        }
+        self.spend(node);
+    }
+
+    fn spend(&mut self, node: usize) {
+        let Some(book) = self.nodes[node].book.clone() else {
+            return;
+        };
+        let cap = self.configurations[self.nodes[node].version].shift_caps["s0"];
+        self.checker.in_force(cap, self.now_us);
+        let now = self.local(node, self.now_us);
+        let tries = if self.nodes[node].is_greedy { 6 } else { 0 };
+        for _ in 0..tries {
+            if book.spend(KEY, 1, now).is_ok() {
+                self.checker.spent(1, self.now_us);
+            }
+        }
+        if book.demand(KEY, now) > 0 && self.chance(40) {
+            let lenders = book.lenders(KEY);
+            let lender = lenders[self.rng.random_range(0..lenders.len())].index();
+            let (asked_us, boot) = (self.now_us, self.nodes[node].boot);
+            self.send(
+                node,
+                lender,
+                Message::Ask {
+                    from: node,
+                    asked_us,
+                    boot,
+                },
+            );
+        }
+        if self.chance(200)
+            && let Some(grant) = self.nodes[node].grants.pop()
+            && let Some(message) = book.give_back(&grant, now)
+        {
+            self.send(node, grant.from.index(), Message::GiveBack(message));
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        if self.cut[from][to] || self.chance(10) {
+            return;
+        }
+        let copies = if self.chance(10) { 2 } else { 1 };
+        for _ in 0..copies {
+            let longest_us = if self.chance(2) { MAX_DELAY_US } else { 20_000 };
+            let at_us = self.now_us + self.rng.random_range(0..longest_us);
+            self.sent += 1;
+            self.messages
+                .insert((at_us, self.sent), (to, message.clone()));
+        }
+    }
+
+    fn deliver(&mut self) {
+        let later = self.messages.split_off(&(self.now_us, u64::MAX));
+        let due = std::mem::replace(&mut self.messages, later);
+        for (to, message) in due.into_values() {
+            if let Some(book) = self.nodes[to].book.clone() {
+                self.receive(to, &book, message);
+            }
+        }
+    }
+
+    fn receive(&mut self, to: usize, book: &ShareBook, message: Message) {
+        let now = self.local(to, self.now_us);
+        match message {
+            Message::Ask {
+                from,
+                asked_us,
+                boot,
+            } => {
+                let asked = self.rng.random_range(1..60);
+                if let Some(grant) = book.lend(KEY, InstanceId(from as u16), asked, now) {
+                    self.send(
+                        to,
+                        from,
+                        Message::Grant {
+                            grant,
+                            asked_us,
+                            boot,
+                        },
+                    );
+                }
+            }
+            Message::Grant {
+                grant,
+                asked_us,
+                boot,
+            } if boot == self.nodes[to].boot => {
+                let asked_at = match self.planted {
+                    Planted::TimedFromArrival => now,
+                    _ => self.local(to, asked_us),
+                };
+                if book.accept(&grant, asked_at, now) {
+                    self.nodes[to].grants.push(grant);
+                    self.grants_used += 1;
+                }
+            }
+            Message::Grant { .. } => {}
+            Message::GiveBack(message) => book.returned(&message, now),
+        }
+    }
+}
