--- a/policy/src/entry_instances.rs
+++ b/policy/src/entry_instances.rs
@@ -24,38 +24,52 @@
     now: Instant,
 ) -> Vec<InstanceId> {
     let slot = CallerSlot::of(address);
-    let mut zones = table.preference(address, my_zone);
-    zones.sort_by_key(|zone| {
-        (
-            table.drains().is_empty_zone(*zone),
-            !table.runs(service, *zone),
-            table.drains().is_moved(*zone, slot),
-        )
-    });
     let mut entries = Vec::with_capacity(MAX_ENTRY_INSTANCES);
-    for zone in zones {
-        add_zone(&mut entries, membership, zone, address, now);
-        if entries.len() >= MAX_ENTRY_INSTANCES {
-            break;
+    let mut members = Vec::with_capacity(MAX_ENTRY_INSTANCES);
+    for fit in Fit::ALL {
+        for zone in table.preference(address, my_zone) {
+            if Fit::of(table, service, zone, slot) != fit {
+                continue;
+            }
+            members.clear();
+            membership.each_live_in(zone, now, |id, state| {
+                members.push((state == MemberState::Suspect, spread(address, id), id));
+            });
+            members.sort_unstable();
+            entries.extend(members.iter().map(|(_, _, id)| *id));
+            if entries.len() >= MAX_ENTRY_INSTANCES {
+                entries.truncate(MAX_ENTRY_INSTANCES);
+                return entries;
+            }
         }
     }
-    entries.truncate(MAX_ENTRY_INSTANCES);
     entries
 }
 
-fn add_zone(
-    entries: &mut Vec<InstanceId>,
-    membership: &Membership,
-    zone: ZoneId,
-    address: IpAddr,
-    now: Instant,
-) {
-    let start = entries.len();
-    entries.extend(membership.live_in(zone, now));
-    entries[start..].sort_by_cached_key(|instance| {
-        let is_suspect = membership.state(*instance, now) == MemberState::Suspect;
-        (is_suspect, spread(address, *instance))
-    });
+/// How well a zone fits a caller, best first.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Fit {
+    Runs,
+    Moved,
+    NotRunning,
+    Drained,
+}
+
+impl Fit {
+    const ALL: [Self; 4] = [Self::Runs, Self::Moved, Self::NotRunning, Self::Drained];
+
+    fn of(table: &LookupTable, service: ServiceId, zone: ZoneId, slot: CallerSlot) -> Self {
+        if table.drains().is_empty_zone(zone) {
+            return Self::Drained;
+        }
+        if !table.runs(service, zone) {
+            return Self::NotRunning;
+        }
+        match table.drains().is_moved(zone, slot) {
+            true => Self::Moved,
+            false => Self::Runs,
+        }
+    }
 }
 
 /// Rendezvous hash, so that one lost instance moves only its own callers.
--- a/policy/src/lookup_table.rs
+++ b/policy/src/lookup_table.rs
@@ -81,10 +81,8 @@
     /// Returns the home zone of a caller for a service: the first zone of its preference that runs
     /// the service, or `my_zone` when none does.
     pub fn home(&self, service: ServiceId, address: IpAddr, my_zone: ZoneId) -> ZoneId {
-        let steered = self.steered(address).unwrap_or(&[]);
-        let zones = steered.iter().copied().chain(self.nearest(my_zone));
+        let mut zones = self.preference(address, my_zone);
         zones
-            .into_iter()
             .find(|zone| self.runs(service, *zone))
             .unwrap_or(my_zone)
     }
@@ -105,10 +103,14 @@
     }
 
     /// Returns the zones of an address in order of preference, followed by all others by nearness.
-    pub fn preference(&self, address: IpAddr, my_zone: ZoneId) -> Vec<ZoneId> {
+    pub fn preference(
+        &self,
+        address: IpAddr,
+        my_zone: ZoneId,
+    ) -> impl Iterator<Item = ZoneId> + '_ {
         let steered = self.steered(address).unwrap_or(&[]);
         let rest = self.nearest(my_zone).filter(|zone| !steered.contains(zone));
-        steered.iter().copied().chain(rest).collect()
+        steered.iter().copied().chain(rest)
     }
 
     /// Returns whether a service has an allowed upstream in a zone.
--- a/policy/src/membership.rs
+++ b/policy/src/membership.rs
@@ -38,6 +38,8 @@
     me: InstanceId,
     boot: BootId,
     topology: Arc<Topology>,
+    /// Instances of each zone, in key order.
+    zones: Vec<Vec<InstanceId>>,
     settings: MembershipSettings,
     view: Mutex<View>,
     generation: watch::Sender<u64>,
@@ -74,6 +76,10 @@
         let inner = Inner {
             me,
             boot,
+            zones: topology
+                .zone_ids()
+                .map(|zone| topology.instances_in(zone).collect())
+                .collect(),
             topology,
             settings,
             view: Mutex::new(view),
@@ -175,13 +181,32 @@
 
     /// Returns the live and suspect instances of a zone in key order, this one among them.
     pub fn live_in(&self, zone: ZoneId, now: Instant) -> Vec<InstanceId> {
+        let mut live = Vec::new();
+        self.each_live_in(zone, now, |id, _| live.push(id));
+        live
+    }
+
+    /// Calls `each` with every live and suspect instance of a zone, in key order.
+    pub fn each_live_in(
+        &self,
+        zone: ZoneId,
+        now: Instant,
+        mut each: impl FnMut(InstanceId, MemberState),
+    ) {
         let view = self.lock();
-        let takes_work = |id: &InstanceId| self.state_in(&view, *id, now).takes_work();
-        self.inner
-            .topology
-            .instances_in(zone)
-            .filter(takes_work)
-            .collect()
+        for id in &self.inner.zones[zone.index()] {
+            let state = self.state_in(&view, *id, now);
+            if state.takes_work() {
+                each(*id, state);
+            }
+        }
+    }
+
+    /// Returns whether any instance of a zone is live or suspect.
+    pub fn is_reachable(&self, zone: ZoneId, now: Instant) -> bool {
+        let view = self.lock();
+        let mut members = self.inner.zones[zone.index()].iter();
+        members.any(|id| self.state_in(&view, *id, now).takes_work())
     }
 
     /// Returns the instances of a zone that own its upstreams: those that take work, and those that
@@ -192,11 +217,8 @@
             let state = self.state_in(&view, *id, now);
             state.takes_work() || state == MemberState::Unknown
         };
-        self.inner
-            .topology
-            .instances_in(zone)
-            .filter(owns)
-            .collect()
+        let members = self.inner.zones[zone.index()].iter().copied();
+        members.filter(owns).collect()
     }
 
     /// Returns a receiver that wakes at every change; its value is the generation.
--- a/policy/src/router.rs
+++ b/policy/src/router.rs
@@ -189,15 +189,18 @@
         if drains.is_empty_zone(zone) {
             return ZoneReason::Drained;
         }
-        if !is_mine && input.membership.live_in(zone, input.now).is_empty() {
+        if !is_mine && !input.membership.is_reachable(zone, input.now) {
             return ZoneReason::OutOfReach;
         }
         if drains.is_moved(zone, slot) {
             let moved_permille = drains.moved_permille(zone);
             return ZoneReason::Moved { moved_permille };
         }
-        if is_mine && zone == home {
-            return ZoneReason::Home;
+        if is_mine {
+            return match zone == home {
+                true => ZoneReason::Home,
+                false => ZoneReason::Own,
+            };
         }
         self.reason_of_room(input, home, zone)
     }
--- a/policy/src/share_book.rs
+++ b/policy/src/share_book.rs
@@ -51,6 +51,9 @@
 }
 
 impl ShareBook {
+    /// Bytes of one share.
+    pub const BYTES_PER_SHARE: usize = size_of::<Mutex<Share>>();
+
     /// Returns a book that refuses everything until [`ShareBook::configure`], and for a second after
     /// `started`, because an earlier run of the process may have spent its share in that second.
     pub fn new(
--- a/policy/src/zone_reason.rs
+++ b/policy/src/zone_reason.rs
@@ -7,6 +7,9 @@
     /// Home zone of the caller for this service.
     #[display("home zone")]
     Home,
+    /// Zone of this instance, whose owners know its room.
+    #[display("own zone, room known exactly")]
+    Own,
     /// Its last digest shows free slots.
     #[display("{free} slots free {age_ms} ms ago")]
     HasRoom {
@@ -51,7 +54,7 @@
     pub fn rank(self) -> u8 {
         match self {
             Self::Home => 0,
-            Self::HasRoom { .. } | Self::RoomUnknown => 1,
+            Self::Own | Self::HasRoom { .. } | Self::RoomUnknown => 1,
             Self::Full { .. } => 2,
             Self::Moved { .. } => 3,
             Self::Drained | Self::NotRunning | Self::OutOfReach => 4,
--- /dev/null
+++ b/policy/tests/router_zones.rs
@@ -0,0 +1,366 @@
+//! Tests of the choice between zones and of what a request spends on its way.
+
+mod support;
+
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use laburnumdeal_model::{
+    BootId, Change, Configuration, InstanceId, RegionId, ServiceId, Target, Topology, Version,
+    ZoneId,
+};
+use laburnumdeal_policy::{
+    CapKey, Heartbeat, LookupTable, Membership, MembershipSettings, PeerState, RampSettings,
+    RouteInput, RouteRefusal, Router, ServiceRoom, ShareBook, ShareSettings, ZoneChoice,
+    ZoneDigest, ZoneDigests, ZoneReason,
+};
+use support::{Shape, configured, topology};
+use tokio::time::Instant;
+
+const SERVICE: ServiceId = ServiceId(0);
+const SHAPE: Shape = Shape {
+    regions: 2,
+    zones: 2,
+    instances: 1,
+    upstreams: 2,
+};
+
+/// Instance 0 in zone 0 of region 0; zones 2 and 3 lie in region 1.
+struct Site {
+    topology: Arc<Topology>,
+    membership: Membership,
+    digests: ZoneDigests,
+    table: LookupTable,
+    router: Router,
+    now: Instant,
+}
+
+fn site(changes: &[Change]) -> Site {
+    let topology = topology(SHAPE, 400);
+    let configuration = configured(&topology, changes);
+    let (me, boot, started) = (InstanceId(0), BootId(1), Instant::now());
+    let settings = MembershipSettings::new(1_000);
+    let membership = Membership::new(me, boot, topology.clone(), settings);
+    let shares = ShareBook::new(
+        me,
+        boot,
+        topology.clone(),
+        ShareSettings::default(),
+        started,
+    );
+    shares.configure(&configuration);
+    let ramp = RampSettings {
+        floor_per_step: 4,
+        ..RampSettings::default()
+    };
+    let now = started + Duration::from_secs(10);
+    let site = Site {
+        digests: ZoneDigests::new(topology.zones.len()),
+        table: LookupTable::build(&configuration, &topology),
+        router: Router::new(ZoneId(0), topology.clone(), shares, ramp, started),
+        membership,
+        topology,
+        now,
+    };
+    for id in site.topology.instance_ids().skip(1) {
+        site.membership.heard(id, heartbeat(), now);
+    }
+    site
+}
+
+fn heartbeat() -> Heartbeat {
+    Heartbeat {
+        boot: BootId(1),
+        sequence: 1,
+        state: PeerState::Live,
+        version: Version(0),
+        in_flight: 0,
+    }
+}
+
+impl Site {
+    fn report(&mut self, zone: u16, slots: u32, in_flight: u32) {
+        let room = ServiceRoom {
+            service: SERVICE,
+            slots,
+            in_flight,
+            queued: 0,
+        };
+        let digest = ZoneDigest {
+            zone: ZoneId(zone),
+            members: 1,
+            age_ms: 100,
+            services: vec![room],
+        };
+        self.digests.receive(digest, self.now);
+    }
+
+    fn input(&self, caller: IpAddr, hash: u64) -> RouteInput<'_> {
+        RouteInput {
+            service: SERVICE,
+            caller,
+            hash,
+            table: &self.table,
+            membership: &self.membership,
+            digests: &self.digests,
+            now: self.now,
+        }
+    }
+
+    fn route(&self, caller: IpAddr, hash: u64) -> Vec<ZoneChoice> {
+        self.router.route(&self.input(caller, hash))
+    }
+
+    fn explain(&self, zone: u16) -> ZoneReason {
+        let reasons = self.router.explain(&self.input(caller(1), 1));
+        reasons
+            .into_iter()
+            .find(|(id, _)| *id == ZoneId(zone))
+            .unwrap()
+            .1
+    }
+
+    fn with_table(mut self, configuration: &Configuration) -> Self {
+        self.table = LookupTable::build(configuration, &self.topology);
+        self
+    }
+}
+
+fn caller(number: u32) -> IpAddr {
+    Ipv4Addr::from_bits(number << 8).into()
+}
+
+fn zones(choices: &[ZoneChoice]) -> Vec<u16> {
+    choices.iter().map(|choice| choice.zone.0).collect()
+}
+
+fn drain(target: Target, moved_permille: u16) -> [Change; 2] {
+    let start = Change::Drain {
+        target: target.clone(),
+        at_ms: 0,
+        for_ms: 0,
+        step_permille: 1_000,
+        every_ms: 0,
+    };
+    let step = Change::DrainStep {
+        target,
+        moved_permille,
+    };
+    [start, step]
+}
+
+fn steer(zones: &[&str]) -> Change {
+    Change::Steer {
+        blocks: vec!["0.0.0.0/0".parse().unwrap()],
+        zones: zones.iter().map(|zone| (*zone).to_owned()).collect(),
+    }
+}
+
+#[test]
+fn route_home_comes_first_then_near_zone() {
+    let mut site = site(&[]);
+    site.report(2, 100, 0);
+    let choices = site.route(caller(1), 1);
+    assert_eq!(zones(&choices)[..3], [0, 1, 2]);
+    assert!(!choices[0].is_shift && choices[0].link.is_none());
+    assert!(choices[1].is_shift && choices[1].link.is_none());
+    assert_eq!(
+        choices[2].link,
+        Some(CapKey::Link(RegionId(0), RegionId(1)))
+    );
+}
+
+#[test]
+fn route_steered_caller_goes_to_its_home() {
+    let site = site(&[steer(&["z3", "z0"])]);
+    let choices = site.route(caller(1), 1);
+    assert_eq!(zones(&choices)[..2], [3, 0]);
+    assert!(!choices[0].is_shift && choices[1].is_shift);
+}
+
+#[test]
+fn route_full_zone_comes_last_but_stays() {
+    let mut site = site(&[]);
+    site.report(1, 9, 9);
+    assert_eq!(zones(&site.route(caller(1), 1))[3], 1);
+    assert_eq!(site.explain(1), ZoneReason::Full { age_ms: 100 });
+}
+
+#[test]
+fn route_old_digest_counts_as_unknown() {
+    let mut site = site(&[]);
+    site.report(1, 9, 9);
+    site.now += Duration::from_secs(5);
+    for id in site.topology.instance_ids().skip(1) {
+        let heartbeat = Heartbeat {
+            sequence: 2,
+            ..heartbeat()
+        };
+        site.membership.heard(id, heartbeat, site.now);
+    }
+    assert_eq!(site.explain(1), ZoneReason::RoomUnknown);
+}
+
+#[test]
+fn route_overflow_spreads_by_room() {
+    let mut site = site(&[]);
+    site.report(2, 100, 25);
+    site.report(3, 100, 75);
+    let second = |hash| {
+        let choices = site.route(caller(1), hash);
+        choices
+            .iter()
+            .find(|choice| choice.zone.0 >= 2)
+            .unwrap()
+            .zone
+    };
+    let count = (0..2_000).filter(|hash| second(*hash) == ZoneId(2)).count();
+    assert!(
+        (1_400..1_600).contains(&count),
+        "{count} of 2000 for three quarters of the room"
+    );
+}
+
+#[test]
+fn route_cut_off_zone_serves_its_own() {
+    let mut site = site(&[steer(&["z2"])]);
+    site.now += Duration::from_secs(5);
+    assert_eq!(zones(&site.route(caller(1), 1)), [0]);
+    assert_eq!(site.explain(2), ZoneReason::OutOfReach);
+    assert_eq!(site.router.arrive(SERVICE, ZoneId(0), site.now), Ok(()));
+}
+
+#[test]
+fn route_drain_steps_move_only_a_step_and_to_one_zone() {
+    let mut site = site(&[]);
+    site.report(2, 90, 0);
+    site.report(3, 60, 0);
+    let mut before: Vec<u16> = vec![0; 2_000];
+    for moved_permille in [100, 200, 300, 900] {
+        let changes = drain(Target::Region("r0".into()), moved_permille);
+        let configuration = configured(&site.topology, &changes);
+        site = site.with_table(&configuration);
+        let first = |number| zones(&site.route(caller(number), u64::from(moved_permille)))[0];
+        let after: Vec<u16> = (0..2_000).map(first).collect();
+        let changed = before.iter().zip(&after).filter(|(old, new)| old != new);
+        assert!(
+            changed.clone().all(|(old, _)| *old == 0),
+            "back and forth at {moved_permille}"
+        );
+        let moved = after.iter().filter(|zone| **zone != 0).count();
+        assert!(
+            moved.abs_diff(usize::from(moved_permille) * 2) < 60,
+            "{moved} moved"
+        );
+        before = after;
+    }
+}
+
+#[test]
+fn route_drained_zone_is_no_candidate() {
+    let changes = drain(Target::Zone("z0".into()), 1_000);
+    let site = site(&changes);
+    assert!(!zones(&site.route(caller(1), 1)).contains(&0));
+    assert_eq!(site.explain(0), ZoneReason::Drained);
+}
+
+#[test]
+fn route_disallowed_upstreams_are_no_candidates() {
+    let upstreams = vec!["u1-0".into()];
+    let service = "s0".into();
+    let site = site(&[Change::Allow { service, upstreams }]);
+    assert_eq!(zones(&site.route(caller(1), 1)), [1]);
+    assert_eq!(site.explain(0), ZoneReason::NotRunning);
+}
+
+#[test]
+fn explain_names_every_zone_in_order() {
+    let mut site = site(&[steer(&["z1", "z0"])]);
+    site.report(2, 9, 3);
+    let reasons = site.router.explain(&site.input(caller(1), 1));
+    let lines: Vec<String> = reasons
+        .iter()
+        .map(|(zone, reason)| format!("{}: {reason}", site.topology.zone(*zone).name))
+        .collect();
+    let expected = [
+        "z1: home zone",
+        "z0: own zone, room known exactly",
+        "z2: 6 slots free 100 ms ago",
+        "z3: room unknown",
+    ];
+    assert_eq!(lines, expected);
+}
+
+#[test]
+fn depart_shift_stays_within_cap() {
+    let service = "s0".into();
+    let requests_per_s = 8;
+    let site = site(&[Change::CapShift {
+        service,
+        requests_per_s,
+    }]);
+    let choices = site.route(caller(1), 1);
+    let depart = |choice: &ZoneChoice| site.router.depart(SERVICE, choice, site.now);
+    assert!((0..100).all(|_| depart(&choices[0]).is_ok()));
+    let departed = (0..100).filter(|_| depart(&choices[1]).is_ok()).count();
+    assert_eq!(departed, 2);
+    let refusal = depart(&choices[1]).unwrap_err();
+    assert!((1..=1_020).contains(&refusal.retry_after_ms()));
+}
+
+#[test]
+fn arrive_new_traffic_grows_step_by_step() {
+    let site = site(&[]);
+    let mut served = Vec::new();
+    for step in 0..6 {
+        let now = site.now + Duration::from_secs(step);
+        let at = |ms: u64| now + Duration::from_millis(ms * 10);
+        let admitted = (0..100).filter(|ms| {
+            let arrival = site.router.arrive(SERVICE, ZoneId(2), at(*ms));
+            assert!(!matches!(arrival, Err(RouteRefusal::OverCap(_))));
+            arrival.is_ok()
+        });
+        served.push(admitted.count());
+    }
+    assert_eq!(served, [4, 6, 9, 13, 19, 28]);
+}
+
+#[test]
+fn arrive_own_traffic_is_not_held_back() {
+    let site = site(&[]);
+    let at = |ms: u64| site.now + Duration::from_millis(ms * 10);
+    assert!((0..100).all(|ms| site.router.arrive(SERVICE, ZoneId(0), at(ms)).is_ok()));
+}
+
+#[test]
+fn arrive_intake_stays_within_share() {
+    let site = site(&[]);
+    let at = |ms: u64| site.now + Duration::from_millis(ms);
+    let tries = (0..1_000).filter(|ms| site.router.arrive(SERVICE, ZoneId(0), at(*ms)).is_ok());
+    let admitted = tries.count();
+    assert!(
+        (190..=200).contains(&admitted),
+        "{admitted} of a share of 200"
+    );
+}
+
+#[test]
+fn receive_older_digest_is_ignored() {
+    let mut site = site(&[]);
+    site.report(1, 9, 1);
+    let old = ZoneDigest {
+        zone: ZoneId(1),
+        members: 1,
+        age_ms: 900,
+        services: Vec::new(),
+    };
+    assert!(!site.digests.receive(old, site.now));
+    assert_eq!(
+        site.digests
+            .room(ZoneId(1), SERVICE, site.now)
+            .unwrap()
+            .free(),
+        8
+    );
+}
