--- a/policy/src/ownership.rs
+++ b/policy/src/ownership.rs
@@ -1,7 +1,7 @@
 use laburnumdeal_model::{InstanceId, Topology, UpstreamId};
 use tokio::time::Instant;
 
-use crate::{Departure, HandOver, Membership, TakeOver, owner};
+use crate::{Departure, Membership, TakeOver, UpstreamHandOver, owner};
 
 /// Upstreams of this instance's zone that it owns, and how it came by the latest ones.
 ///
@@ -58,7 +58,7 @@
     pub fn next(
         &self,
         membership: &Membership,
-        handed: &[HandOver],
+        handed: &[UpstreamHandOver],
         is_thawed: bool,
         now: Instant,
     ) -> Self {
@@ -129,7 +129,8 @@
     Some(owners[position].1)
 }
 
-fn is_handed(handed: &[HandOver], upstream: UpstreamId, from: InstanceId) -> bool {
-    let is_it = |hand_over: &HandOver| hand_over.upstream == upstream && hand_over.from == from;
+fn is_handed(handed: &[UpstreamHandOver], upstream: UpstreamId, from: InstanceId) -> bool {
+    let is_it =
+        |hand_over: &UpstreamHandOver| hand_over.upstream == upstream && hand_over.from == from;
     handed.iter().any(is_it)
 }
--- a/policy/src/hand_over.rs
+++ b/policy/src/upstream_hand_over.rs
@@ -3,7 +3,7 @@
 
 /// Message by which an owner passes an upstream on to another instance of its zone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HandOver {
+pub struct UpstreamHandOver {
     /// Upstream that changes hands.
     pub upstream: UpstreamId,
     /// Owner before, which admits nothing more to the upstream.
