Renew loans of shares without a gap

A loan of 2 s ended for the borrower a second before its lender counted it back, so one busy instance had a lent part two thirds of the time at best. A lender now keeps one part a borrower and renews it with every ask; each grant has a number of its own, a later one takes the place of the earlier, and a part that was given back stays out if it was renewed meanwhile. Four fifths of a share may be lent, not half; a restarted process holds back as much.

Ruled out: one grant after the other for the same borrower (needs no numbers, but the two overlap or leave a gap); lending the whole share (a restarted instance then takes in nothing for 4 s).

--- a/policy/src/grant.rs
+++ b/policy/src/grant.rs
@@ -3,7 +3,8 @@
 
 use crate::{CapKey, GrantId};
 
-/// Part of a share that one instance lends to another for a time.
+/// Part of a share that one instance lends to another for a time. A later grant of the same lender
+/// takes the place of the earlier one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
     /// Identity.
--- a/policy/src/share.rs
+++ b/policy/src/share.rs
@@ -1,3 +1,5 @@
+use laburnumdeal_model::InstanceId;
+
 use crate::{Bucket, CapKey, GrantId, OverCap, WINDOW_MS, Window};
 
 /// Thousandths of a share that may be spent at once.
@@ -24,30 +26,49 @@
     bucket: Bucket,
 }
 
-/// Part that is out at a borrower.
+/// Part that is out at a borrower; there is one a borrower and cap, however often it is renewed.
 #[derive(Clone, Copy, Debug)]
 struct Lent {
+    /// Latest grant of it.
     id: GrantId,
+    to: InstanceId,
+    /// Cap that it was lent under.
+    cap_per_s: u64,
     amount_per_s: u64,
     back_at_ms: u64,
 }
 
-/// Part that a lender granted. It stays listed with amount 0 once it was given back.
+/// Part that a lender granted. It stays listed once its use ended, so that a late copy of
+/// its grant is known.
 #[derive(Clone, Copy, Debug)]
 struct Borrowed {
+    /// Latest grant of it.
     id: GrantId,
     amount_per_s: u64,
     until_ms: u64,
+    /// End of the time in which a copy of the grant may arrive.
+    forget_ms: u64,
+}
+
+impl Borrowed {
+    fn is_of(&self, id: GrantId) -> bool {
+        self.id.lender == id.lender && self.id.boot == id.boot
+    }
 }
 
-/// Part of the own share that may be used; a process that has just started may use less, because
-/// its earlier run may have spent or lent the rest.
+/// Part of the own share that may not be used: a process that has just started holds back what its
+/// earlier run may have spent or lent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Usable {
-    /// Thousandths of the own share that may be used.
+pub struct HeldBack {
+    /// Thousandths of the own share.
     pub permille: u64,
 }
 
+impl HeldBack {
+    /// Nothing is held back.
+    pub const NOTHING: Self = Self { permille: 0 };
+}
+
 impl Share {
     /// Returns a share of nothing, until the cap is known.
     pub fn new(key: CapKey) -> Self {
@@ -67,7 +88,7 @@
     pub fn set_cap(&mut self, cap_per_s: Option<u64>, own_per_s: u64) {
         if self.cap_per_s != cap_per_s {
             for borrowed in &mut self.borrowed {
-                borrowed.amount_per_s = 0;
+                borrowed.until_ms = 0;
             }
             self.bucket = Bucket::full();
         }
@@ -81,20 +102,21 @@
     }
 
     /// Returns what may be spent in a second: the own part without what is lent, and what is borrowed.
-    pub fn limit_per_s(&mut self, usable: Usable, now_ms: u64) -> u64 {
+    pub fn limit_per_s(&mut self, held: HeldBack, now_ms: u64) -> u64 {
         self.drop_ended(now_ms);
-        let borrowed: u64 = self.borrowed.iter().map(|b| b.amount_per_s).sum();
-        self.unlent_per_s(usable) + borrowed
+        let in_use = self.borrowed.iter().filter(|b| b.until_ms > now_ms);
+        let borrowed: u64 = in_use.map(|b| b.amount_per_s).sum();
+        self.unlent_per_s(held) + borrowed
     }
 
     /// Spends an amount, or returns when it would fit.
-    pub fn spend(&mut self, amount: u64, usable: Usable, now_us: u64) -> Result<(), OverCap> {
+    pub fn spend(&mut self, amount: u64, held: HeldBack, now_us: u64) -> Result<(), OverCap> {
         let now_ms = now_us / 1_000;
         if self.cap_per_s.is_none() {
             self.spent.add(amount, now_ms);
             return Ok(());
         }
-        let limit = self.limit_per_s(usable, now_ms);
+        let limit = self.limit_per_s(held, now_ms);
         let most = self.burst(limit);
         self.bucket.refill(limit, most, now_us);
         let wait_ms = self.wait_ms(amount, limit, most, now_ms);
@@ -116,73 +138,111 @@
         self.refused.sum(now_ms)
     }
 
-    /// Returns how much of `asked_per_s` this instance can do without: half of what it leaves
-    /// unspent, within the part that may be lent.
-    pub fn spare_per_s(&mut self, asked_per_s: u64, max_lent_permille: u64, now_ms: u64) -> u64 {
-        let usable = Usable { permille: 1_000 };
-        let limit = self.limit_per_s(usable, now_ms);
-        if self.cap_per_s.is_none() || self.demand(now_ms) > 0 {
-            return 0;
+    /// Lends up to `asked_per_s` more to an instance and renews what it has, until `back_at_ms`.
+    /// Returns what the instance has in all; `None` when there is nothing, or this one needs it.
+    ///
+    /// What is lent comes from the unspent part, half of it at a time, within `lendable_permille` of
+    /// the share. A part that was lent under another cap runs out before more is lent.
+    pub fn lend(
+        &mut self,
+        id: GrantId,
+        to: InstanceId,
+        asked_per_s: u64,
+        lendable_permille: u64,
+        back_at_ms: u64,
+        now_ms: u64,
+    ) -> Option<u64> {
+        self.drop_ended(now_ms);
+        let cap_per_s = self.cap_per_s?;
+        if self.demand(now_ms) > 0 {
+            return None;
         }
-        let lent: u64 = self.lent.iter().map(|lent| lent.amount_per_s).sum();
-        let lendable = (self.own_per_s * max_lent_permille / 1_000).saturating_sub(lent);
-        let unspent = limit.saturating_sub(self.spent.sum(now_ms));
-        let spare = unspent.min(self.unlent_per_s(usable)) / 2;
-        asked_per_s.min(lendable).min(spare)
-    }
-
-    /// Takes a part out until `back_at_ms`.
-    pub fn lend(&mut self, id: GrantId, amount_per_s: u64, back_at_ms: u64) {
-        self.lent.push(Lent {
-            id,
-            amount_per_s,
-            back_at_ms,
-        });
+        let more = asked_per_s.min(self.spare_per_s(lendable_permille, now_ms));
+        let is_known = self.lent.iter().any(|lent| lent.to == to);
+        if !is_known && more > 0 {
+            self.lent.push(Lent {
+                id,
+                to,
+                cap_per_s,
+                amount_per_s: 0,
+                back_at_ms,
+            });
+        }
+        let lent = self.lent.iter_mut().find(|lent| lent.to == to)?;
+        if lent.cap_per_s != cap_per_s {
+            return None;
+        }
+        lent.id = id;
+        lent.amount_per_s += more;
+        lent.back_at_ms = lent.back_at_ms.max(back_at_ms);
+        Some(lent.amount_per_s)
     }
 
-    /// Brings the end of a lent part forward to `back_at_ms`.
+    /// Brings the end of a lent part forward, unless its grant was renewed meanwhile.
     pub fn returned(&mut self, id: GrantId, back_at_ms: u64) {
         for lent in self.lent.iter_mut().filter(|lent| lent.id == id) {
             lent.back_at_ms = lent.back_at_ms.min(back_at_ms);
         }
     }
 
-    /// Adds a borrowed part until `until_ms`. Returns false when it was added before or has ended.
+    /// Takes in a grant that may be used until `until_ms`. Returns false for a doubled or late one.
     pub fn borrow(&mut self, id: GrantId, amount_per_s: u64, until_ms: u64, now_ms: u64) -> bool {
         self.drop_ended(now_ms);
-        let is_known = self.borrowed.iter().any(|borrowed| borrowed.id == id);
-        if is_known || until_ms <= now_ms {
+        if until_ms <= now_ms {
             return false;
         }
-        self.borrowed.push(Borrowed {
-            id,
-            amount_per_s,
-            until_ms,
-        });
+        match self.borrowed.iter_mut().find(|known| known.is_of(id)) {
+            Some(known) if known.id.sequence >= id.sequence => return false,
+            Some(known) => {
+                known.id = id;
+                known.amount_per_s = amount_per_s;
+                known.until_ms = known.until_ms.max(until_ms);
+                known.forget_ms = known.forget_ms.max(until_ms);
+            }
+            None => self.borrowed.push(Borrowed {
+                id,
+                amount_per_s,
+                until_ms,
+                forget_ms: until_ms,
+            }),
+        }
         true
     }
 
-    /// Stops using a borrowed part. Returns false when it has ended already.
-    pub fn give_back(&mut self, id: GrantId, now_ms: u64) -> bool {
+    /// Stops using what a lender granted, and returns its latest grant; `None` when nothing is in
+    /// use. Copies of the grant are known until `forget_ms`.
+    pub fn give_back(&mut self, id: GrantId, forget_ms: u64, now_ms: u64) -> Option<GrantId> {
         self.drop_ended(now_ms);
-        let is_it = |borrowed: &&mut Borrowed| borrowed.id == id && borrowed.amount_per_s > 0;
-        match self.borrowed.iter_mut().find(is_it) {
-            Some(borrowed) => {
-                borrowed.amount_per_s = 0;
-                true
-            }
-            None => false,
-        }
+        let is_it = |known: &&mut Borrowed| known.is_of(id) && known.until_ms > now_ms;
+        let known = self.borrowed.iter_mut().find(is_it)?;
+        known.until_ms = now_ms;
+        known.forget_ms = known.forget_ms.max(forget_ms);
+        Some(known.id)
     }
 
-    fn unlent_per_s(&self, usable: Usable) -> u64 {
+    fn spare_per_s(&mut self, lendable_permille: u64, now_ms: u64) -> u64 {
+        let limit = self.limit_per_s(HeldBack::NOTHING, now_ms);
         let lent: u64 = self.lent.iter().map(|lent| lent.amount_per_s).sum();
-        (self.own_per_s * usable.permille / 1_000).saturating_sub(lent)
+        let lendable = self.part(lendable_permille).saturating_sub(lent);
+        let unspent = limit.saturating_sub(self.spent.sum(now_ms));
+        let unlent = self.unlent_per_s(HeldBack::NOTHING);
+        unspent.min(unlent).div_ceil(2).min(lendable)
+    }
+
+    fn unlent_per_s(&self, held: HeldBack) -> u64 {
+        let lent: u64 = self.lent.iter().map(|lent| lent.amount_per_s).sum();
+        self.own_per_s
+            .saturating_sub(self.part(held.permille) + lent)
+    }
+
+    /// Thousandths of the own share, rounded up.
+    fn part(&self, permille: u64) -> u64 {
+        (self.own_per_s * permille).div_ceil(1_000)
     }
 
     fn drop_ended(&mut self, now_ms: u64) {
         self.lent.retain(|lent| lent.back_at_ms > now_ms);
-        self.borrowed.retain(|borrowed| borrowed.until_ms > now_ms);
+        self.borrowed.retain(|borrowed| borrowed.forget_ms > now_ms);
     }
 
     fn burst(&self, limit: u64) -> u64 {
--- a/policy/src/share_book.rs
+++ b/policy/src/share_book.rs
@@ -4,7 +4,7 @@
 use laburnumdeal_model::{BootId, Configuration, InstanceId, Topology, Version};
 use tokio::time::Instant;
 
-use crate::share::{Share, Usable};
+use crate::share::{HeldBack, Share};
 use crate::{
     CapKey, Caps, GiveBack, Grant, GrantId, MAX_GRANT_MS, OverCap, ShareSettings, WINDOW_MS,
 };
@@ -113,7 +113,7 @@
             });
         };
         let now_us = self.micros(now);
-        share.spend(amount, self.usable(now_us / 1_000), now_us)
+        share.spend(amount, self.held_back(now_us / 1_000), now_us)
     }
 
     /// Returns what this instance may spend in a second now; `None` when nothing is capped.
@@ -121,7 +121,7 @@
         let now_ms = self.micros(now) / 1_000;
         let mut share = self.share(key)?;
         share.cap_per_s()?;
-        Some(share.limit_per_s(self.usable(now_ms), now_ms))
+        Some(share.limit_per_s(self.held_back(now_ms), now_ms))
     }
 
     /// Returns the amount that was refused here in the last second, to be asked of others.
@@ -136,7 +136,8 @@
         users.filter(|user| *user != self.inner.me).collect()
     }
 
-    /// Lends up to `amount_per_s` to another instance, or `None` when this one needs its share.
+    /// Lends up to `amount_per_s` more to another instance and renews what it has; `None` when this
+    /// instance needs its share. The grant's amount is what the other one has in all.
     pub fn lend(
         &self,
         key: CapKey,
@@ -150,25 +151,18 @@
             return None;
         }
         let mut share = self.share(key)?;
-        let cap_per_s = share.cap_per_s()?;
-        let amount_per_s = share.spare_per_s(amount_per_s, settings.max_lent_permille, now_ms);
-        if amount_per_s == 0 {
-            return None;
-        }
         let id = self.next_id();
         let expires_after_ms = settings.grant_ms.min(MAX_GRANT_MS);
-        share.lend(
-            id,
-            amount_per_s,
-            now_ms + settings.count_back_ms(expires_after_ms),
-        );
+        let back_at_ms = now_ms + settings.count_back_ms(expires_after_ms);
+        let lendable = settings.max_lent_permille.min(1_000);
+        let amount_per_s = share.lend(id, to, amount_per_s, lendable, back_at_ms, now_ms)?;
         Some(Grant {
             id,
             key,
             from: self.inner.me,
             to,
             amount_per_s,
-            cap_per_s,
+            cap_per_s: share.cap_per_s()?,
             expires_after_ms,
         })
     }
@@ -189,18 +183,19 @@
         share.borrow(grant.id, grant.amount_per_s, until_ms, now_ms)
     }
 
-    /// Stops using a grant and returns the message to its lender; `None` when it has ended already.
+    /// Stops using what the lender of a grant lent, and returns the message to it; `None` when it
+    /// has ended already.
     pub fn give_back(&self, grant: &Grant, now: Instant) -> Option<GiveBack> {
         let now_ms = self.micros(now) / 1_000;
-        let is_given = self.share(grant.key)?.give_back(grant.id, now_ms);
-        is_given.then_some(GiveBack {
-            id: grant.id,
-            key: grant.key,
-        })
+        let forget_ms = now_ms + MAX_GRANT_MS;
+        let id = self
+            .share(grant.key)?
+            .give_back(grant.id, forget_ms, now_ms)?;
+        Some(GiveBack { id, key: grant.key })
     }
 
     /// Takes back a part that its borrower gave back. It counts again once the borrower's last
-    /// second has passed.
+    /// second has passed; a part that was renewed meanwhile stays out.
     pub fn returned(&self, message: &GiveBack, now: Instant) {
         let now_ms = self.micros(now) / 1_000;
         if let Some(mut share) = self.share(message.key) {
@@ -227,16 +222,16 @@
         self.inner.settings.count_back_ms(MAX_GRANT_MS)
     }
 
-    fn usable(&self, now_ms: u64) -> Usable {
+    fn held_back(&self, now_ms: u64) -> HeldBack {
         let settings = &self.inner.settings;
         let permille = if now_ms < settings.count_back_ms(0) {
-            0
+            1_000
         } else if now_ms < self.fence_ms() {
-            1_000 - settings.max_lent_permille.min(1_000)
+            settings.max_lent_permille.min(1_000)
         } else {
-            1_000
+            0
         };
-        Usable { permille }
+        HeldBack { permille }
     }
 
     fn next_id(&self) -> GrantId {
--- a/policy/src/share_settings.rs
+++ b/policy/src/share_settings.rs
@@ -11,7 +11,7 @@
     pub grant_ms: u64,
     /// Time after a grant's end at which the lender counts it back, beside the clocks' drift.
     pub count_back_margin_ms: u64,
-    /// Thousandths of a share that may be lent at the same time.
+    /// Thousandths of a share that may be lent at the same time; a restarted process holds as much back.
     pub max_lent_permille: u64,
 }
 
@@ -20,7 +20,7 @@
         Self {
             grant_ms: 2_000,
             count_back_margin_ms: crate::WINDOW_MS + 2 * crate::SLOT_MS,
-            max_lent_permille: 500,
+            max_lent_permille: 800,
         }
     }
 }
