Test the quorum over a cut-able link and fake disks

Cause: the replicas had not been run against each other. The first run hung: a guard in the head of an 'if let' lived through its body, which locked again. The two places take the value out first.

--- /dev/null
+++ b/control/benches/commit.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- a/control/src/append.rs
+++ b/control/src/append.rs
@@ -23,11 +23,13 @@
             Ok(guard) => guard,
             Err(reply) => return reply,
         };
-        if let Err(hint) = agrees(&self.volatile(), &appending) {
+        let agreement = agrees(&self.volatile(), &appending);
+        if let Err(hint) = agreement {
             return self.append_reply(false, hint);
         }
         let matched = appending.previous_index + appending.entries.len() as u64;
-        let entries = match missing(&self.volatile(), appending.entries) {
+        let missing = missing(&self.volatile(), appending.entries);
+        let entries = match missing {
             Ok(entries) => entries,
             Err(index) => {
                 error!(self.log, "a leader contradicts a committed entry"; "index" => index);
--- a/control/src/election.rs
+++ b/control/src/election.rs
@@ -67,7 +67,11 @@
             return;
         }
         let guard = self.lock_store().await;
-        if self.volatile().vote.term != term || self.volatile().role == Role::Stopped {
+        let (newest, role) = {
+            let volatile = self.volatile();
+            (volatile.vote.term, volatile.role)
+        };
+        if newest != term || role == Role::Stopped {
             return;
         }
         let vote = Vote {
--- /dev/null
+++ b/control/tests/cluster.rs
@@ -0,0 +1,242 @@
+use std::cell::Cell;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use laburnumdeal_control::{
+    Committed, ControlError, Faults, ReplicaSettings, Role, Store, SubmitError,
+};
+use laburnumdeal_model::{Change, InstanceId, Submission, Topology, Version, embedded_topology};
+use slog::{Discard, Logger, o};
+use tokio::time::Instant;
+
+use crate::fake_disk::FakeDisk;
+use crate::network::{Network, TestReplica};
+
+pub const HEARTBEAT_MS: u64 = 20;
+pub const ELECTION_MS: u64 = 200;
+pub const LEASE_MS: u64 = 150;
+const INSTANCES: u16 = 8;
+
+thread_local! {
+    static STARTED_AT: Cell<Option<Instant>> = const { Cell::new(None) };
+}
+
+/// Returns milliseconds of the paused clock since the cluster started.
+pub fn now_ms() -> u64 {
+    let elapsed = STARTED_AT.get().map_or(Duration::ZERO, |at| at.elapsed());
+    u64::try_from(elapsed.as_millis()).unwrap()
+}
+
+/// Replicas on fake disks over a fake network.
+pub struct Cluster {
+    pub network: Network,
+    pub disks: Vec<FakeDisk>,
+    pub replicas: Vec<Option<TestReplica>>,
+    pub snapshot_every: u64,
+    pub faults: Faults,
+    first: Vec<InstanceId>,
+    topology: Arc<Topology>,
+    seed: u64,
+    starts: u64,
+}
+
+pub fn topology() -> Arc<Topology> {
+    let mut settings = embedded_topology();
+    let template = settings.instances[0].clone();
+    settings.instances.clear();
+    for number in 0..INSTANCES {
+        let mut instance = template.clone();
+        instance.name = format!("control-{number}");
+        instance.control = number < 7;
+        instance.caller_address.set_port(8000 + number);
+        instance.peer_address.set_port(8100 + number);
+        instance.operator_address.set_port(8200 + number);
+        settings.instances.push(instance);
+    }
+    Arc::new(Topology::build(&settings).unwrap())
+}
+
+impl Cluster {
+    /// Prepares `count` members and one spare instance; none runs yet.
+    pub fn new(count: u16, seed: u64) -> Self {
+        STARTED_AT.set(Some(Instant::now()));
+        Self {
+            network: Network::new(seed),
+            disks: (0..INSTANCES).map(|_| FakeDisk::new()).collect(),
+            replicas: (0..INSTANCES).map(|_| None).collect(),
+            snapshot_every: 0,
+            faults: Faults::default(),
+            first: (0..count).map(InstanceId).collect(),
+            topology: topology(),
+            seed,
+            starts: 0,
+        }
+    }
+
+    /// Returns a running cluster whose leader has committed an entry.
+    pub async fn started(count: u16, seed: u64) -> Self {
+        let mut cluster = Self::new(count, seed);
+        cluster.start_all().await;
+        cluster.leader().await;
+        cluster
+    }
+
+    pub async fn start_all(&mut self) {
+        for number in 0..self.first.len() {
+            if self.replicas[number].is_none() {
+                self.start(number).await.unwrap();
+            }
+        }
+    }
+
+    pub async fn start(&mut self, number: usize) -> Result<(), ControlError> {
+        self.starts += 1;
+        let me = InstanceId(u16::try_from(number).unwrap());
+        let settings = ReplicaSettings {
+            me,
+            replicas: self.first.clone(),
+            folder: PathBuf::new(),
+            topology: self.topology.clone(),
+            heartbeat_ms: HEARTBEAT_MS,
+            election_ms: ELECTION_MS,
+            lease_ms: LEASE_MS,
+            seed: self.seed * 1000 + self.starts,
+            snapshot_every: self.snapshot_every,
+            now_ms,
+            faults: self.faults,
+        };
+        let log = Logger::root(Discard, o!());
+        let (disk, link) = (self.disks[number].clone(), self.network.link(me));
+        let replica = TestReplica::spawn_on(disk, settings, link, log).await?;
+        self.network.connect(me, replica.clone());
+        self.replicas[number] = Some(replica);
+        Ok(())
+    }
+
+    /// Kills a replica; what it had not synced is lost in part.
+    pub fn kill(&mut self, number: usize) {
+        self.starts += 1;
+        self.network.disconnect(InstanceId(number as u16));
+        if let Some(replica) = self.replicas[number].take() {
+            replica.abort();
+        }
+        self.disks[number] = self.disks[number].crash(self.seed + self.starts);
+    }
+
+    pub async fn restart(&mut self, number: usize) {
+        self.kill(number);
+        self.start(number).await.unwrap();
+    }
+
+    /// Gives a replica an empty disk and starts it again.
+    pub async fn lose_disk(&mut self, number: usize) {
+        self.kill(number);
+        self.disks[number] = FakeDisk::new();
+        self.start(number).await.unwrap();
+    }
+
+    pub fn replica(&self, number: usize) -> &TestReplica {
+        self.replicas[number].as_ref().unwrap()
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = &TestReplica> + '_ {
+        self.replicas.iter().flatten()
+    }
+
+    /// Waits until one replica leads with a lease, and returns its number.
+    pub async fn leader(&self) -> usize {
+        for _ in 0..3000 {
+            let leader = self.running().find(|replica| replica.status().has_lease);
+            if let Some(leader) = leader {
+                return leader.status().me.index();
+            }
+            sleep(10).await;
+        }
+        panic!("no leader in 30 s");
+    }
+
+    /// Waits for a leader other than `old`.
+    pub async fn next_leader(&self, old: usize) -> usize {
+        for _ in 0..3000 {
+            let leaders = self.running().filter(|r| r.status().has_lease);
+            let other = leaders.map(|r| r.status().me.index()).find(|me| *me != old);
+            if let Some(other) = other {
+                return other;
+            }
+            sleep(10).await;
+        }
+        panic!("no other leader in 30 s");
+    }
+
+    /// Submits through a replica until the answer is known.
+    pub async fn submit(&self, number: usize, submission: Submission) -> Committed {
+        for _ in 0..300 {
+            match self.replica(number).submit(submission.clone()).await {
+                Ok(committed) => return committed,
+                Err(_) => sleep(50).await,
+            }
+        }
+        panic!("{} has no answer", submission.command_id);
+    }
+
+    /// Waits until all running members have applied the same entries.
+    pub async fn settle(&self) {
+        for _ in 0..3000 {
+            let status: Vec<_> = self.running().map(|replica| replica.status()).collect();
+            let newest = status.iter().map(|s| s.last_index).max();
+            let equal = status.iter().all(|s| Some(s.commit_index) == newest);
+            if equal && status.iter().any(|s| s.role == Role::Leader) {
+                return;
+            }
+            sleep(10).await;
+        }
+        let status: Vec<_> = self.running().map(|replica| replica.status()).collect();
+        panic!("replicas differ after 30 s: {status:#?}");
+    }
+
+    /// Opens a killed replica's folder as its next process would.
+    pub fn open(&self, number: usize) -> Result<u64, laburnumdeal_control::StorageError> {
+        use rand::SeedableRng;
+        let mut generator = rand_chacha::ChaCha8Rng::seed_from_u64(1);
+        let name = format!("control-{number}");
+        let (_store, loaded) = Store::open(self.disks[number].clone(), &name, &mut generator)?;
+        Ok(loaded.entries.last().map_or(0, |entry| entry.index))
+    }
+}
+
+pub async fn sleep(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+pub fn cap(id: &str, requests_per_s: u64) -> Submission {
+    change(
+        id,
+        Change::CapShift {
+            service: "catalog".into(),
+            requests_per_s,
+        },
+    )
+}
+
+pub fn change(id: &str, change: Change) -> Submission {
+    Submission {
+        command_id: id.parse().unwrap(),
+        operator: "mona".into(),
+        base: None,
+        at_ms: 0,
+        force: false,
+        dry_run: false,
+        change,
+    }
+}
+
+pub fn based(mut submission: Submission, base: u64) -> Submission {
+    submission.base = Some(Version(base));
+    submission
+}
+
+/// Returns whether an error says that nothing was appended.
+pub fn is_not_run(error: &SubmitError) -> bool {
+    matches!(error, SubmitError::NotRun(_))
+}
--- /dev/null
+++ b/control/tests/quorum.rs
@@ -0,0 +1,178 @@
+use laburnumdeal_control::{NotRun, SubmitError};
+use laburnumdeal_model::{InstanceId, Verdict, Version};
+
+use crate::cluster::{Cluster, LEASE_MS, cap, is_not_run, sleep};
+
+const ACCEPTED_1: Verdict = Verdict::Accepted {
+    version: Version(1),
+};
+
+#[tokio::test(start_paused = true)]
+async fn submit_on_every_replica() {
+    for count in [1, 3, 5, 7] {
+        let cluster = Cluster::started(count, 1).await;
+        for number in 0..usize::from(count) {
+            let id = format!("cap-{number}");
+            let committed = cluster.submit(number, cap(&id, 10)).await;
+            assert_eq!(committed.version, Version(number as u64 + 1));
+        }
+        cluster.settle().await;
+        for replica in cluster.running() {
+            assert_eq!(replica.history(0, 100).len(), usize::from(count));
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn submit_after_leader_died() {
+    let mut cluster = Cluster::started(3, 2).await;
+    let old = cluster.leader().await;
+    cluster.submit(old, cap("a", 1)).await;
+    cluster.kill(old);
+    let new = cluster.next_leader(old).await;
+    let again = cluster.submit(new, cap("a", 1)).await;
+    assert!(again.repeated);
+    assert_eq!(again.verdict, ACCEPTED_1);
+    assert_eq!(cluster.submit(new, cap("b", 2)).await.version, Version(2));
+    cluster.start_all().await;
+    cluster.settle().await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn submit_cut_off_leader_neither_accepts_nor_confirms() {
+    let cluster = Cluster::started(3, 3).await;
+    let old = cluster.leader().await;
+    for other in (0..3).filter(|other| *other != old) {
+        cluster
+            .network
+            .cut(InstanceId(old as u16), InstanceId(other as u16));
+    }
+    let new = cluster.next_leader(old).await;
+    assert!(!cluster.replica(old).status().has_lease);
+    assert_eq!(cluster.submit(new, cap("new", 2)).await.verdict, ACCEPTED_1);
+    assert!(!cluster.replica(old).confirmed().await.confirmed);
+    let refused = cluster
+        .replica(old)
+        .submit(cap("old", 1))
+        .await
+        .unwrap_err();
+    assert!(is_not_run(&refused), "{refused}");
+    cluster.network.heal();
+    cluster.settle().await;
+    assert_eq!(cluster.replica(old).status().version, Version(1));
+    assert!(cluster.replica(old).confirmed().await.confirmed);
+}
+
+#[tokio::test(start_paused = true)]
+async fn submit_leader_cut_during_append_is_unknown() {
+    let cluster = Cluster::started(3, 4).await;
+    let old = cluster.leader().await;
+    let replica = cluster.replica(old).clone();
+    cluster.disks[old].set_delay(40);
+    let pending = tokio::spawn(async move { replica.submit(cap("a", 1)).await });
+    sleep(10).await;
+    for other in (0..3).filter(|other| *other != old) {
+        cluster
+            .network
+            .cut(InstanceId(old as u16), InstanceId(other as u16));
+    }
+    let outcome = pending.await.unwrap();
+    assert!(
+        matches!(outcome, Err(SubmitError::Unknown { .. })),
+        "{outcome:?}"
+    );
+    cluster.disks[old].set_delay(0);
+    let new = cluster.next_leader(old).await;
+    assert_eq!(cluster.submit(new, cap("b", 2)).await.verdict, ACCEPTED_1);
+    cluster.network.heal();
+    cluster.settle().await;
+    let records = cluster.replica(old).history(0, 10);
+    assert_eq!(records.len(), 1);
+    assert_eq!(records[0].command_id.as_str(), "b");
+}
+
+#[tokio::test(start_paused = true)]
+async fn confirmed_frozen_leader_thaws_with_no_lease() {
+    let cluster = Cluster::started(3, 5).await;
+    let old = cluster.leader().await;
+    cluster.network.freeze(InstanceId(old as u16));
+    // The frozen leader's disk answers only after another one leads.
+    cluster.disks[old].set_delay(3000);
+    let replica = cluster.replica(old).clone();
+    let pending = tokio::spawn(async move { replica.submit(cap("old", 1)).await });
+    let new = cluster.next_leader(old).await;
+    assert_eq!(cluster.submit(new, cap("new", 2)).await.verdict, ACCEPTED_1);
+    cluster.disks[old].set_delay(0);
+    cluster.network.heal();
+    let read = cluster.replica(old).confirmed().await;
+    assert!(!read.confirmed || read.configuration.version == Version(1));
+    assert!(pending.await.unwrap().is_err());
+    cluster.settle().await;
+    let ids = cluster.replica(old).history(0, 10);
+    assert_eq!(ids.len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn confirmed_lease_ends_before_another_leads() {
+    let cluster = Cluster::started(5, 6).await;
+    let old = cluster.leader().await;
+    for other in (0..5).filter(|other| *other != old) {
+        cluster
+            .network
+            .cut(InstanceId(old as u16), InstanceId(other as u16));
+    }
+    sleep(LEASE_MS + 1).await;
+    assert!(!cluster.replica(old).confirmed().await.confirmed);
+    let others: Vec<_> = cluster
+        .running()
+        .filter(|r| r.status().me.index() != old)
+        .collect();
+    assert!(others.iter().all(|replica| !replica.status().has_lease));
+}
+
+#[tokio::test(start_paused = true)]
+async fn submit_lost_answers_and_repeated_messages() {
+    let cluster = Cluster::started(3, 7).await;
+    cluster.network.set_faults(30, 150, 300);
+    for number in 0..40 {
+        let id = format!("cap-{number}");
+        cluster.submit(number % 3, cap(&id, number as u64)).await;
+    }
+    cluster.network.set_faults(2, 0, 0);
+    cluster.settle().await;
+    for replica in cluster.running() {
+        assert_eq!(replica.status().version, Version(40));
+        assert_eq!(replica.history(0, 100).len(), 40);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn submit_without_majority_is_not_run() {
+    let mut cluster = Cluster::started(3, 8).await;
+    let leader = cluster.leader().await;
+    for other in (0..3).filter(|other| *other != leader) {
+        cluster.kill(other);
+    }
+    sleep(LEASE_MS + 1).await;
+    let refused = cluster.replica(leader).submit(cap("a", 1)).await;
+    assert_eq!(refused, Err(NotRun::NoLease.into()));
+    sleep(2000).await;
+    let refused = cluster.replica(leader).submit(cap("a", 1)).await;
+    assert_eq!(refused, Err(NotRun::NoLeader.into()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn stop_hands_leadership_over() {
+    let mut cluster = Cluster::started(3, 9).await;
+    let old = cluster.leader().await;
+    cluster.submit(old, cap("a", 1)).await;
+    cluster.replica(old).stop().await;
+    let led = cluster
+        .running()
+        .any(|r| r.status().me.index() != old && r.status().leader.is_some());
+    assert!(led);
+    let new = cluster.next_leader(old).await;
+    assert_eq!(cluster.submit(new, cap("b", 2)).await.version, Version(2));
+    cluster.restart(old).await;
+    cluster.settle().await;
+}
