--- a/control/tests/cluster.rs
+++ b/control/tests/cluster.rs
@@ -22,10 +22,13 @@
     static STARTED_AT: Cell<Option<Instant>> = const { Cell::new(None) };
 }
 
-/// Returns milliseconds of the paused clock since the cluster started.
+/// Time when every cluster starts, in milliseconds since the Unix epoch.
+const STARTED_MS: u64 = 1_700_000_000_000;
+
+/// Returns the time of the paused clock.
 pub fn now_ms() -> u64 {
     let elapsed = STARTED_AT.get().map_or(Duration::ZERO, |at| at.elapsed());
-    u64::try_from(elapsed.as_millis()).unwrap()
+    STARTED_MS + u64::try_from(elapsed.as_millis()).unwrap()
 }
 
 /// Replicas on fake disks over a fake network.
--- /dev/null
+++ b/control/tests/drains.rs
@@ -0,0 +1,111 @@
+use laburnumdeal_model::{Change, InstanceId, Refusal, Submission, Target, Verdict};
+
+use crate::cluster::{Cluster, change, now_ms, sleep};
+
+fn target() -> Target {
+    Target::Upstream("catalog-nasr-1".into())
+}
+
+fn drain(id: &str, for_ms: u64) -> Submission {
+    change(
+        id,
+        Change::Drain {
+            target: target(),
+            at_ms: now_ms() + 1000,
+            for_ms,
+            step_permille: 300,
+            every_ms: 2000,
+        },
+    )
+}
+
+/// Returns the thousandths that have moved, as the leader knows them; `None` without a drain.
+async fn moved(cluster: &Cluster) -> Option<u16> {
+    let leader = cluster.leader().await;
+    let configuration = cluster.replica(leader).confirmed().await.configuration;
+    configuration
+        .drains
+        .get(&target())
+        .map(|drain| drain.moved_permille)
+}
+
+#[tokio::test(start_paused = true)]
+async fn drain_steps_on_schedule_and_ends() {
+    let cluster = Cluster::started(3, 1).await;
+    cluster.submit(0, drain("d", 20_000)).await;
+    assert_eq!(moved(&cluster).await, Some(0));
+    sleep(1600).await;
+    for expected in [300, 600, 900, 1000, 1000] {
+        assert_eq!(moved(&cluster).await, Some(expected));
+        sleep(2250).await;
+    }
+    sleep(9_000).await;
+    assert_eq!(moved(&cluster).await, None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn drain_goes_on_after_change_of_leader() {
+    let mut cluster = Cluster::started(3, 2).await;
+    cluster.submit(0, drain("d", 0)).await;
+    sleep(1600).await;
+    assert_eq!(moved(&cluster).await, Some(300));
+    let old = cluster.leader().await;
+    cluster.kill(old);
+    cluster.next_leader(old).await;
+    assert_eq!(moved(&cluster).await, Some(300));
+    sleep(2500).await;
+    assert_eq!(moved(&cluster).await, Some(600));
+    sleep(6000).await;
+    assert_eq!(moved(&cluster).await, Some(1000));
+}
+
+#[tokio::test(start_paused = true)]
+async fn drain_held_without_measurements() {
+    let cluster = Cluster::started(3, 3).await;
+    cluster.submit(0, drain("d", 0)).await;
+    sleep(1600).await;
+    cluster
+        .running()
+        .for_each(|replica| replica.hold_drains(true));
+    sleep(30_000).await;
+    assert_eq!(moved(&cluster).await, Some(300));
+    cluster
+        .running()
+        .for_each(|replica| replica.hold_drains(false));
+    sleep(500).await;
+    assert_eq!(moved(&cluster).await, Some(600));
+}
+
+#[tokio::test(start_paused = true)]
+async fn drain_cut_off_leader_takes_no_step() {
+    let cluster = Cluster::started(3, 4).await;
+    cluster.submit(0, drain("d", 0)).await;
+    let old = cluster.leader().await;
+    for other in (0..3).filter(|other| *other != old) {
+        cluster
+            .network
+            .cut(InstanceId(old as u16), InstanceId(other as u16));
+    }
+    sleep(4000).await;
+    cluster.network.heal();
+    cluster.settle().await;
+    let steps = cluster.replica(old).history(0, 100);
+    let steps = steps
+        .iter()
+        .filter(|r| matches!(r.change, Change::DrainStep { .. }));
+    assert_eq!(steps.count(), 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn drain_step_by_operator_is_refused() {
+    let cluster = Cluster::started(1, 5).await;
+    let step = Change::DrainStep {
+        target: target(),
+        moved_permille: 1000,
+    };
+    let verdict = cluster.submit(0, change("s", step)).await.verdict;
+    assert!(matches!(
+        verdict,
+        Verdict::Refused(Refusal::NotAllowed { .. })
+    ));
+}
--- /dev/null
+++ b/control/tests/membership.rs
@@ -0,0 +1,175 @@
+use laburnumdeal_control::{MemberRole, ReplaceError};
+use laburnumdeal_model::{InstanceId, Version};
+
+use crate::cluster::{Cluster, cap, sleep};
+
+/// Waits until the running replica of an instance votes.
+async fn wait_for_voter(cluster: &Cluster, number: usize) {
+    for _ in 0..3000 {
+        let status = cluster.replica(number).status();
+        let member = status
+            .replicas
+            .iter()
+            .find(|r| r.member.identity == status.identity);
+        if member.is_some_and(|r| r.member.role == MemberRole::Voter) {
+            return;
+        }
+        sleep(10).await;
+    }
+    panic!(
+        "replica {number} does not vote: {:#?}",
+        cluster.replica(number).status()
+    );
+}
+
+async fn submit_some(cluster: &Cluster, number: usize, name: &str) {
+    for count in 0..10 {
+        cluster
+            .submit(number, cap(&format!("{name}-{count}"), 1))
+            .await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn spawn_lost_disk_comes_back_as_learner() {
+    for snapshot_every in [0, 4] {
+        let mut cluster = Cluster::new(3, 1);
+        cluster.snapshot_every = snapshot_every;
+        cluster.start_all().await;
+        cluster.leader().await;
+        submit_some(&cluster, 0, "a").await;
+        for lost in 0..3 {
+            cluster.lose_disk(lost).await;
+            assert!(!cluster.replica(lost).confirmed().await.confirmed);
+            wait_for_voter(&cluster, lost).await;
+            submit_some(&cluster, 0, &format!("b{lost}")).await;
+        }
+        cluster.settle().await;
+        for replica in cluster.running() {
+            assert_eq!(replica.status().version, Version(40));
+            assert_eq!(replica.status().replicas.len(), 3);
+            assert_eq!(replica.history(0, 100).len(), 40);
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn spawn_one_repaired_then_second_lost() {
+    let mut cluster = Cluster::started(3, 2).await;
+    submit_some(&cluster, 0, "a").await;
+    cluster.lose_disk(1).await;
+    wait_for_voter(&cluster, 1).await;
+    cluster.kill(2);
+    submit_some(&cluster, 1, "b").await;
+    cluster.kill(0);
+    cluster.start(0).await.unwrap();
+    let committed = cluster.submit(1, cap("c", 1)).await;
+    assert_eq!(committed.version, Version(21));
+}
+
+#[tokio::test(start_paused = true)]
+async fn spawn_blank_replica_gives_no_vote() {
+    let mut cluster = Cluster::started(3, 3).await;
+    let leader = cluster.leader().await;
+    let others: Vec<usize> = (0..3).filter(|other| *other != leader).collect();
+    cluster.kill(others[0]);
+    submit_some(&cluster, leader, "a").await;
+    cluster.kill(leader);
+    cluster.lose_disk(others[1]).await;
+    // The replica that missed the changes meets one that lost them: they must not lead.
+    cluster.start(others[0]).await.unwrap();
+    sleep(20_000).await;
+    assert!(cluster.running().all(|replica| !replica.status().has_lease));
+    cluster.start(leader).await.unwrap();
+    wait_for_voter(&cluster, others[1]).await;
+    cluster.settle().await;
+    assert!(
+        cluster
+            .running()
+            .all(|replica| replica.status().version == Version(10))
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn replace_by_another_instance() {
+    let mut cluster = Cluster::started(3, 4).await;
+    submit_some(&cluster, 0, "a").await;
+    let leader = cluster.leader().await;
+    let old = (leader + 1) % 3;
+    cluster.start(7).await.unwrap();
+    let replica = cluster.replica((leader + 2) % 3).clone();
+    let calls = replica.replace(InstanceId(old as u16), InstanceId(7));
+    // A follower's call may be answered after the link gave up waiting.
+    let _ = calls.await;
+    wait_for_voter(&cluster, 7).await;
+    submit_some(&cluster, leader, "b").await;
+    cluster.kill(old);
+    cluster.settle().await;
+    assert_eq!(cluster.replica(7).status().version, Version(20));
+}
+
+#[tokio::test(start_paused = true)]
+async fn replace_that_endangers_majority_is_refused() {
+    let mut cluster = Cluster::started(3, 5).await;
+    let leader = cluster.leader().await;
+    let others: Vec<usize> = (0..3).filter(|other| *other != leader).collect();
+    cluster.start(7).await.unwrap();
+    cluster.kill(others[0]);
+    sleep(500).await;
+    let old = InstanceId(others[1] as u16);
+    let refused = cluster.replica(leader).replace(old, InstanceId(7)).await;
+    let endangered = ReplaceError::Endangered { live: 1, needed: 2 };
+    assert_eq!(refused, Err(endangered));
+    let dead = InstanceId(others[0] as u16);
+    assert_eq!(
+        cluster.replica(leader).replace(dead, InstanceId(7)).await,
+        Ok(())
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn replace_one_at_a_time() {
+    let mut cluster = Cluster::started(5, 6).await;
+    let leader = cluster.leader().await;
+    let others: Vec<usize> = (0..5).filter(|other| *other != leader).collect();
+    cluster.start(7).await.unwrap();
+    let first = cluster.replica(leader).clone();
+    let (old, other) = (InstanceId(others[0] as u16), InstanceId(others[1] as u16));
+    let pending = tokio::spawn(async move { first.replace(old, InstanceId(7)).await });
+    for _ in 0..100 {
+        sleep(1).await;
+        if cluster.replica(leader).status().replicas.len() == 6 {
+            break;
+        }
+    }
+    let refused = cluster.replica(leader).replace(other, InstanceId(6)).await;
+    let under_way = ReplaceError::UnderWay {
+        instance: "control-7".into(),
+    };
+    assert_eq!(refused, Err(under_way));
+    assert_eq!(pending.await.unwrap(), Ok(()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn replace_leader_killed_at_each_step() {
+    for killed_after_ms in (0..200).step_by(5) {
+        let mut cluster = Cluster::started(3, 100 + killed_after_ms).await;
+        submit_some(&cluster, 0, "a").await;
+        let leader = cluster.leader().await;
+        let lost = (leader + 1) % 3;
+        cluster.lose_disk(lost).await;
+        sleep(killed_after_ms).await;
+        cluster.restart(leader).await;
+        wait_for_voter(&cluster, lost).await;
+        cluster.submit(lost, cap("b", 1)).await;
+        cluster.settle().await;
+        for replica in cluster.running() {
+            assert_eq!(
+                replica.status().version,
+                Version(11),
+                "killed after {killed_after_ms} ms"
+            );
+            assert_eq!(replica.status().replicas.len(), 3);
+        }
+    }
+}
