--- a/control/benches/commit.rs
+++ b/control/benches/commit.rs
@@ -92,7 +92,11 @@
         let mut settings = ReplicaSettings::new(*me, members.clone(), &own, topology());
         settings.seed = u64::from(me.0);
         settings.snapshot_every = snapshot_every;
-        (settings.heartbeat_ms, settings.lease_ms, settings.election_ms) = (20, 150, 200);
+        (
+            settings.heartbeat_ms,
+            settings.lease_ms,
+            settings.election_ms,
+        ) = (20, 150, 200);
         let link = Local {
             replicas: running.clone(),
             from: *me,
--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -20,7 +20,7 @@
 use crate::peer_handler::PeerHandler;
 use crate::peer_message::PeerRequest;
 use crate::state::State;
-use crate::{heartbeat, load_poller, platform_poller, share_borrower};
+use crate::{claim_sync, heartbeat, load_poller, platform_poller, share_borrower};
 
 /// Time between two looks for connections that have been idle for long.
 const CLOSE_IDLE_EVERY: Duration = Duration::from_secs(5);
@@ -109,6 +109,7 @@
         self.callers.stop(most).await;
         wait_for_requests(&state, most).await;
         hand_over_claims(&state).await;
+        claim_sync::leave(&state).await;
         state.faults.at(Step::ClaimsHandedOver).await;
         if let Some(replica) = &state.replica {
             replica.stop().await;
@@ -168,6 +169,7 @@
         leaving.clone(),
     ));
     tasks.spawn(share_borrower::run(state.clone()));
+    tasks.spawn(claim_sync::run(state.clone()));
     tasks.spawn(close_idle(state.clone()));
     if let Some(address) = state.settings.platform_list {
         tasks.spawn(platform_poller::run(state.clone(), address, leaving));
--- a/daemon/src/explain.rs
+++ b/daemon/src/explain.rs
@@ -3,7 +3,8 @@
 use std::net::IpAddr;
 
 use laburnumdeal_language::Table;
-use laburnumdeal_policy::{KeyId, RequestKey, RouteInput};
+use laburnumdeal_model::Digest;
+use laburnumdeal_policy::{RequestKey, RouteInput};
 use tokio::time::Instant;
 
 use crate::peer_message::{PeerReply, PeerRequest};
@@ -32,7 +33,7 @@
     let input = RouteInput {
         service: service_id,
         caller: address,
-        hash: KeyId::of(key.unwrap_or("")).0 as u64,
+        hash: hash_of(key.unwrap_or("")),
         table: &in_force.table,
         membership: &state.membership,
         digests: &digests,
@@ -112,6 +113,12 @@
     Table::new(&format!("explain request {id}"), &columns, rows)
 }
 
+/// Returns a number that stands for a key in the choice between equal zones.
+fn hash_of(key: &str) -> u64 {
+    let digest = Digest::of(&[key.as_bytes()]);
+    u64::from_le_bytes(digest.0[..8].try_into().expect("a digest has 32 bytes"))
+}
+
 fn key_row(state: &State, key: &str) -> Vec<String> {
     match RequestKey::parse(key, &state.sealer) {
         Ok(parsed) => match parsed.token {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 mod body_error;
 mod caller_handler;
 mod claim_path;
+mod claim_sync;
 mod command_runner;
 mod configuration_puller;
 mod configuration_store;
--- a/daemon/src/peer_handler.rs
+++ b/daemon/src/peer_handler.rs
@@ -109,6 +109,10 @@
             PeerRequest::SyncClaims { boot } => {
                 PeerReply::Claims(state.claims.sync_records(from, boot))
             }
+            PeerRequest::HandOverBare { boot, records } => {
+                state.claims.bare_import(from, boot, records);
+                PeerReply::Done
+            }
             PeerRequest::Borrow { key, amount_per_s } => {
                 PeerReply::Granted(state.shares.lend(key, from, amount_per_s, Instant::now()))
             }
--- a/daemon/src/peer_message.rs
+++ b/daemon/src/peer_message.rs
@@ -3,8 +3,8 @@
 use laburnumdeal_control::{ControlReply, ControlRequest};
 use laburnumdeal_model::{Applied, BootId, Configuration, Digest, Version};
 use laburnumdeal_policy::{
-    CapKey, ClaimRecord, FenceReply, GiveBack, Grant, HandOver, MirrorReply, StoredAnswer,
-    UpstreamHandOver,
+    BareSync, CapKey, ClaimRecord, FenceReply, GiveBack, Grant, HandOver, MirrorReply,
+    StoredAnswer, UpstreamHandOver,
 };
 use serde::{Deserialize, Serialize};
 
@@ -62,6 +62,13 @@
         /// Run of the sender.
         boot: BootId,
     },
+    /// Hands the claims without a token that the receiver shares over, on a planned stop.
+    HandOverBare {
+        /// Run of the sender.
+        boot: BootId,
+        /// Every record.
+        records: Vec<ClaimRecord>,
+    },
     /// Asks for a part of a share.
     Borrow {
         /// Cap that the share is of.
@@ -99,7 +106,7 @@
     /// Reply to [`PeerRequest::Fence`].
     Fence(FenceReply),
     /// Reply to [`PeerRequest::SyncClaims`]; `None` when the partner does not know them all.
-    Claims(Option<Vec<ClaimRecord>>),
+    Claims(Option<BareSync>),
     /// Reply to [`PeerRequest::Borrow`].
     Granted(Option<Grant>),
     /// Reply to [`PeerRequest::Explain`].
@@ -120,8 +127,9 @@
             self,
             Self::Pull { .. }
                 | Self::HandOverClaims(_)
+                | Self::HandOverBare { .. }
                 | Self::SyncClaims { .. }
-                | Self::Control(_)
+                | Self::Control(ControlRequest::Snapshot { .. } | ControlRequest::Submit { .. })
         )
     }
 }
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -101,8 +101,8 @@
     }
 
     /// Ends an instance at once.
-    pub fn kill(&mut self, name: &str) {
-        self.take(name).kill();
+    pub async fn kill(&mut self, name: &str) {
+        self.take(name).kill().await;
     }
 
     /// Takes an instance out, so that the test can stop it while it does other things.
@@ -231,6 +231,13 @@
         Caller.send(self.instance(name).caller_address, ask).await
     }
 
+    /// Returns what an instance says of its readiness.
+    pub async fn send_ready(&self, name: &str) -> String {
+        let address = self.instance(name).operator_address;
+        let got = Caller.send(address, &Ask::get("", "/ready")).await;
+        got.map_or_else(|error| error.to_string(), |got| got.text())
+    }
+
     /// Asks an instance for a look-up.
     ///
     /// # Errors
--- a/tests/src/host.rs
+++ b/tests/src/host.rs
@@ -5,11 +5,14 @@
 use laburnumdeal_model::Settings;
 use slog::{Discard, Logger, o};
 use tokio::runtime::{Builder, Runtime};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 /// Worker threads of one instance.
 const WORKERS: usize = 2;
 
+/// Longest time that the threads of a killed daemon take to end.
+const END_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// One daemon on a runtime of its own, so that it can be killed and frozen as a process can.
 pub struct Host {
     runtime: Option<Runtime>,
@@ -64,9 +67,19 @@
         &self.faults
     }
 
-    /// Ends the daemon at once, as killing its process does.
-    pub fn kill(mut self) {
-        self.end();
+    /// Ends the daemon at once, as killing its process does, and returns when its addresses are
+    /// free.
+    pub async fn kill(mut self) {
+        self.thaw();
+        let Some(runtime) = self.runtime.take() else {
+            return;
+        };
+        let (ended, end) = oneshot::channel();
+        std::thread::spawn(move || {
+            runtime.shutdown_timeout(END_TIMEOUT);
+            let _ = ended.send(());
+        });
+        let _ = end.await;
     }
 
     /// Stops the daemon as planned.
--- a/tests/src/matrix.rs
+++ b/tests/src/matrix.rs
@@ -261,9 +261,9 @@
 
     async fn induce(&mut self, fault: RequestFault, place: &str, partner: &str, ask: &Ask) {
         match fault {
-            RequestFault::Kill => self.cluster.kill(place),
+            RequestFault::Kill => self.cluster.kill(place).await,
             RequestFault::KillRestart => {
-                self.cluster.kill(place);
+                self.cluster.kill(place).await;
                 self.cluster
                     .start(place)
                     .await
@@ -276,10 +276,10 @@
             RequestFault::Silent => self.cut(place, partner, ask, LinkState::Silent).await,
             RequestFault::Broken => self.cut(place, partner, ask, LinkState::Broken).await,
             RequestFault::Forget => self.cut(place, partner, ask, LinkState::ForgetOpen).await,
-            RequestFault::PartnerKill => self.cluster.kill(partner),
+            RequestFault::PartnerKill => self.cluster.kill(partner).await,
             RequestFault::BothRestart => {
                 for name in [place, partner] {
-                    self.cluster.kill(name);
+                    self.cluster.kill(name).await;
                 }
                 for name in [place, partner] {
                     self.cluster
