Give a replica with a lost disk an identity that no other had

Cause: the daemon passed the setting 'seed' to the replica, which draws the identity of a blank folder from it. With the setting, a replica that lost its disk came back under its old identity, so the leader took it for one that still had the log and never sent it.

Ruled out: the log itself (its own tests of lost disks hold, with fresh seeds).

Before: replica_with_lost_disk... waited in vain for version 1. After: all eight tests of tests/configuration.rs hold, 12 s.

--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -147,9 +147,8 @@
         .expect("checked settings have a folder");
     let members: Vec<InstanceId> = state.topology.control_ids().collect();
     let mut settings = ReplicaSettings::new(state.me, members, folder, state.topology.clone());
-    if let Some(seed) = state.settings.seed {
-        settings.seed = seed ^ u64::from(state.me.0);
-    }
+    // Never from the setting 'seed': a blank folder must get an identity that no other had.
+    settings.seed = rand::random();
     let log = state.log.new(slog::o!("part" => "control"));
     let replica = Replica::spawn(settings, state.peers.clone(), log).await?;
     Ok(Some(replica))
