Take a frozen instance for a restarted one with bare keys

Cause: a run that was frozen for long may have been replaced. When it thaws, it knew all keys without a token, and told "not run" of one that the new run had run.

A table that was not ticked for a resend horizon now knows no earlier keys without a token.

--- a/policy/src/bare_partners.rs
+++ b/policy/src/bare_partners.rs
@@ -32,6 +32,13 @@
         }
     }
 
+    /// Notes that another run may have followed this one.
+    pub fn lapse(&mut self) {
+        self.knows_all = false;
+        self.synced.clear();
+        self.complete.clear();
+    }
+
     /// Notes that every record that this run does not know has expired.
     pub fn know_all(&mut self) {
         self.knows_all = true;
--- a/policy/src/claim.rs
+++ b/policy/src/claim.rs
@@ -2,7 +2,9 @@
 
 use crate::claim_records::ClaimRecords;
 use crate::claim_state::{ClaimState, FinishSender};
-use crate::{ClaimFinish, ClaimTable, Fenced, MirrorReply, Outcome, RequestKey, Started};
+use crate::{
+    ClaimFinish, ClaimTable, Fenced, MirrorReply, Outcome, RequestKey, Started, UnknownReason,
+};
 
 /// Key that is claimed on the home; nothing has been sent.
 ///
@@ -65,6 +67,10 @@
                 // The reply is from a run of the mirror that another has replaced.
                 Err(self.settle(&mut records, ClaimState::Fenced))
             }
+            // Another run has followed this one, and may have run the key.
+            MirrorReply::Unknown(UnknownReason::OtherRun) if self.key.token.is_none() => {
+                Err(self.settle(&mut self.table.lock(), ClaimState::Ran))
+            }
             MirrorReply::Fenced | MirrorReply::Unknown(_) => {
                 Err(self.settle(&mut self.table.lock(), ClaimState::Fenced))
             }
--- a/policy/src/claim_records.rs
+++ b/policy/src/claim_records.rs
@@ -26,6 +26,9 @@
     pub partners: BarePartners,
     pub next_serial: u64,
     started_at: Instant,
+    /// Time from which on earlier keys without a token are unknown, unless partners tell them.
+    blank_since_ms: u64,
+    last_tick_ms: Option<u64>,
 }
 
 impl ClaimRecords {
@@ -40,6 +43,8 @@
             partners,
             next_serial: 0,
             started_at: Instant::now(),
+            blank_since_ms: 0,
+            last_tick_ms: None,
         }
     }
 
@@ -136,16 +141,33 @@
     /// Removes expired records of keys without a token, and opens the table once all have expired.
     pub fn expire_bare(&mut self) {
         let now_ms = self.now_ms();
-        let kept_ms = BARE_KEPT_HORIZONS * self.settings.resend_horizon_ms;
+        let horizon_ms = self.settings.resend_horizon_ms;
+        let kept_ms = BARE_KEPT_HORIZONS * horizon_ms;
+        if self
+            .last_tick_ms
+            .is_some_and(|at_ms| now_ms > at_ms + horizon_ms)
+        {
+            self.partners.lapse();
+            self.blank_since_ms = now_ms;
+            self.last_tick_ms = Some(now_ms);
+        }
+        if now_ms >= self.blank_since_ms + kept_ms {
+            self.partners.know_all();
+        }
         if now_ms < kept_ms {
             return;
         }
-        self.partners.know_all();
         while let Some(state) = self.bare.expire_one(now_ms - kept_ms) {
             self.release(Some(state));
         }
     }
 
+    /// Notes that this process is running, after it has checked that it was not frozen for long.
+    pub fn tick(&mut self) {
+        self.expire_bare();
+        self.last_tick_ms = Some(self.now_ms());
+    }
+
     /// Returns how many records of keys with a token there are.
     pub fn token_records(&self) -> usize {
         let imported: usize = self.imports.iter().map(|i| i.domain.len()).sum();
--- a/policy/src/claim_table.rs
+++ b/policy/src/claim_table.rs
@@ -63,6 +63,14 @@
         }
     }
 
+    /// Notes that this process is running; to be called about once a second.
+    ///
+    /// A process that was frozen for longer than the resend horizon may have been replaced. It answers
+    /// for keys without a token like a restarted one.
+    pub fn tick(&self) {
+        self.lock().tick();
+    }
+
     /// Returns whether tokens that name this run of an instance are answered for here.
     pub fn answers_for(&self, instance: InstanceId, boot: BootId) -> bool {
         self.lock().domain_of_run(instance, boot).is_some()
