--- a/policy/src/claim_hand_over.rs
+++ b/policy/src/claim_hand_over.rs
@@ -1,12 +1,12 @@
 use laburnumdeal_model::{BootId, InstanceId};
-use serde::{Deserialize, Serialize};
 
 use crate::answer_shelf::DomainId;
 use crate::claim_domain::ClaimDomain;
 use crate::claim_import::ClaimImport;
+use crate::claim_record::record_of;
 use crate::claim_records::ClaimRecords;
 use crate::claim_state::{ClaimEntry, ClaimState};
-use crate::{ClaimFinish, ClaimTable, KeyId, StoredAnswer};
+use crate::{ClaimFinish, ClaimRecord, ClaimTable, ExportId, HandOver, RecordState};
 
 /// Most records in one message of a hand-over.
 pub const HAND_OVER_RECORDS: usize = 4_096;
@@ -17,65 +17,6 @@
 /// Most runs of other instances that one instance answers for.
 pub const MAX_IMPORTED_RUNS: usize = 64;
 
-/// What is told of a key when its record moves to another instance.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClaimRecord {
-    /// Key of the request.
-    pub key: KeyId,
-    /// Hash of method, path and body.
-    pub fingerprint: u64,
-    /// Stamp of the token.
-    pub stamp_ms: u64,
-    /// What became of the request.
-    pub state: RecordState,
-}
-
-/// What became of a request whose record moves.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum RecordState {
-    /// Claimed for a run of the home; may run.
-    Claimed {
-        /// Run of the home.
-        home_boot: BootId,
-    },
-    /// Never runs.
-    Fenced,
-    /// May have run; no answer is kept.
-    Ran,
-    /// Ran; this is its answer.
-    Finished(StoredAnswer),
-}
-
-/// Names one export of one run, also when that passes on what another run had handed to it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct ExportId {
-    /// Instance that exported.
-    pub by: InstanceId,
-    /// Run of that instance.
-    pub by_boot: BootId,
-    /// Number of the export in that run.
-    pub number: u64,
-}
-
-/// One message of a hand-over on a planned stop.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HandOver {
-    /// Instance whose claims these are.
-    pub from: InstanceId,
-    /// Run of that instance.
-    pub from_boot: BootId,
-    /// Export that this message is a part of; parts of different exports do not make a whole.
-    pub export: ExportId,
-    /// Floor of that run.
-    pub floor_ms: Option<u64>,
-    /// Number of this message, from 0.
-    pub part: u32,
-    /// Number of messages.
-    pub total: u32,
-    /// Records of this message.
-    pub records: Vec<ClaimRecord>,
-}
-
 impl ClaimTable {
     /// Closes the table and returns its records, and those it answers for, as messages for another instance.
     ///
@@ -209,27 +150,6 @@
     }
 }
 
-/// Returns the record of a key as told to another instance.
-pub(crate) fn record_of(key: KeyId, entry: &ClaimEntry, boot: BootId) -> ClaimRecord {
-    let state = match &entry.state {
-        ClaimState::Pending { .. } | ClaimState::Started { .. } => {
-            RecordState::Claimed { home_boot: boot }
-        }
-        ClaimState::Mirrored { home_boot } => RecordState::Claimed {
-            home_boot: *home_boot,
-        },
-        ClaimState::Fenced => RecordState::Fenced,
-        ClaimState::Ran => RecordState::Ran,
-        ClaimState::Finished { answer, .. } => RecordState::Finished(StoredAnswer::clone(answer)),
-    };
-    ClaimRecord {
-        key,
-        fingerprint: entry.fingerprint,
-        stamp_ms: entry.stamp_ms,
-        state,
-    }
-}
-
 fn split(
     from: InstanceId,
     from_boot: BootId,
--- a/policy/src/claim_sync.rs
+++ b/policy/src/claim_sync.rs
@@ -1,19 +1,9 @@
 use laburnumdeal_model::{BootId, InstanceId};
-use serde::{Deserialize, Serialize};
 
 use crate::answer_shelf::DomainId;
-use crate::claim_hand_over::record_of;
+use crate::claim_record::record_of;
 use crate::claim_records::ClaimRecords;
-use crate::{ClaimRecord, ClaimTable, RecordState};
-
-/// Records of the keys without a token that two instances share.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BareSync {
-    /// Records that the sender has.
-    pub records: Vec<ClaimRecord>,
-    /// Whether the earlier run of the receiver had handed all its records to the sender.
-    pub is_complete: bool,
-}
+use crate::{BareSync, ClaimRecord, ClaimTable, RecordState};
 
 impl ClaimTable {
     /// Returns whether every new key without a token is claimed here.
