--- a/policy/tests/claims/claims_pair.rs
+++ b/policy/tests/claims/claims_pair.rs
@@ -42,6 +42,26 @@
     assert_eq!(third.wait().await, ClaimFinish::Answer(kept));
 }
 
+#[test]
+fn begin_many_threads() {
+    let (home, mirror) = (table(HOME, BOOT), table(MIRROR, BOOT));
+    let send = || {
+        let Begin::Claimed(mut claim) = home.begin(&key("a"), REQUEST) else {
+            return 0;
+        };
+        claim
+            .confirm_mirror(mirror_claim(&mirror, &key("a")))
+            .unwrap();
+        claim.start().unwrap().finish(answer("opened"));
+        1
+    };
+    let runs: u32 = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..8).map(|_| scope.spawn(send)).collect();
+        threads.into_iter().map(|t| t.join().unwrap()).sum()
+    });
+    assert_eq!(runs, 1);
+}
+
 #[test]
 fn begin_other_request() {
     let (home, mirror) = (table(HOME, BOOT), table(MIRROR, BOOT));
