--- a/daemon/src/heartbeat.rs
+++ b/daemon/src/heartbeat.rs
@@ -34,6 +34,7 @@
             tokio::spawn(exchange(state.clone(), peer));
         }
         receive_own(&state);
+        state.claims.tick();
         turn += 1;
     }
 }
--- a/model/src/settings.rs
+++ b/model/src/settings.rs
@@ -43,6 +43,9 @@
     /// Time to live of a look-up's answer at the caller.
     #[serde(default = "default_lookup_ttl_ms")]
     pub lookup_ttl_ms: u64,
+    /// Longest time after its first send in which a caller sends a key without a token again.
+    #[serde(default = "default_resend_horizon_ms")]
+    pub resend_horizon_ms: u64,
     /// Seed of the random choices; absent takes one from the system.
     #[serde(default)]
     pub seed: Option<u64>,
@@ -205,6 +208,12 @@
             ("lease_ms", self.lease_ms, 100, 600_000),
             ("stop_ms", self.stop_ms, 0, 3_600_000),
             ("lookup_ttl_ms", self.lookup_ttl_ms, 100, 3_600_000),
+            (
+                "resend_horizon_ms",
+                self.resend_horizon_ms,
+                1_000,
+                86_400_000,
+            ),
         ];
         for (path, value, least, most) in ranges {
             if !(least..=most).contains(&value) {
@@ -252,6 +261,10 @@
     5_000
 }
 
+fn default_resend_horizon_ms() -> u64 {
+    600_000
+}
+
 fn default_log_level() -> String {
     "info".to_owned()
 }
--- a/tests/src/plan.rs
+++ b/tests/src/plan.rs
@@ -99,6 +99,7 @@
             lease_ms: 2_000,
             stop_ms: 10_000,
             lookup_ttl_ms: 300,
+            resend_horizon_ms: 600_000,
             seed: Some(7),
             log_level: "info".to_owned(),
             topology: topology.clone(),
