--- a/policy/benches/choice/main.rs
+++ b/policy/benches/choice/main.rs
@@ -31,12 +31,13 @@
     fleet("Adherent 12x3", 12, 3),
 ];
 
-const FAULTS: [Fault; 5] = [
+const FAULTS: [Fault; 6] = [
     Fault::None,
     Fault::Slow,
     Fault::Sheds,
     Fault::Cold,
     Fault::Flushed,
+    Fault::Frozen,
 ];
 
 const LOADS_PERCENT: [u32; 4] = [50, 80, 95, 200];
@@ -78,7 +79,7 @@
         "seeds {SEEDS:?}, {seconds} s of virtual time for each; p99 in ms, unanswered ones count as late"
     );
     println!(
-        "{:<16}{:<11}{:>5} |{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7} |{:>6} |{:>7}{:>7}{:>7} |{:>6}{:>8}{:>8}{:>5}{:>7}{:>5}  bound",
+        "{:<16}{:<11}{:>5} |{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7} |{:>6} |{:>7}{:>7}{:>7} |{:>6}{:>8}{:>8}{:>5}{:>7}{:>5}{:>6}  bound",
         "service",
         "fault",
         "load",
@@ -98,7 +99,8 @@
         "queue",
         "room",
         "closed",
-        "shed"
+        "shed",
+        "late"
     );
     let mut missed = 0;
     for fleet in fleets {
@@ -137,7 +139,7 @@
         && (scenario.load_percent < 200 || goodput(ours) >= GOODPUT_MIN)
         && ours.refused_with_room == 0;
     println!(
-        "{:<16}{:<11}{:>4}% |{:>7.1}{:>7.1}{:>7.1}{:>7.1}{:>7.1}{:>7.1}{:>7.1} |{:>6.2} |{:>7.3}{:>7.3}{:>7.3} |{:>6}{:>8}{:>8}{:>5}{:>7}{:>5}  {}",
+        "{:<16}{:<11}{:>4}% |{:>7.1}{:>7.1}{:>7.1}{:>7.1}{:>7.1}{:>7.1}{:>7.1} |{:>6.2} |{:>7.3}{:>7.3}{:>7.3} |{:>6}{:>8}{:>8}{:>5}{:>7}{:>5}{:>6}  {}",
         scenario.fleet.name,
         scenario.fault.to_string(),
         scenario.load_percent,
@@ -158,6 +160,7 @@
         ours.refused_with_room,
         ours.refused_with_closed,
         ours.sheds,
+        ours.late,
         if holds { "holds" } else { "MISSED" }
     );
     holds
--- a/policy/benches/choice/ours.rs
+++ b/policy/benches/choice/ours.rs
@@ -272,7 +272,7 @@
             Event::Tick => self.tick(world.now_us),
             Event::Report => self.report(world),
             Event::Tell => self.tell_room(world.now_us),
-            Event::Flush => {}
+            Event::Fault => {}
         }
         self.deliver(world);
         self.plan_ticks(world);
--- a/policy/benches/choice/plain.rs
+++ b/policy/benches/choice/plain.rs
@@ -124,7 +124,7 @@
                     .map(|u| usize::from(u.running) + u.backlog.len())
                     .collect();
             }
-            Event::GiveUp { .. } | Event::Tick | Event::Tell | Event::Flush => {}
+            Event::GiveUp { .. } | Event::Tick | Event::Tell | Event::Fault => {}
         }
     }
 }
--- a/policy/benches/choice/scenario.rs
+++ b/policy/benches/choice/scenario.rs
@@ -40,6 +40,9 @@
     /// A third of the upstreams loses its caches after a second and says nothing.
     #[display("flushed")]
     Flushed,
+    /// One upstream stops answering after a second, but still takes requests.
+    #[display("one frozen")]
+    Frozen,
 }
 
 /// One cell of the table.
@@ -67,6 +70,7 @@
         match self.fault {
             Fault::None | Fault::Cold | Fault::Flushed => others + slots,
             Fault::Slow => others + slots / SLOW_FACTOR,
+            Fault::Frozen => others,
             Fault::Sheds => others + f64::from(self.fleet.slots.div_ceil(2)),
         }
     }
--- a/policy/benches/choice/world.rs
+++ b/policy/benches/choice/world.rs
@@ -31,8 +31,8 @@
     Report,
     /// Instances tell each other what they know.
     Tell,
-    /// Some upstreams lose their caches.
-    Flush,
+    /// The fault sets in.
+    Fault,
 }
 
 /// One upstream as it really is.
@@ -67,6 +67,7 @@
     pub outcome: Outcome,
     end_us: u64,
     flushed: usize,
+    freezes: bool,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     next_event: u64,
 }
@@ -108,12 +109,13 @@
             outcome: Outcome::default(),
             end_us: scenario.seconds * 1_000_000,
             flushed: scenario.flushed() as usize,
+            freezes: scenario.fault == Fault::Frozen,
             events: BinaryHeap::new(),
             next_event: 0,
         };
         world.schedule(0, Event::Report);
         world.schedule(0, Event::Tell);
-        world.schedule(1_000_000, Event::Flush);
+        world.schedule(1_000_000, Event::Fault);
         world.schedule_arrival(0);
         world
     }
@@ -129,11 +131,15 @@
                 upstream,
                 answered,
             } => self.end(request, upstream, answered),
-            Event::Flush => {
+            Event::Fault => {
                 for upstream in &mut self.upstreams[..self.flushed] {
                     upstream.is_cold = true;
                     upstream.answers = 0;
                 }
+                if self.freezes {
+                    self.upstreams[0].slow = f64::from(u32::MAX);
+                    self.delay_running(0);
+                }
             }
             Event::Tell if at_us < self.end_us => {
                 self.schedule(at_us + TELL_EVERY_US, Event::Tell);
@@ -195,6 +201,27 @@
         self.outcome.late += 1;
     }
 
+    /// Puts the end of everything that runs on an upstream off to its deadline.
+    fn delay_running(&mut self, frozen: usize) {
+        let events = std::mem::take(&mut self.events);
+        for Reverse((at_us, number, event)) in events {
+            match event {
+                Event::End {
+                    request, upstream, ..
+                } if upstream == frozen => {
+                    let end = Event::End {
+                        request,
+                        upstream,
+                        answered: false,
+                    };
+                    self.events
+                        .push(Reverse((self.deadline_us(request), number, end)));
+                }
+                _ => self.events.push(Reverse((at_us, number, event))),
+            }
+        }
+    }
+
     fn end(&mut self, request: usize, upstream: usize, answered: bool) {
         let target = &mut self.upstreams[upstream];
         target.running -= 1;
