Expect no shorter latency than an upstream's silence

Cause: a frozen upstream kept its old average until the first deadline passed, and its slots filled. The expected latency is now at least the time that the running requests have gone without an answer.

--- a/policy/src/upstream_entry.rs
+++ b/policy/src/upstream_entry.rs
@@ -27,6 +27,7 @@
     pub ejection: Ejection,
     pub reports: ReportedLoad,
     pub assumed: AssumedSlots,
+    quiet_since: Option<Instant>,
 }
 
 impl UpstreamEntry {
@@ -41,6 +42,7 @@
             ejection: Ejection::default(),
             reports: ReportedLoad::default(),
             assumed: AssumedSlots::default(),
+            quiet_since: None,
         }
     }
 
@@ -131,6 +133,9 @@
 
     /// Takes a slot.
     pub fn take(&mut self, use_of: SlotUse, settings: &PoolSettings, now: Instant) {
+        if self.in_flight == 0 {
+            self.quiet_since = Some(now);
+        }
         self.in_flight += 1;
         self.reports.own_changed(self.in_flight);
         self.shed.sent(self.own(), now);
@@ -185,10 +190,17 @@
         }
     }
 
-    /// Returns the latency in seconds that a new request is expected to see.
+    /// Returns the latency in seconds that a new request is expected to see. It is no shorter
+    /// than the time that the running requests have gone without an answer.
     pub fn expected_s(&self, reference_s: f64, settings: &PoolSettings, now: Instant) -> f64 {
         let decay = Duration::from_millis(settings.latency_decay_ms);
-        self.latency.expected_s(reference_s, decay, now)
+        let expected_s = self.latency.expected_s(reference_s, decay, now);
+        match self.quiet_since {
+            Some(since) if self.in_flight > 0 => {
+                expected_s.max(now.saturating_duration_since(since).as_secs_f64())
+            }
+            _ => expected_s,
+        }
     }
 
     /// Returns the next time at which room may open without any request ending.
@@ -319,6 +331,7 @@
         now: Instant,
     ) {
         self.latency.record(latency, now);
+        self.quiet_since = Some(now);
         if self.ejection.answered() {
             self.slow_start = SlowStart::cold(now);
         }
