Choose in one pass and look for faster upstreams only when one is slow

Cause: admission computed the standing of the chosen upstream twice and an exponential for every upstream to decide on a hold. Now the hold is looked at only when the choice is expected to take 1.25 times the service's average or more.

--- a/policy/benches/choice/main.rs
+++ b/policy/benches/choice/main.rs
@@ -12,7 +12,7 @@
 
 use criterion::Criterion;
 use laburnumdeal_model::{ServiceId, UpstreamId};
-use laburnumdeal_policy::{Ending, OwnedUpstream, PoolCore, PoolSettings};
+use laburnumdeal_policy::{Admission, Ending, OwnedUpstream, PoolCore, PoolSettings};
 use tokio::time::Instant;
 
 use crate::central::Central;
@@ -224,14 +224,16 @@
         core.try_admit(ServiceId(0), &[], now)
             .expect("there is room");
     }
+    let deadline = now + Duration::from_secs(1);
     let ending = Ending::Answered {
         latency: Duration::from_millis(20),
     };
     Criterion::default().bench_function("choice and release, 18x5 at 80 %", |bencher| {
         bencher.iter(|| {
-            let grant = core
-                .try_admit(ServiceId(0), &[], now)
-                .expect("there is room");
+            let admission = core.admit(ServiceId(0), deadline, &[], now);
+            let Admission::Granted(grant) = admission else {
+                panic!("there is room");
+            };
             core.release(grant, ending, now);
         });
     });
--- a/policy/src/choosing.rs
+++ b/policy/src/choosing.rs
@@ -9,12 +9,18 @@
 /// Share by which a full upstream counts as slower than an idle one.
 const LOAD_WEIGHT: f64 = 0.25;
 
+/// Multiple of the service's latency from which on faster upstreams are looked for.
+const CONSIDER_FACTOR: f64 = 1.25;
+
 /// Multiple of a faster upstream's latency from which on a wait for it is considered.
 const HOLD_FACTOR: f64 = 2.0;
 
 /// Share of the gain that a wait may cost.
 const HOLD_SHARE: f64 = 0.15;
 
+/// An upstream with room and what the room is for.
+pub(crate) type RoomAt = (UpstreamId, SlotUse);
+
 /// An upstream that a request could be sent to.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Choice {
@@ -37,12 +43,10 @@
             false => &self.preferred,
         };
         if let Some((first, second)) = pick_two(candidates, &mut self.rng) {
-            let second_is_better =
-                self.score(service, second, now) < self.score(service, first, now);
-            let upstream = if second_is_better { second } else { first };
-            let entry = &self.upstreams[upstream.index()];
-            let use_of = entry.standing(&self.settings, now).use_of;
-            return Some(self.choice(service, upstream, use_of, now));
+            let first = self.choice(service, first.0, first.1, now);
+            let second = self.choice(service, second.0, second.1, now);
+            let second_is_better = self.score(&second) < self.score(&first);
+            return Some(if second_is_better { second } else { first });
         }
         if let Some(upstream) = report_probe {
             return Some(self.choice(service, upstream, SlotUse::ReportProbe, now));
@@ -62,6 +66,9 @@
     ) -> Option<Instant> {
         let entry = &self.services[service.index()];
         let reference_s = entry.time.mean_s();
+        if choice.expected_s < reference_s * CONSIDER_FACTOR {
+            return None;
+        }
         let (mut running, mut ends_per_s) = (0.0, 0.0);
         for member in entry.members.iter().filter(|m| !exclude.contains(m)) {
             let upstream = &self.upstreams[member.index()];
@@ -104,8 +111,8 @@
             }
             let moved = upstream.owned.map_or(0, |owned| owned.moved_permille);
             match moved > 0 && self.rng.random_range(0..WHOLE_PERMILLE) < moved {
-                true => self.deferred.push(*member),
-                false => self.preferred.push(*member),
+                true => self.deferred.push((*member, standing.use_of)),
+                false => self.preferred.push((*member, standing.use_of)),
             }
         }
         report_probe
@@ -139,26 +146,23 @@
         use_of: SlotUse,
         now: Instant,
     ) -> Choice {
+        let reference_s = self.services[service.index()].time.mean_s();
+        let entry = &self.upstreams[upstream.index()];
         Choice {
             upstream,
             use_of,
-            expected_s: self.expected_s(service, upstream, now),
+            expected_s: entry.expected_s(reference_s, &self.settings, now),
         }
     }
 
-    fn score(&self, service: ServiceId, upstream: UpstreamId, now: Instant) -> f64 {
-        let load = self.upstreams[upstream.index()].load();
-        self.expected_s(service, upstream, now) * (1.0 + LOAD_WEIGHT * load)
-    }
-
-    fn expected_s(&self, service: ServiceId, upstream: UpstreamId, now: Instant) -> f64 {
-        let reference_s = self.services[service.index()].time.mean_s();
-        self.upstreams[upstream.index()].expected_s(reference_s, &self.settings, now)
+    fn score(&self, choice: &Choice) -> f64 {
+        let load = self.upstreams[choice.upstream.index()].load();
+        choice.expected_s * (1.0 + LOAD_WEIGHT * load)
     }
 }
 
 /// Returns two different candidates at random, or the only one twice.
-fn pick_two(candidates: &[UpstreamId], rng: &mut ChaCha8Rng) -> Option<(UpstreamId, UpstreamId)> {
+fn pick_two(candidates: &[RoomAt], rng: &mut ChaCha8Rng) -> Option<(RoomAt, RoomAt)> {
     let count = candidates.len();
     match count {
         0 => None,
--- a/policy/src/pool_core.rs
+++ b/policy/src/pool_core.rs
@@ -5,6 +5,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
+use crate::choosing::RoomAt;
 use crate::service_entry::ServiceEntry;
 use crate::slow_start::SlowStart;
 use crate::upstream_entry::UpstreamEntry;
@@ -48,8 +49,8 @@
     pub(crate) next_ticket: u32,
     pub(crate) free_tickets: Vec<Ticket>,
     pub(crate) granted: Vec<(Ticket, Grant)>,
-    pub(crate) preferred: Vec<UpstreamId>,
-    pub(crate) deferred: Vec<UpstreamId>,
+    pub(crate) preferred: Vec<RoomAt>,
+    pub(crate) deferred: Vec<RoomAt>,
 }
 
 impl PoolCore {
