Take the best of all upstreams when both random choices are slow

Cause: with several slow upstreams both random choices can be slow; the request then went there, or waited, while a fast upstream had room. Slot::is_probe lets a caller keep requests that may not be repeated off a doubtful upstream.

--- a/policy/src/choosing.rs
+++ b/policy/src/choosing.rs
@@ -46,7 +46,11 @@
             let first = self.choice(service, first.0, first.1, now);
             let second = self.choice(service, second.0, second.1, now);
             let second_is_better = self.score(&second) < self.score(&first);
-            return Some(if second_is_better { second } else { first });
+            let better = if second_is_better { second } else { first };
+            return match self.is_slow(service, &better) {
+                true => self.best(service, candidates, now),
+                false => Some(better),
+            };
         }
         if let Some(upstream) = report_probe {
             return Some(self.choice(service, upstream, SlotUse::ReportProbe, now));
@@ -64,11 +68,11 @@
         ahead: usize,
         now: Instant,
     ) -> Option<Instant> {
-        let entry = &self.services[service.index()];
-        let reference_s = entry.time.mean_s();
-        if choice.expected_s < reference_s * CONSIDER_FACTOR {
+        if !self.is_slow(service, choice) {
             return None;
         }
+        let entry = &self.services[service.index()];
+        let reference_s = entry.time.mean_s();
         let (mut running, mut ends_per_s) = (0.0, 0.0);
         for member in entry.members.iter().filter(|m| !exclude.contains(m)) {
             let upstream = &self.upstreams[member.index()];
@@ -155,6 +159,19 @@
         }
     }
 
+    /// Returns the best of all candidates.
+    fn best(&self, service: ServiceId, candidates: &[RoomAt], now: Instant) -> Option<Choice> {
+        let choices = candidates
+            .iter()
+            .map(|(upstream, use_of)| self.choice(service, *upstream, *use_of, now));
+        choices.min_by(|a, b| self.score(a).total_cmp(&self.score(b)))
+    }
+
+    fn is_slow(&self, service: ServiceId, choice: &Choice) -> bool {
+        let reference_s = self.services[service.index()].time.mean_s();
+        choice.expected_s >= reference_s * CONSIDER_FACTOR
+    }
+
     fn score(&self, choice: &Choice) -> f64 {
         let load = self.upstreams[choice.upstream.index()].load();
         choice.expected_s * (1.0 + LOAD_WEIGHT * load)
--- a/policy/src/grant.rs
+++ b/policy/src/grant.rs
@@ -12,3 +12,10 @@
     pub at: Instant,
     pub(crate) use_of: SlotUse,
 }
+
+impl Grant {
+    /// Returns whether the request finds out if a doubtful upstream works.
+    pub fn is_probe(&self) -> bool {
+        self.use_of != SlotUse::Work
+    }
+}
--- a/policy/src/slot.rs
+++ b/policy/src/slot.rs
@@ -17,7 +17,7 @@
 /// # let pool = Pool::new(PoolSettings::default());
 /// # pool.configure(Instant::now(), &[owned]);
 /// let slot = pool.try_acquire(service, &[]).unwrap();
-/// assert_eq!(slot.upstream(), id);
+/// assert_eq!((slot.upstream(), slot.is_probe()), (id, false));
 /// slot.finish(Ending::Answered { latency: Duration::from_millis(12) });
 /// assert_eq!(pool.in_flight(id), 0);
 /// ```
@@ -42,6 +42,12 @@
         self.upstream
     }
 
+    /// Returns whether the request finds out if a doubtful upstream works; one that may not be
+    /// repeated is better sent elsewhere.
+    pub fn is_probe(&self) -> bool {
+        self.grant.is_some_and(|grant| grant.is_probe())
+    }
+
     /// Frees the slot and tells how the request ended.
     pub fn finish(mut self, ending: Ending) {
         self.free(ending);
--- a/policy/tests/choice_health.rs
+++ b/policy/tests/choice_health.rs
@@ -65,6 +65,11 @@
     let slots = take_all(&pool);
     let probes = slots.iter().filter(|slot| slot.upstream() == BAD).count();
     assert_eq!((slots.len(), probes), (5, 1));
+    assert!(
+        slots
+            .iter()
+            .all(|slot| slot.is_probe() == (slot.upstream() == BAD))
+    );
     slots.into_iter().for_each(|slot| slot.finish(answered(10)));
     assert_eq!(
         reason(&pool, 0),
