--- a/policy/tests/choice_latency.rs
+++ b/policy/tests/choice_latency.rs
@@ -71,6 +71,31 @@
     assert_eq!(take(&pool).upstream(), SLOW);
 }
 
+#[tokio::test(start_paused = true)]
+async fn try_acquire_finds_fast_among_slow() {
+    let pool = warm(&several(4, 2)).await;
+    for _ in 0..30 {
+        for id in 0..4 {
+            let others: Vec<_> = (0..4).filter(|o| *o != id).map(UpstreamId).collect();
+            let ms = if id < 2 { 200 } else { 10 };
+            let slot = pool.try_acquire(SERVICE, &others).unwrap();
+            slot.finish(answered(ms));
+        }
+    }
+    let chosen: Vec<_> = take_all(&pool).iter().map(|s| s.upstream().0).collect();
+    assert!(chosen[..4].iter().all(|id| *id >= 2), "{chosen:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn try_acquire_avoids_upstream_that_went_quiet() {
+    let pool = warm(&several(2, 4)).await;
+    let quiet = pool.try_acquire(SERVICE, &[FAST]).unwrap();
+    advance_ms(500).await;
+    let chosen: Vec<_> = (0..4).map(|_| take(&pool)).collect();
+    assert!(chosen.iter().all(|slot| slot.upstream() == FAST));
+    drop((quiet, chosen));
+}
+
 #[tokio::test(start_paused = true)]
 async fn hedge_after_follows_slowest_answers() {
     let pool = warm(&[owned(0, 2)]).await;
--- a/policy/tests/choice_queue.rs
+++ b/policy/tests/choice_queue.rs
@@ -65,9 +65,12 @@
         tokio::spawn(async move { pool.acquire(SERVICE, in_ms(60_000), &[]).await });
         yield_now().await;
     }
+    let refused = pool.acquire(SERVICE, in_ms(60_000), &[]).await.unwrap_err();
+    assert_eq!(refused.reason, NoSlotReason::QueueFull);
     assert_eq!(
-        refusal(&pool, in_ms(60_000), &[]).await,
-        NoSlotReason::QueueFull
+        refused.retry_after,
+        Duration::from_millis(150),
+        "three service times"
     );
 }
 
