--- a/policy/benches/choice/ours.rs
+++ b/policy/benches/choice/ours.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use laburnumdeal_model::{ServiceId, UpstreamId};
-use laburnumdeal_policy::{Admission, Ending, Grant, LoadReport, OwnedUpstream, PoolCore};
+use laburnumdeal_policy::{Admission, Ending, LoadReport, OwnedUpstream, PoolCore, SlotGrant};
 use laburnumdeal_policy::{PoolSettings, Ticket, UpstreamState};
 use tokio::time::Instant;
 
@@ -19,7 +19,7 @@
 pub struct Ours {
     owners: Vec<Owner>,
     zero: Instant,
-    in_flight: Vec<Option<(Grant, u64)>>,
+    in_flight: Vec<Option<(SlotGrant, u64)>>,
     tickets: Vec<Option<(usize, Ticket)>>,
     excluded: Vec<Vec<UpstreamId>>,
     reports: Vec<LoadReport>,
@@ -117,7 +117,7 @@
         last.expect("there is an owner")
     }
 
-    fn send(&mut self, request: usize, grant: Grant, world: &mut World) {
+    fn send(&mut self, request: usize, grant: SlotGrant, world: &mut World) {
         if world.start(request, grant.upstream.index()) {
             self.in_flight[request] = Some((grant, world.now_us));
             return;
@@ -175,7 +175,7 @@
 
     fn deliver(&mut self, world: &mut World) {
         loop {
-            let sent: Vec<(usize, Grant)> =
+            let sent: Vec<(usize, SlotGrant)> =
                 self.owners.iter_mut().flat_map(Owner::granted).collect();
             if sent.is_empty() {
                 return;
@@ -253,7 +253,7 @@
     }
 
     /// Returns the waiting requests that have a slot now.
-    fn granted(&mut self) -> Vec<(usize, Grant)> {
+    fn granted(&mut self) -> Vec<(usize, SlotGrant)> {
         let granted = self.core.granted().into_iter();
         granted
             .map(|(ticket, grant)| (self.waiting[ticket.index()], grant))
--- /dev/null
+++ b/policy/src/entry_instances.rs
@@ -0,0 +1,81 @@
+use std::net::IpAddr;
+
+use laburnumdeal_model::{InstanceId, ServiceId, ZoneId};
+use tokio::time::Instant;
+use twox_hash::XxHash64;
+
+use crate::{CallerSlot, LookupTable, MemberState, Membership};
+
+/// Most instances that one answer names.
+pub const MAX_ENTRY_INSTANCES: usize = 8;
+
+/// Returns the entry instances that a caller should use for a service, the preferred one first.
+///
+/// Zones come in the order of [`LookupTable::preference`]; zones without the service and zones that
+/// a drain has moved this caller away from come last. Within a zone, live instances come before
+/// suspect ones and callers are spread by a hash of their address. The answer is empty only when
+/// this instance is leaving and knows no other.
+pub fn entry_instances(
+    table: &LookupTable,
+    membership: &Membership,
+    service: ServiceId,
+    address: IpAddr,
+    my_zone: ZoneId,
+    now: Instant,
+) -> Vec<InstanceId> {
+    let slot = CallerSlot::of(address);
+    let mut entries = Vec::with_capacity(MAX_ENTRY_INSTANCES);
+    let mut members = Vec::with_capacity(MAX_ENTRY_INSTANCES);
+    for fit in Fit::ALL {
+        for zone in table.preference(address, my_zone) {
+            if Fit::of(table, service, zone, slot) != fit {
+                continue;
+            }
+            members.clear();
+            membership.each_live_in(zone, now, |id, state| {
+                members.push((state == MemberState::Suspect, spread(address, id), id));
+            });
+            members.sort_unstable();
+            entries.extend(members.iter().map(|(_, _, id)| *id));
+            if entries.len() >= MAX_ENTRY_INSTANCES {
+                entries.truncate(MAX_ENTRY_INSTANCES);
+                return entries;
+            }
+        }
+    }
+    entries
+}
+
+/// How well a zone fits a caller, best first.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Fit {
+    Runs,
+    Moved,
+    NotRunning,
+    Drained,
+}
+
+impl Fit {
+    const ALL: [Self; 4] = [Self::Runs, Self::Moved, Self::NotRunning, Self::Drained];
+
+    fn of(table: &LookupTable, service: ServiceId, zone: ZoneId, slot: CallerSlot) -> Self {
+        if table.drains().is_empty_zone(zone) {
+            return Self::Drained;
+        }
+        if !table.runs(service, zone) {
+            return Self::NotRunning;
+        }
+        match table.drains().is_moved(zone, slot) {
+            true => Self::Moved,
+            false => Self::Runs,
+        }
+    }
+}
+
+/// Rendezvous hash, so that one lost instance moves only its own callers.
+fn spread(address: IpAddr, instance: InstanceId) -> u64 {
+    match address.to_canonical() {
+        IpAddr::V4(address) => XxHash64::oneshot(u64::from(instance.0), &address.octets()),
+        IpAddr::V6(address) => XxHash64::oneshot(u64::from(instance.0), &address.octets()),
+    }
+}
--- a/policy/src/grant.rs
+++ b/policy/src/grant.rs
@@ -1,21 +1,24 @@
-use laburnumdeal_model::UpstreamId;
-use tokio::time::Instant;
+use laburnumdeal_model::InstanceId;
+use serde::{Deserialize, Serialize};
 
-use crate::standing::SlotUse;
+use crate::{CapKey, GrantId};
 
-/// A slot that was given out and must be given back by [`PoolCore::release`](crate::PoolCore).
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Part of a share that one instance lends to another for a time. A later grant of the same lender
+/// takes the place of the earlier one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
-    /// Upstream whose slot it is.
-    pub upstream: UpstreamId,
-    /// When it was given out.
-    pub at: Instant,
-    pub(crate) use_of: SlotUse,
-}
-
-impl Grant {
-    /// Returns whether the request finds out if a doubtful upstream works.
-    pub fn is_probe(&self) -> bool {
-        self.use_of != SlotUse::Work
-    }
+    /// Identity.
+    pub id: GrantId,
+    /// Cap that it is a part of.
+    pub key: CapKey,
+    /// Instance that lends.
+    pub from: InstanceId,
+    /// Instance that borrows.
+    pub to: InstanceId,
+    /// Amount that the borrower may spend on top of its own share, per second.
+    pub amount_per_s: u64,
+    /// The whole cap as the lender knew it; a borrower that knows another uses nothing.
+    pub cap_per_s: u64,
+    /// Time that the borrower may use it, counted from when it sent its ask.
+    pub expires_after_ms: u64,
 }
--- a/policy/src/pool_core.rs
+++ b/policy/src/pool_core.rs
@@ -9,7 +9,7 @@
 use crate::service_entry::ServiceEntry;
 use crate::slow_start::SlowStart;
 use crate::upstream_entry::UpstreamEntry;
-use crate::{Candidate, Ending, Grant, LoadReport};
+use crate::{Candidate, Ending, LoadReport, SlotGrant};
 use crate::{OwnedUpstream, PoolSettings, Room, Ticket};
 
 /// Shortest time between two checks of a queue.
@@ -48,9 +48,9 @@
     pub(crate) rng: ChaCha8Rng,
     pub(crate) next_ticket: u32,
     pub(crate) free_tickets: Vec<Ticket>,
-    pub(crate) granted: Vec<(Ticket, Grant)>,
     pub(crate) preferred: Vec<RoomAt>,
     pub(crate) deferred: Vec<RoomAt>,
+    pub(crate) granted: Vec<(Ticket, SlotGrant)>,
 }
 
 impl PoolCore {
@@ -88,8 +88,14 @@
         self.dispatch_all(now);
     }
 
+    /// Returns whether this instance owns an upstream.
+    pub fn owns(&self, upstream: UpstreamId) -> bool {
+        let entry = self.upstreams.get(upstream.index());
+        entry.is_some_and(|entry| entry.owned.is_some())
+    }
+
     /// Gives a slot back and hands it to the first waiting request that can use it.
-    pub fn release(&mut self, grant: Grant, ending: Ending, now: Instant) {
+    pub fn release(&mut self, grant: SlotGrant, ending: Ending, now: Instant) {
         let Some(owned) = self.upstreams[grant.upstream.index()].owned else {
             self.upstreams[grant.upstream.index()].release(
                 &grant,
@@ -115,7 +121,7 @@
     }
 
     /// Returns the waiting requests that were given a slot since the last call.
-    pub fn granted(&mut self) -> Vec<(Ticket, Grant)> {
+    pub fn granted(&mut self) -> Vec<(Ticket, SlotGrant)> {
         let granted = std::mem::take(&mut self.granted);
         let free = granted.iter().map(|(ticket, _)| ticket.next());
         self.free_tickets.extend(free);
--- a/policy/src/queueing.rs
+++ b/policy/src/queueing.rs
@@ -5,7 +5,7 @@
 
 use crate::choosing::Choice;
 use crate::waiter::Waiter;
-use crate::{Admission, Grant, NoSlot, NoSlotReason, PoolCore, Ticket};
+use crate::{Admission, NoSlot, NoSlotReason, PoolCore, SlotGrant, Ticket};
 
 /// Shortest time that a refused caller is told to stay away.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
@@ -70,7 +70,7 @@
         service: ServiceId,
         exclude: &[UpstreamId],
         now: Instant,
-    ) -> Option<Grant> {
+    ) -> Option<SlotGrant> {
         let choice = self.choose(service, exclude, now)?;
         Some(self.take(&choice, now))
     }
@@ -81,7 +81,7 @@
         service: ServiceId,
         exclude: &[UpstreamId],
         now: Instant,
-    ) -> Option<Grant> {
+    ) -> Option<SlotGrant> {
         let choice = self.choose(service, exclude, now)?;
         let ahead = self.services[service.index()].queue.len();
         let hold = self.hold_until(service, &choice, exclude, ahead, now);
@@ -190,10 +190,10 @@
         (now >= until).then_some(choice)
     }
 
-    fn take(&mut self, choice: &Choice, now: Instant) -> Grant {
+    fn take(&mut self, choice: &Choice, now: Instant) -> SlotGrant {
         let entry = &mut self.upstreams[choice.upstream.index()];
         entry.take(choice.use_of, &self.settings, now);
-        Grant {
+        SlotGrant {
             upstream: choice.upstream,
             at: now,
             use_of: choice.use_of,
--- a/policy/src/waiting.rs
+++ b/policy/src/waiting.rs
@@ -5,7 +5,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::pool::Inner;
-use crate::{Ending, Grant, NoSlot, NoSlotReason, Pool, Slot, Ticket};
+use crate::{Ending, NoSlot, NoSlotReason, Pool, Slot, SlotGrant, Ticket};
 
 /// A request's place in the queue. Dropping it gives the place, or the slot, back.
 pub(crate) struct Waiting {
@@ -13,7 +13,7 @@
     service: ServiceId,
     ticket: Option<Ticket>,
     give_up_at: Instant,
-    receiver: oneshot::Receiver<Grant>,
+    receiver: oneshot::Receiver<SlotGrant>,
 }
 
 impl Waiting {
@@ -23,7 +23,7 @@
         service: ServiceId,
         ticket: Ticket,
         give_up_at: Instant,
-        receiver: oneshot::Receiver<Grant>,
+        receiver: oneshot::Receiver<SlotGrant>,
     ) -> Self {
         Self {
             pool,
--- a/policy/tests/choice_random.rs
+++ b/policy/tests/choice_random.rs
@@ -8,8 +8,8 @@
 use choice_setup::*;
 use laburnumdeal_model::UpstreamId;
 use laburnumdeal_policy::{
-    Admission, Ending, Grant, NoSlotReason, OwnedUpstream, Pool, PoolCore, PoolSettings, Ticket,
-    UpstreamState,
+    Admission, Ending, NoSlotReason, OwnedUpstream, Pool, PoolCore, PoolSettings, SlotGrant,
+    Ticket, UpstreamState,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -22,7 +22,7 @@
     rng: ChaCha8Rng,
     core: PoolCore,
     upstreams: Vec<OwnedUpstream>,
-    running: Vec<Grant>,
+    running: Vec<SlotGrant>,
     waiting: Vec<Ticket>,
     now: Instant,
 }
