--- a/policy/benches/choice/main.rs
+++ b/policy/benches/choice/main.rs
@@ -12,7 +12,7 @@
 
 use criterion::Criterion;
 use laburnumdeal_model::{ServiceId, UpstreamId};
-use laburnumdeal_policy::{Ending, OwnedUpstream, PoolCore, PoolSettings};
+use laburnumdeal_policy::{Admission, Ending, OwnedUpstream, PoolCore, PoolSettings};
 use tokio::time::Instant;
 
 use crate::central::Central;
@@ -31,12 +31,13 @@
     fleet("Adherent 12x3", 12, 3),
 ];
 
-const FAULTS: [Fault; 5] = [
+const FAULTS: [Fault; 6] = [
     Fault::None,
     Fault::Slow,
     Fault::Sheds,
     Fault::Cold,
     Fault::Flushed,
+    Fault::Frozen,
 ];
 
 const LOADS_PERCENT: [u32; 4] = [50, 80, 95, 200];
@@ -78,7 +79,7 @@
         "seeds {SEEDS:?}, {seconds} s of virtual time for each; p99 in ms, unanswered ones count as late"
     );
     println!(
-        "{:<16}{:<11}{:>5} |{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7} |{:>6} |{:>7}{:>7}{:>7} |{:>6}{:>8}{:>8}{:>5}{:>7}{:>5}  bound",
+        "{:<16}{:<11}{:>5} |{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7} |{:>6} |{:>7}{:>7}{:>7} |{:>6}{:>8}{:>8}{:>5}{:>7}{:>5}{:>6}  bound",
         "service",
         "fault",
         "load",
@@ -98,7 +99,8 @@
         "queue",
         "room",
         "closed",
-        "shed"
+        "shed",
+        "late"
     );
     let mut missed = 0;
     for fleet in fleets {
@@ -137,7 +139,7 @@
         && (scenario.load_percent < 200 || goodput(ours) >= GOODPUT_MIN)
         && ours.refused_with_room == 0;
     println!(
-        "{:<16}{:<11}{:>4}% |{:>7.1}{:>7.1}{:>7.1}{:>7.1}{:>7.1}{:>7.1}{:>7.1} |{:>6.2} |{:>7.3}{:>7.3}{:>7.3} |{:>6}{:>8}{:>8}{:>5}{:>7}{:>5}  {}",
+        "{:<16}{:<11}{:>4}% |{:>7.1}{:>7.1}{:>7.1}{:>7.1}{:>7.1}{:>7.1}{:>7.1} |{:>6.2} |{:>7.3}{:>7.3}{:>7.3} |{:>6}{:>8}{:>8}{:>5}{:>7}{:>5}{:>6}  {}",
         scenario.fleet.name,
         scenario.fault.to_string(),
         scenario.load_percent,
@@ -158,6 +160,7 @@
         ours.refused_with_room,
         ours.refused_with_closed,
         ours.sheds,
+        ours.late,
         if holds { "holds" } else { "MISSED" }
     );
     holds
@@ -221,14 +224,16 @@
         core.try_admit(ServiceId(0), &[], now)
             .expect("there is room");
     }
+    let deadline = now + Duration::from_secs(1);
     let ending = Ending::Answered {
         latency: Duration::from_millis(20),
     };
     Criterion::default().bench_function("choice and release, 18x5 at 80 %", |bencher| {
         bencher.iter(|| {
-            let grant = core
-                .try_admit(ServiceId(0), &[], now)
-                .expect("there is room");
+            let admission = core.admit(ServiceId(0), deadline, &[], now);
+            let Admission::Granted(grant) = admission else {
+                panic!("there is room");
+            };
             core.release(grant, ending, now);
         });
     });
--- a/policy/src/slot_grant.rs
+++ b/policy/src/slot_grant.rs
@@ -12,3 +12,10 @@
     pub at: Instant,
     pub(crate) use_of: SlotUse,
 }
+
+impl SlotGrant {
+    /// Returns whether the request finds out if a doubtful upstream works.
+    pub fn is_probe(&self) -> bool {
+        self.use_of != SlotUse::Work
+    }
+}
