--- a/daemon/src/attempt.rs
+++ b/daemon/src/attempt.rs
@@ -11,6 +11,7 @@
 use crate::exchange;
 use crate::exchange_error::ExchangeError;
 use crate::exchange_guard::Place;
+use crate::fault_points::Step;
 use crate::header;
 use crate::prepared::Prepared;
 use crate::request_body::RequestBody;
@@ -38,8 +39,6 @@
     Unknown {
         /// Why it is not known.
         reason: String,
-        /// Whether the other side broke off, as it does when it crashes.
-        crashed: bool,
     },
 }
 
@@ -65,6 +64,7 @@
         Ok(answered) => answered,
         Err(error) => return failed(name, error),
     };
+    state.faults.at(Step::AnswerHead).await;
     if is_shed(&response) {
         guard.shed();
         return said_not_run("upstream shed the request", retry_after(&response));
@@ -119,10 +119,7 @@
         }
         (_, Some("not-run")) => said_not_run(&reason, retry_after),
         (Ok(response), Some("answer")) => Attempt::Answered(response),
-        (Ok(_), _) => Attempt::Unknown {
-            reason,
-            crashed: false,
-        },
+        (Ok(_), _) => Attempt::Unknown { reason },
         (Err(error), _) => failed(name, error),
     }
 }
@@ -206,14 +203,7 @@
             reason,
             retry_after,
         },
-        ExchangeError::Broken(_) => Attempt::Unknown {
-            reason,
-            crashed: true,
-        },
-        ExchangeError::Silent => Attempt::Unknown {
-            reason,
-            crashed: false,
-        },
+        ExchangeError::Broken(_) | ExchangeError::Silent => Attempt::Unknown { reason },
     }
 }
 
