--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -17,6 +17,7 @@
 mod admission;
 mod answer_shelf;
 mod assumed_slots;
+mod bare_partners;
 mod bucket;
 mod caller_slot;
 mod candidate;
@@ -125,7 +126,7 @@
 pub use claim::Claim;
 pub use claim_finish::{ClaimFinish, RunningClaim};
 pub use claim_hand_over::{
-    ClaimRecord, HAND_OVER_ANSWER_BYTES, HAND_OVER_RECORDS, HandOver, MAX_IMPORTED_RUNS,
+    ClaimRecord, ExportId, HAND_OVER_ANSWER_BYTES, HAND_OVER_RECORDS, HandOver, MAX_IMPORTED_RUNS,
     RecordState,
 };
 pub use claim_pair::pair_for_bare_key;
@@ -133,6 +134,7 @@
 pub use claim_settings::{BareStart, ClaimSettings};
 pub use claim_started::Started;
 pub use claim_stats::ClaimStats;
+pub use claim_sync::BareSync;
 pub use claim_table::ClaimTable;
 pub use claim_token::ClaimToken;
 pub use cold::Cold;
