Pay for bodies in pieces; let heartbeats that were passed on never age a peer

A body larger than the burst never fits in one spend, so a link could refuse it for good; spend_part takes what fits now. Instances pass on heartbeats of their zone with an age: a late one moved the time a peer was heard last backwards, and one of an older run could take the place of the newer run for a timeout.

cargo test -p laburnumdeal-policy: all passed.

--- a/policy/src/bucket.rs
+++ b/policy/src/bucket.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Returns the amount that is there.
+    pub fn amount(&self) -> u64 {
+        self.parts / PARTS
+    }
+
     /// Takes an amount out.
     pub fn take(&mut self, amount: u64) {
         self.parts = self.parts.saturating_sub(amount.saturating_mul(PARTS));
--- a/policy/src/peer.rs
+++ b/policy/src/peer.rs
@@ -29,6 +29,8 @@
 impl Peer {
     /// Takes in a heartbeat. Returns whether it is news.
     ///
+    /// `now` lies in the past for a heartbeat that another instance heard and passed on; one of
+    /// another run that is older than the last of this run is ignored.
     /// A heartbeat of an earlier run is late and ignored, unless that run goes on sending while the
     /// one that replaced it has been silent for the timeout: then their order was mistaken.
     pub fn heard(&mut self, heartbeat: Heartbeat, now: Instant, timeout: Duration) -> bool {
@@ -38,14 +40,15 @@
                 return false;
             }
             let is_silent = now.saturating_duration_since(heard.at) >= timeout;
-            if !is_same && !self.replaces(heartbeat, is_silent) {
+            let is_older = now < heard.at;
+            if !is_same && (is_older || !self.replaces(heartbeat, is_silent)) {
                 return false;
             }
             if !is_same {
                 self.retire(heard.heartbeat);
             }
         }
-        let at = now;
+        let at = self.heard.map_or(now, |heard| heard.at.max(now));
         self.heard = Some(Heard { heartbeat, at });
         self.has_failed = false;
         true
--- a/policy/src/share.rs
+++ b/policy/src/share.rs
@@ -26,6 +26,9 @@
     bucket: Bucket,
 }
 
+/// Smallest piece of an amount that is spent in pieces.
+const MIN_PIECE: u64 = 4 * 1024;
+
 /// Part that is out at a borrower; there is one a borrower and cap, however often it is renewed.
 #[derive(Clone, Copy, Debug)]
 struct Lent {
@@ -133,6 +136,21 @@
         Ok(())
     }
 
+    /// Spends as much of an amount as fits, and returns how much that was. Pieces smaller than
+    /// [`MIN_PIECE`] are spent only when no larger one ever fits.
+    pub fn spend_part(&mut self, amount: u64, held: HeldBack, now_us: u64) -> Result<u64, OverCap> {
+        let mut part = amount;
+        if self.cap_per_s.is_some() {
+            let limit = self.limit_per_s(held, now_us / 1_000);
+            let most = self.burst(limit);
+            self.bucket.refill(limit, most, now_us);
+            let unspent = limit.saturating_sub(self.spent.sum(now_us / 1_000));
+            let fitting = amount.min(unspent).min(self.bucket.amount());
+            part = fitting.max(amount.min(MIN_PIECE).min(most.max(1)));
+        }
+        self.spend(part, held, now_us).map(|()| part)
+    }
+
     /// Returns the amount that was refused in the last second.
     pub fn demand(&mut self, now_ms: u64) -> u64 {
         self.refused.sum(now_ms)
--- a/policy/src/share_book.rs
+++ b/policy/src/share_book.rs
@@ -105,17 +105,23 @@
     ///
     /// Returns when the amount would fit; nothing is spent then.
     pub fn spend(&self, key: CapKey, amount: u64, now: Instant) -> Result<(), OverCap> {
-        let Some(mut share) = self.share(key) else {
-            return Err(OverCap {
-                key,
-                retry_after_ms: WINDOW_MS,
-                most: 0,
-            });
-        };
+        let mut share = self.share(key).ok_or(not_mine(key))?;
         let now_us = self.micros(now);
         share.spend(amount, self.held_back(now_us / 1_000), now_us)
     }
 
+    /// Spends as much of an amount as fits and returns how much that was; the rest of a body is
+    /// spent by further calls.
+    ///
+    /// # Errors
+    ///
+    /// Returns when the next piece would fit; nothing is spent then.
+    pub fn spend_part(&self, key: CapKey, amount: u64, now: Instant) -> Result<u64, OverCap> {
+        let mut share = self.share(key).ok_or(not_mine(key))?;
+        let now_us = self.micros(now);
+        share.spend_part(amount, self.held_back(now_us / 1_000), now_us)
+    }
+
     /// Returns what this instance may spend in a second now; `None` when nothing is capped.
     pub fn limit_per_s(&self, key: CapKey, now: Instant) -> Option<u64> {
         let now_ms = self.micros(now) / 1_000;
@@ -242,3 +248,12 @@
         }
     }
 }
+
+/// A cap that other instances use.
+fn not_mine(key: CapKey) -> OverCap {
+    OverCap {
+        key,
+        retry_after_ms: WINDOW_MS,
+        most: 0,
+    }
+}
--- a/policy/tests/membership_peers.rs
+++ b/policy/tests/membership_peers.rs
@@ -157,6 +157,22 @@
     );
 }
 
+#[test]
+fn heard_passed_on_later_does_not_age_the_peer() {
+    let (membership, now) = open();
+    membership.heard(PEER, heartbeat(1, 1), after(now, 900));
+    membership.heard(PEER, heartbeat(1, 2), after(now, 100));
+    assert_eq!(membership.state(PEER, after(now, 1_300)), MemberState::Live);
+}
+
+#[test]
+fn heard_passed_on_of_older_run_is_ignored() {
+    let (membership, now) = open();
+    membership.heard(PEER, heartbeat(2, 1), after(now, 900));
+    assert!(!membership.heard(PEER, heartbeat(1, 70), after(now, 100)));
+    assert_eq!(membership.boot(PEER), Some(BootId(2)));
+}
+
 #[test]
 fn platform_list_alone_makes_nobody_live() {
     let (membership, now) = open();
--- a/policy/tests/shares_book.rs
+++ b/policy/tests/shares_book.rs
@@ -146,6 +146,33 @@
     assert!(pair.lender.spend(KEY, over.most, pair.now).is_ok());
 }
 
+#[test]
+fn spend_part_body_larger_than_burst_passes_in_pieces() {
+    let pair = pair(200_000);
+    let mut left: u64 = 250_000;
+    let mut now = pair.now;
+    while left > 0 {
+        match pair.lender.spend_part(KEY, left, now) {
+            Ok(part) => left -= part,
+            Err(over) => now = after(now, over.retry_after_ms),
+        }
+    }
+    let taken_ms = now.duration_since(pair.now).as_millis();
+    assert!(
+        (1_500..=2_600).contains(&taken_ms),
+        "{taken_ms} ms for 2.5 shares"
+    );
+}
+
+#[test]
+fn spend_part_tiny_share_passes_in_the_end() {
+    let pair = pair(2);
+    assert_eq!(pair.lender.spend_part(KEY, 9, pair.now), Ok(1));
+    let over = pair.lender.spend_part(KEY, 8, pair.now).unwrap_err();
+    let later = after(pair.now, over.retry_after_ms);
+    assert_eq!(pair.lender.spend_part(KEY, 8, later), Ok(1));
+}
+
 #[test]
 fn spend_cap_of_other_region_is_refused() {
     let pair = pair(200);
