Refund what a request spent when it did not run

A request that a zone refused had used up shift, intake and its place in the ramp, and one that was tried again in a queue paid twice: under overload refusals ate the caps. Spends can be taken back within their second.

--- a/policy/src/bucket.rs
+++ b/policy/src/bucket.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Puts an amount back; the next refill cuts the sum down to the largest burst.
+    pub fn put_back(&mut self, amount: u64) {
+        self.parts = self.parts.saturating_add(amount.saturating_mul(PARTS));
+    }
+
     /// Returns the amount that is there.
     pub fn amount(&self) -> u64 {
         self.parts / PARTS
--- a/policy/src/ramp.rs
+++ b/policy/src/ramp.rs
@@ -76,6 +76,21 @@
         Ok(())
     }
 
+    /// Takes back a request that was admitted at a time and then not served, within its step.
+    pub fn take_back(&mut self, home: ZoneId, service: ServiceId, admitted_at: Instant) {
+        let step = self.step(admitted_at);
+        if let Some(flow) = self.flows.get_mut(&(home, service))
+            && flow.step == step
+        {
+            flow.used = flow.used.saturating_sub(1);
+        }
+    }
+
+    fn step(&self, at: Instant) -> u64 {
+        let elapsed = at.saturating_duration_since(self.started);
+        elapsed.as_millis() as u64 / self.settings.step_ms
+    }
+
     /// Returns the number of flows that are kept.
     pub fn flows(&self) -> usize {
         self.flows.len()
--- a/policy/src/router.rs
+++ b/policy/src/router.rs
@@ -131,12 +131,35 @@
         home: ZoneId,
         now: Instant,
     ) -> Result<(), RouteRefusal> {
+        let mut ramp = self.ramp.lock().expect("no holder panics");
         if home != self.my_zone {
-            let mut ramp = self.ramp.lock().expect("no holder panics");
             ramp.admit(home, service, now)?;
         }
-        self.shares.spend(CapKey::Region(self.my_region), 1, now)?;
-        Ok(())
+        let intake = CapKey::Region(self.my_region);
+        let is_spent = self.shares.spend(intake, 1, now);
+        if is_spent.is_err() && home != self.my_zone {
+            ramp.take_back(home, service, now);
+        }
+        Ok(is_spent?)
+    }
+
+    /// Takes back what [`Router::depart`] spent at `departed_at`, when the chosen zone refused the
+    /// request before it ran.
+    pub fn cancel_departure(&self, service: ServiceId, choice: &ZoneChoice, departed_at: Instant) {
+        if choice.is_shift {
+            self.shares.refund(CapKey::Shift(service), 1, departed_at);
+        }
+    }
+
+    /// Takes back what [`Router::arrive`] spent at `arrived_at`, when the request was not sent to
+    /// any upstream.
+    pub fn cancel_arrival(&self, service: ServiceId, home: ZoneId, arrived_at: Instant) {
+        let mut ramp = self.ramp.lock().expect("no holder panics");
+        if home != self.my_zone {
+            ramp.take_back(home, service, arrived_at);
+        }
+        let intake = CapKey::Region(self.my_region);
+        self.shares.refund(intake, 1, arrived_at);
     }
 
     fn choice(&self, home: ZoneId, candidate: &Candidate) -> ZoneChoice {
--- a/policy/src/share.rs
+++ b/policy/src/share.rs
@@ -151,6 +151,12 @@
         self.spend(part, held, now_us).map(|()| part)
     }
 
+    /// Takes back an amount that was spent at a time and not used.
+    pub fn refund(&mut self, amount: u64, spent_ms: u64) {
+        self.spent.take_back(amount, spent_ms);
+        self.bucket.put_back(amount);
+    }
+
     /// Returns the amount that was refused in the last second.
     pub fn demand(&mut self, now_ms: u64) -> u64 {
         self.refused.sum(now_ms)
--- a/policy/src/share_book.rs
+++ b/policy/src/share_book.rs
@@ -122,6 +122,14 @@
         share.spend_part(amount, self.held_back(now_us / 1_000), now_us)
     }
 
+    /// Takes back an amount that was spent at `spent_at` for something that then did not happen.
+    pub fn refund(&self, key: CapKey, amount: u64, spent_at: Instant) {
+        let spent_ms = self.micros(spent_at) / 1_000;
+        if let Some(mut share) = self.share(key) {
+            share.refund(amount, spent_ms);
+        }
+    }
+
     /// Returns what this instance may spend in a second now; `None` when nothing is capped.
     pub fn limit_per_s(&self, key: CapKey, now: Instant) -> Option<u64> {
         let now_ms = self.micros(now) / 1_000;
--- a/policy/src/window.rs
+++ b/policy/src/window.rs
@@ -46,6 +46,18 @@
         self.sum += amount;
     }
 
+    /// Takes back an amount that was added at a time, if that lies in the window.
+    pub fn take_back(&mut self, amount: u64, at_ms: u64) {
+        let slot = at_ms / SLOT_MS;
+        if slot > self.slot || self.slot - slot >= SLOTS as u64 {
+            return;
+        }
+        let position = slot as usize % SLOTS;
+        let taken = amount.min(self.amounts[position]);
+        self.amounts[position] -= taken;
+        self.sum -= taken;
+    }
+
     /// Returns the sum over the second that ends at a time.
     pub fn sum(&mut self, now_ms: u64) -> u64 {
         self.advance(now_ms);
--- a/policy/tests/router_zones.rs
+++ b/policy/tests/router_zones.rs
@@ -326,6 +326,23 @@
     assert_eq!(served, [4, 6, 9, 13, 19, 28]);
 }
 
+#[test]
+fn cancel_request_that_did_not_run_costs_nothing() {
+    let service = "s0".into();
+    let requests_per_s = 8;
+    let site = site(&[Change::CapShift {
+        service,
+        requests_per_s,
+    }]);
+    let choice = site.route(caller(1), 1)[1];
+    for _ in 0..500 {
+        site.router.depart(SERVICE, &choice, site.now).unwrap();
+        site.router.cancel_departure(SERVICE, &choice, site.now);
+        site.router.arrive(SERVICE, ZoneId(2), site.now).unwrap();
+        site.router.cancel_arrival(SERVICE, ZoneId(2), site.now);
+    }
+}
+
 #[test]
 fn arrive_own_traffic_is_not_held_back() {
     let site = site(&[]);
--- a/policy/tests/shares_book.rs
+++ b/policy/tests/shares_book.rs
@@ -173,6 +173,31 @@
     assert_eq!(pair.lender.spend_part(KEY, 8, later), Ok(1));
 }
 
+#[test]
+fn refund_makes_room_for_as_much() {
+    let pair = pair(200);
+    spend_all(&pair.lender, pair.now, 1_000);
+    let now = after(pair.now, 999);
+    assert!(pair.lender.spend(KEY, 1, now).is_err());
+    pair.lender.refund(KEY, 1, after(pair.now, 500));
+    assert!(pair.lender.spend(KEY, 1, now).is_ok());
+    assert!(pair.lender.spend(KEY, 1, now).is_err());
+}
+
+#[test]
+fn refund_of_older_second_changes_nothing() {
+    let pair = pair(4);
+    let now = after(pair.now, 5_000);
+    assert_eq!(
+        (0..5)
+            .filter(|_| pair.lender.spend(KEY, 1, now).is_ok())
+            .count(),
+        2
+    );
+    pair.lender.refund(KEY, 1, pair.now);
+    assert!(pair.lender.spend(KEY, 1, now).is_err());
+}
+
 #[test]
 fn spend_cap_of_other_region_is_refused() {
     let pair = pair(200);
--- a/policy/tests/support/cap_checker.rs
+++ b/policy/tests/support/cap_checker.rs
@@ -33,4 +33,16 @@
         let cap = self.caps.iter().map(|(cap, _)| *cap).max().unwrap_or(0);
         self.excess = self.excess.max(self.sum.saturating_sub(cap));
     }
+
+    /// Takes back an amount that was spent at a time.
+    pub fn refunded(&mut self, amount: u64, spent_us: u64) {
+        if let Some(spend) = self
+            .spends
+            .iter_mut()
+            .find(|spend| spend.0 == spent_us && spend.1 >= amount)
+        {
+            spend.1 -= amount;
+            self.sum -= amount;
+        }
+    }
 }
--- a/policy/tests/support/share_run.rs
+++ b/policy/tests/support/share_run.rs
@@ -53,6 +53,8 @@
     is_greedy: bool,
     version: usize,
     grants: Vec<Grant>,
+    /// Times of spends that may still be refunded.
+    unused: Vec<u64>,
 }
 
 /// Faults of one run; a run without some of them is closer to its cap and shows more.
@@ -142,6 +144,7 @@
                 is_greedy: false,
                 version: 0,
                 grants: Vec::new(),
+                unused: Vec::new(),
             });
         }
         run
@@ -190,6 +193,7 @@
         self.nodes[node].book = Some(book);
         self.nodes[node].boot = boot;
         self.nodes[node].grants.clear();
+        self.nodes[node].unused.clear();
     }
 
     fn round(&mut self, node: usize) {
@@ -231,8 +235,17 @@
         for _ in 0..tries {
             if book.spend(KEY, 1, now).is_ok() {
                 self.checker.spent(1, self.now_us);
+                if self.chance(10) {
+                    self.nodes[node].unused.push(self.now_us);
+                }
             }
         }
+        if self.chance(20)
+            && let Some(spent_us) = self.nodes[node].unused.pop()
+        {
+            book.refund(KEY, 1, self.local(node, spent_us));
+            self.checker.refunded(1, spent_us);
+        }
         if book.demand(KEY, now) > 0 && self.chance(40) {
             let lenders = book.lenders(KEY);
             let lender = lenders[self.rng.random_range(0..lenders.len())].index();
