Pack the rows of the look-up table; keep members' reach in little memory

A step of a look-up read three columns and a look-up of members walked records of 100 bytes and more. A row is six bytes now, and the times up to which a peer takes work lie in a list of their own, which every event of one peer refreshes for that peer alone; before, each heartbeat computed the state of every peer anew.

--- a/policy/src/membership.rs
+++ b/policy/src/membership.rs
@@ -5,7 +5,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::{Heartbeat, MemberState, MembershipSettings, Peer, PeerState, PlatformState};
+use crate::{Heartbeat, MemberState, MembershipSettings, Peer, PeerState, PlatformState, Reach};
 
 /// Entry instances as this one sees them, from their own heartbeats and the platform's list.
 ///
@@ -52,6 +52,8 @@
     ticked: Option<Instant>,
     thawed: Option<Instant>,
     peers: Vec<Peer>,
+    /// Reach of each peer, apart from `peers` so that look-ups touch little memory.
+    reach: Vec<Reach>,
     /// State of each peer that watchers were last told of.
     told: Vec<MemberState>,
 }
@@ -65,13 +67,16 @@
         settings: MembershipSettings,
     ) -> Self {
         let count = topology.instances.len();
+        let mut told = vec![MemberState::Unknown; count];
+        told[me.index()] = MemberState::Live;
         let view = View {
             is_leaving: false,
             started: Instant::now(),
             ticked: None,
             thawed: None,
             peers: vec![Peer::default(); count],
-            told: vec![MemberState::Unknown; count],
+            reach: vec![Reach::default(); count],
+            told,
         };
         let inner = Inner {
             me,
@@ -108,7 +113,7 @@
         let timeout = Duration::from_millis(self.inner.settings.peer_timeout_ms);
         let mut view = self.lock();
         let is_taken = view.peers[peer.index()].heard(heartbeat, now, timeout);
-        self.tell(&mut view, now);
+        self.refresh(&mut view, [peer], now);
         is_taken
     }
 
@@ -116,18 +121,21 @@
     pub fn failed(&self, peer: InstanceId, now: Instant) {
         let mut view = self.lock();
         view.peers[peer.index()].failed();
-        self.tell(&mut view, now);
+        self.refresh(&mut view, [peer], now);
     }
 
     /// Takes in the platform's list. A peer that was on an earlier list and is not on this one
     /// counts as gone.
     pub fn platform(&self, list: &[(InstanceId, PlatformState)], now: Instant) {
         let mut view = self.lock();
-        for (position, peer) in view.peers.iter_mut().enumerate() {
-            let entry = list.iter().find(|(id, _)| id.index() == position);
-            peer.platform(entry.map(|(_, state)| *state));
+        let mut entries = vec![None; view.peers.len()];
+        for (id, state) in list {
+            entries[id.index()] = Some(*state);
         }
-        self.tell(&mut view, now);
+        for (peer, entry) in view.peers.iter_mut().zip(entries) {
+            peer.platform(entry);
+        }
+        self.refresh(&mut view, self.inner.topology.instance_ids(), now);
     }
 
     /// Notes that time passed: call it at every heartbeat interval. Returns true when this process
@@ -139,7 +147,7 @@
             view.thawed = Some(now);
         }
         view.ticked = Some(now);
-        self.tell(&mut view, now);
+        self.refresh(&mut view, self.inner.topology.instance_ids(), now);
         is_thawed
     }
 
@@ -199,19 +207,22 @@
         mut each: impl FnMut(InstanceId, MemberState),
     ) {
         let view = self.lock();
+        let as_of = self.as_of(&view, now);
         for id in &self.inner.zones[zone.index()] {
-            let state = self.state_in(&view, *id, now);
-            if state.takes_work() {
-                each(*id, state);
+            let is_mine = *id == self.inner.me && !view.is_leaving;
+            match view.reach[id.index()].state(as_of) {
+                _ if is_mine => each(*id, MemberState::Live),
+                Some(state) => each(*id, state),
+                None => {}
             }
         }
     }
 
     /// Returns whether any instance of a zone is live or suspect.
     pub fn is_reachable(&self, zone: ZoneId, now: Instant) -> bool {
-        let view = self.lock();
-        let mut members = self.inner.zones[zone.index()].iter();
-        members.any(|id| self.state_in(&view, *id, now).takes_work())
+        let mut is_reachable = false;
+        self.each_live_in(zone, now, |_, _| is_reachable = true);
+        is_reachable
     }
 
     /// Returns the instances of a zone that own its upstreams: those that take work, and those that
@@ -248,6 +259,14 @@
         gap.is_some_and(|gap| gap > most)
     }
 
+    /// Returns the time up to which silence counts: the last tick while this process is frozen.
+    fn as_of(&self, view: &View, now: Instant) -> Instant {
+        match view.ticked {
+            Some(ticked) if self.is_frozen(view, now) => ticked,
+            _ => now,
+        }
+    }
+
     fn state_in(&self, view: &View, peer: InstanceId, now: Instant) -> MemberState {
         if peer == self.inner.me {
             return match view.is_leaving {
@@ -255,26 +274,32 @@
                 false => MemberState::Live,
             };
         }
-        let as_of = match view.ticked {
-            Some(ticked) if self.is_frozen(view, now) => ticked,
-            _ => now,
-        };
-        let since = view.thawed.unwrap_or(view.started);
+        let (as_of, since) = (self.as_of(view, now), view.silent_since());
         view.peers[peer.index()].state(&self.inner.settings, since, as_of)
     }
 
-    fn tell(&self, view: &mut View, now: Instant) {
-        let states: Vec<MemberState> = self
-            .inner
-            .topology
-            .instance_ids()
-            .map(|id| self.state_in(view, id, now))
-            .collect();
-        if states != view.told {
-            view.told = states;
+    /// Brings what is derived from peers up to date and tells watchers of changed states.
+    fn refresh(&self, view: &mut View, peers: impl IntoIterator<Item = InstanceId>, now: Instant) {
+        let now = view.ticked.map_or(now, |ticked| ticked.max(now));
+        let since = view.silent_since();
+        let mut has_changed = false;
+        for peer in peers {
+            let position = peer.index();
+            view.reach[position] = view.peers[position].reach(&self.inner.settings, since);
+            let state = self.state_in(view, peer, now);
+            has_changed |= std::mem::replace(&mut view.told[position], state) != state;
+        }
+        if has_changed {
             self.inner
                 .generation
                 .send_modify(|generation| *generation += 1);
         }
     }
 }
+
+impl View {
+    /// Earliest time from which the silence of peers counts.
+    fn silent_since(&self) -> Instant {
+        self.thawed.unwrap_or(self.started)
+    }
+}
--- a/policy/src/peer.rs
+++ b/policy/src/peer.rs
@@ -3,7 +3,7 @@
 use laburnumdeal_model::BootId;
 use tokio::time::Instant;
 
-use crate::{Heartbeat, MemberState, MembershipSettings, PeerState, PlatformState};
+use crate::{Heartbeat, MemberState, MembershipSettings, PeerState, PlatformState, Reach};
 
 /// Earlier runs of a peer that are remembered, so that their late heartbeats are known.
 const MAX_RETIRED_BOOTS: usize = 8;
@@ -81,28 +81,42 @@
         since: Instant,
         now: Instant,
     ) -> MemberState {
-        let from = self.heard.map_or(since, |heard| heard.at.max(since));
-        let silent_ms = now.saturating_duration_since(from).as_millis() as u64;
-        let is_silent = silent_ms >= settings.peer_timeout_ms;
+        if let Some(state) = self.reach(settings, since).state(now) {
+            return state;
+        }
+        let is_silent = now >= self.silent_from(settings, since);
         let Some(heard) = self.heard else {
             return match is_silent {
                 true => MemberState::OutOfReach,
                 false => MemberState::Unknown,
             };
         };
-        let is_suspect = self.has_failed || silent_ms >= settings.suspect_ms;
-        let is_gone = self.listed == Some(PlatformState::Gone);
-        if self.is_leaving(heard.heartbeat) {
-            return match is_silent || is_suspect && is_gone {
-                true => MemberState::Left,
-                false => MemberState::Leaving,
-            };
+        let is_gone = self.is_gone() && now >= self.suspect_from(settings, since);
+        match self.is_leaving(heard.heartbeat) {
+            true if is_silent || is_gone => MemberState::Left,
+            true => MemberState::Leaving,
+            false if is_gone => MemberState::Left,
+            false => MemberState::OutOfReach,
         }
-        match (is_silent, is_suspect, is_gone) {
-            (_, true, true) => MemberState::Left,
-            (true, _, _) => MemberState::OutOfReach,
-            (_, true, _) => MemberState::Suspect,
-            _ => MemberState::Live,
+    }
+
+    /// Returns how long the peer takes work, if nothing is heard of it meanwhile.
+    pub fn reach(&self, settings: &MembershipSettings, since: Instant) -> Reach {
+        match self.heard {
+            Some(heard) if !self.is_leaving(heard.heartbeat) => {
+                let live_until = self.suspect_from(settings, since);
+                let silent_from = self.silent_from(settings, since);
+                let suspect_until = if self.is_gone() {
+                    live_until
+                } else {
+                    silent_from
+                };
+                Reach {
+                    live_until: Some(live_until),
+                    suspect_until: Some(suspect_until),
+                }
+            }
+            _ => Reach::default(),
         }
     }
 
@@ -125,6 +139,26 @@
         heartbeat.state == PeerState::Leaving || self.leaving_boot == Some(heartbeat.boot)
     }
 
+    fn is_gone(&self) -> bool {
+        self.listed == Some(PlatformState::Gone)
+    }
+
+    fn silence_start(&self, since: Instant) -> Instant {
+        self.heard.map_or(since, |heard| heard.at.max(since))
+    }
+
+    fn suspect_from(&self, settings: &MembershipSettings, since: Instant) -> Instant {
+        let start = self.silence_start(since);
+        match self.has_failed {
+            true => start,
+            false => start + Duration::from_millis(settings.suspect_ms),
+        }
+    }
+
+    fn silent_from(&self, settings: &MembershipSettings, since: Instant) -> Instant {
+        self.silence_start(since) + Duration::from_millis(settings.peer_timeout_ms)
+    }
+
     fn replaces(&mut self, heartbeat: Heartbeat, is_silent: bool) -> bool {
         let is_retired = |other: &Heartbeat| other.boot == heartbeat.boot;
         let Some(position) = self.retired.iter().position(is_retired) else {
--- a/policy/src/prefix_table.rs
+++ b/policy/src/prefix_table.rs
@@ -1,9 +1,7 @@
 use laburnumdeal_model::GroupId;
 
 use crate::AddressBits;
-
-/// Position that stands for "no enclosing block".
-const NO_PARENT: u32 = u32::MAX;
+use crate::prefix_row::{MAX_BLOCKS, PrefixRow};
 
 /// Leading address bits that the index over the sorted starts is keyed by.
 const INDEX_BITS: u32 = 16;
@@ -13,26 +11,26 @@
 #[derive(Clone, Debug)]
 pub struct PrefixTable<A> {
     starts: Vec<A>,
-    lengths: Vec<u8>,
-    groups: Vec<GroupId>,
-    /// Position of the smallest enclosing block.
-    parents: Vec<u32>,
+    rows: Vec<PrefixRow>,
     /// First position whose start has at least these leading bits.
     index: Vec<u32>,
 }
 
 impl<A: AddressBits> PrefixTable<A> {
     /// Returns the table of blocks sorted by start, the shorter prefix first.
+    ///
+    /// # Panics
+    ///
+    /// Panics for more than [`MAX_BLOCKS`] blocks.
     pub fn build(blocks: &[(A, u8, GroupId)]) -> Self {
+        assert!(blocks.len() <= MAX_BLOCKS, "{} blocks", blocks.len());
+        debug_assert!(blocks.is_sorted_by_key(|block| (block.0, block.1)));
         let mut table = Self {
             starts: blocks.iter().map(|block| block.0).collect(),
-            lengths: blocks.iter().map(|block| block.1).collect(),
-            groups: blocks.iter().map(|block| block.2).collect(),
-            parents: Vec::with_capacity(blocks.len()),
+            rows: Vec::with_capacity(blocks.len()),
             index: Vec::new(),
         };
-        debug_assert!(blocks.is_sorted_by_key(|block| (block.0, block.1)));
-        table.link_parents();
+        table.link_rows(blocks);
         table.build_index();
         table
     }
@@ -48,13 +46,11 @@
         let after = low + self.starts[low..high].partition_point(|start| *start <= address);
         let mut position = after.checked_sub(1)?;
         loop {
-            if self.contains(position, address) {
-                return Some(self.groups[position]);
-            }
-            match self.parents[position] {
-                NO_PARENT => return None,
-                parent => position = parent as usize,
+            let row = self.rows[position];
+            if self.starts[position].shares_prefix(address, row.length()) {
+                return Some(row.group());
             }
+            position = row.parent()?;
         }
     }
 
@@ -70,29 +66,19 @@
 
     /// Returns the bytes that the columns take up.
     pub fn bytes(&self) -> usize {
-        size_of_val(&self.starts[..])
-            + size_of_val(&self.lengths[..])
-            + size_of_val(&self.groups[..])
-            + size_of_val(&self.parents[..])
-            + size_of_val(&self.index[..])
-    }
-
-    fn contains(&self, position: usize, address: A) -> bool {
-        self.starts[position].shares_prefix(address, self.lengths[position])
+        size_of_val(&self.starts[..]) + size_of_val(&self.rows[..]) + size_of_val(&self.index[..])
     }
 
-    fn link_parents(&mut self) {
-        let mut open: Vec<u32> = Vec::new();
-        for position in 0..self.starts.len() {
-            let start = self.starts[position];
-            while open
-                .last()
-                .is_some_and(|outer| !self.contains(*outer as usize, start))
-            {
+    fn link_rows(&mut self, blocks: &[(A, u8, GroupId)]) {
+        let mut open: Vec<usize> = Vec::new();
+        for (position, (start, length, group)) in blocks.iter().enumerate() {
+            let encloses = |outer: &usize| blocks[*outer].0.shares_prefix(*start, blocks[*outer].1);
+            while open.last().is_some_and(|outer| !encloses(outer)) {
                 open.pop();
             }
-            self.parents.push(open.last().copied().unwrap_or(NO_PARENT));
-            open.push(position as u32);
+            let parent = open.last().copied();
+            self.rows.push(PrefixRow::new(*group, *length, parent));
+            open.push(position);
         }
     }
 
