--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -20,7 +20,7 @@
 use crate::peer_handler::PeerHandler;
 use crate::peer_message::PeerRequest;
 use crate::state::State;
-use crate::{heartbeat, load_poller, platform_poller, share_borrower};
+use crate::{claim_sync, heartbeat, load_poller, platform_poller, share_borrower};
 
 /// Time between two looks for connections that have been idle for long.
 const CLOSE_IDLE_EVERY: Duration = Duration::from_secs(5);
@@ -109,6 +109,7 @@
         self.callers.stop(most).await;
         wait_for_requests(&state, most).await;
         hand_over_claims(&state).await;
+        claim_sync::leave(&state).await;
         state.faults.at(Step::ClaimsHandedOver).await;
         if let Some(replica) = &state.replica {
             replica.stop().await;
@@ -146,9 +147,8 @@
         .expect("checked settings have a folder");
     let members: Vec<InstanceId> = state.topology.control_ids().collect();
     let mut settings = ReplicaSettings::new(state.me, members, folder, state.topology.clone());
-    if let Some(seed) = state.settings.seed {
-        settings.seed = seed ^ u64::from(state.me.0);
-    }
+    // Never from the setting 'seed': a blank folder must get an identity that no other had.
+    settings.seed = rand::random();
     let log = state.log.new(slog::o!("part" => "control"));
     let replica = Replica::spawn(settings, state.peers.clone(), log).await?;
     Ok(Some(replica))
@@ -168,6 +168,7 @@
         leaving.clone(),
     ));
     tasks.spawn(share_borrower::run(state.clone()));
+    tasks.spawn(claim_sync::run(state.clone()));
     tasks.spawn(close_idle(state.clone()));
     if let Some(address) = state.settings.platform_list {
         tasks.spawn(platform_poller::run(state.clone(), address, leaving));
