Leave callers without a steered block to their instances during a drain

A look-up moved them to another zone, where they arrived as home traffic: neither the shift cap nor the ramp saw the shift. Their instances pass their requests on now, which spends both. Ruled out: a home by hash for callers without steering, which sends most of them across regions for good.

cargo test -p laburnumdeal-policy: all passed.

--- a/policy/src/entry_instances.rs
+++ b/policy/src/entry_instances.rs
@@ -12,7 +12,8 @@
 /// Returns the entry instances that a caller should use for a service, the preferred one first.
 ///
 /// Zones come in the order of [`LookupTable::preference`]; zones without the service and zones that
-/// a drain has moved this caller away from come last. Within a zone, live instances come before
+/// a drain has moved this caller away from come last. Drains move only callers with a steered
+/// block: others have no home elsewhere, so their requests are passed on within the shift cap. Within a zone, live instances come before
 /// suspect ones and callers are spread by a hash of their address. The answer is empty only when
 /// this instance is leaving and knows no other.
 pub fn entry_instances(
@@ -23,7 +24,7 @@
     my_zone: ZoneId,
     now: Instant,
 ) -> Vec<InstanceId> {
-    let slot = CallerSlot::of(address);
+    let slot = table.steered(address).map(|_| CallerSlot::of(address));
     let mut entries = Vec::with_capacity(MAX_ENTRY_INSTANCES);
     let mut members = Vec::with_capacity(MAX_ENTRY_INSTANCES);
     for fit in Fit::ALL {
@@ -58,16 +59,13 @@
 impl Fit {
     const ALL: [Self; 4] = [Self::Runs, Self::Moved, Self::NotRunning, Self::Drained];
 
-    fn of(table: &LookupTable, service: ServiceId, zone: ZoneId, slot: CallerSlot) -> Self {
-        if table.drains().is_empty_zone(zone) {
-            return Self::Drained;
-        }
-        if !table.runs(service, zone) {
-            return Self::NotRunning;
-        }
-        match table.drains().is_moved(zone, slot) {
-            true => Self::Moved,
-            false => Self::Runs,
+    fn of(table: &LookupTable, service: ServiceId, zone: ZoneId, slot: Option<CallerSlot>) -> Self {
+        let drains = table.drains();
+        match slot {
+            Some(_) if drains.is_empty_zone(zone) => Self::Drained,
+            _ if !table.runs(service, zone) => Self::NotRunning,
+            Some(slot) if drains.is_moved(zone, slot) => Self::Moved,
+            _ => Self::Runs,
         }
     }
 }
