--- a/control/benches/commit.rs
+++ b/control/benches/commit.rs
@@ -92,7 +92,11 @@
         let mut settings = ReplicaSettings::new(*me, members.clone(), &own, topology());
         settings.seed = u64::from(me.0);
         settings.snapshot_every = snapshot_every;
-        (settings.heartbeat_ms, settings.lease_ms, settings.election_ms) = (20, 150, 200);
+        (
+            settings.heartbeat_ms,
+            settings.lease_ms,
+            settings.election_ms,
+        ) = (20, 150, 200);
         let link = Local {
             replicas: running.clone(),
             from: *me,
@@ -171,13 +175,15 @@
     times_us.sort_unstable();
     let (median, high) = (times_us[commits / 2], times_us[commits * 99 / 100]);
     println!("commit, {count} replicas: median {median} us, 99th percentile {high} us");
-    stop(&replicas).await;
+    stop(replicas).await;
 }
 
-async fn stop(replicas: &[Replica<Local>]) {
-    for replica in replicas {
+async fn stop(replicas: Vec<Replica<Local>>) {
+    for replica in &replicas {
         replica.abort();
         replica.stop().await;
+        // The replicas hold each other through the link.
+        replica.link().replicas.lock().unwrap().clear();
     }
 }
 
@@ -199,8 +205,8 @@
         }
     }
     let grown_kib = memory_kib().saturating_sub(before_kib);
-    stop(&replicas).await;
-    drop((first, replicas));
+    drop(first);
+    stop(replicas).await;
     let bytes = folder_bytes(&folder.path().join("0"));
     let begun = Instant::now();
     let replicas = start(1, folder.path(), snapshot_every).await;
@@ -209,13 +215,13 @@
         "restart, {length} changes, snapshot every {snapshot_every}: {opened_ms} ms, \
          {bytes} bytes on disk, memory grew by {grown_kib} KiB"
     );
-    stop(&replicas).await;
+    stop(replicas).await;
 }
 
 async fn measure_blocks(blocks: u32) {
     let folder = tempfile::tempdir().unwrap();
     let before_kib = memory_kib();
-    let replicas = start(1, folder.path(), 0).await;
+    let replicas = start(1, folder.path(), 4096).await;
     let replica = leader(&replicas).await;
     let begun = Instant::now();
     for (number, first) in (0..blocks).step_by(BLOCKS_PER_CHANGE as usize).enumerate() {
@@ -234,8 +240,8 @@
         "{blocks} steered blocks: filled in {filled_ms} ms, one more steered in {one_block_us} us, \
          a cap in {one_cap_us} us, memory grew by {grown_kib} KiB"
     );
-    stop(&replicas).await;
-    drop((replica, replicas));
+    drop(replica);
+    stop(replicas).await;
     let begun = Instant::now();
     let replicas = start(1, folder.path(), 1).await;
     let opened_ms = begun.elapsed().as_millis();
@@ -251,8 +257,8 @@
          after {snapshot_ms} ms, memory in all {} KiB",
         memory_kib()
     );
-    stop(&replicas).await;
-    drop((replica, replicas));
+    drop(replica);
+    stop(replicas).await;
     let begun = Instant::now();
     let replicas = start(1, folder.path(), 0).await;
     let opened_ms = begun.elapsed().as_millis();
@@ -260,7 +266,7 @@
     println!(
         "{blocks} steered blocks: restart from the snapshot {opened_ms} ms, {bytes} bytes on disk"
     );
-    stop(&replicas).await;
+    stop(replicas).await;
 }
 
 fn folder_bytes(folder: &Path) -> u64 {
--- a/control/src/entry.rs
+++ b/control/src/entry.rs
@@ -1,4 +1,4 @@
-use laburnumdeal_model::{Applied, Term};
+use laburnumdeal_model::{Applied, Change, Term};
 use serde::{Deserialize, Serialize};
 
 use crate::Members;
@@ -14,6 +14,24 @@
     pub payload: Payload,
 }
 
+impl Entry {
+    /// Returns the number of steered blocks that the entry names.
+    pub fn blocks(&self) -> usize {
+        match &self.payload {
+            Payload::Command(applied) => blocks(&applied.change),
+            _ => 0,
+        }
+    }
+}
+
+/// Returns the number of steered blocks that a change names.
+pub(crate) fn blocks(change: &Change) -> usize {
+    match change {
+        Change::Steer { blocks, .. } => blocks.len(),
+        _ => 0,
+    }
+}
+
 /// Contents of an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Payload {
--- /dev/null
+++ b/control/src/files.rs
@@ -0,0 +1,111 @@
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::frame::{self, push_frame};
+use crate::{Disk, StorageError};
+
+pub(crate) const LOCK: &str = "lock";
+pub(crate) const REPLICA: &str = "replica";
+pub(crate) const VOTE: &str = "vote";
+pub(crate) const LOG_PREFIX: &str = "log-";
+pub(crate) const SNAPSHOT_PREFIX: &str = "snapshot-";
+pub(crate) const UNFINISHED_SUFFIX: &str = ".tmp";
+
+pub(crate) fn log_number(file: &str) -> Result<u64, StorageError> {
+    let digits = file.strip_prefix(LOG_PREFIX).unwrap_or(file);
+    digits.parse().map_err(|_| StorageError::Foreign {
+        file: file.to_owned(),
+        reason: "expected a number after \"log-\"".to_owned(),
+    })
+}
+
+pub(crate) fn log_name(number: u64) -> String {
+    format!("{LOG_PREFIX}{number:020}")
+}
+
+pub(crate) fn snapshot_name(index: u64) -> String {
+    format!("{SNAPSHOT_PREFIX}{index:020}")
+}
+
+pub(crate) fn one_frame(contents: &[u8]) -> Vec<u8> {
+    let mut bytes = frame::file_header();
+    push_frame(&mut bytes, contents);
+    bytes
+}
+
+/// Writes a file beside, syncs it, renames it and syncs the folder.
+pub(crate) fn write_whole<D: Disk>(
+    disk: &D,
+    file: &str,
+    parts: &[&[u8]],
+) -> Result<(), StorageError> {
+    let unfinished = format!("{file}{UNFINISHED_SUFFIX}");
+    let written = write_renamed(disk, &unfinished, file, parts);
+    if written.is_err() {
+        // The name is removed when the folder is next opened if it cannot be removed now.
+        let _ = disk.remove(&unfinished);
+    }
+    written
+}
+
+fn write_renamed<D: Disk>(
+    disk: &D,
+    unfinished: &str,
+    file: &str,
+    parts: &[&[u8]],
+) -> Result<(), StorageError> {
+    disk.truncate(unfinished, 0)
+        .map_err(|e| StorageError::io("truncate", unfinished, e))?;
+    let mut offset = 0;
+    for part in parts {
+        disk.write(unfinished, offset, part)
+            .map_err(|e| StorageError::io("write", unfinished, e))?;
+        offset += part.len() as u64;
+    }
+    disk.sync(unfinished)
+        .map_err(|e| StorageError::io("sync", unfinished, e))?;
+    disk.rename(unfinished, file)
+        .map_err(|e| StorageError::io("rename", unfinished, e))?;
+    disk.sync_folder()
+        .map_err(|e| StorageError::io("sync folder of", file, e))
+}
+
+pub(crate) fn read<D: Disk>(disk: &D, file: &str) -> Result<Vec<u8>, StorageError> {
+    disk.read(file)
+        .map_err(|e| StorageError::io("read", file, e))
+}
+
+pub(crate) fn read_one<D: Disk>(disk: &D, file: &str) -> Result<Vec<u8>, StorageError> {
+    let mut bytes = read(disk, file)?;
+    let contents = frame::scan_one(file, &bytes)?;
+    bytes.truncate(contents.end);
+    bytes.drain(..contents.start);
+    Ok(bytes)
+}
+
+pub(crate) fn decode_one<D: Disk, T: DeserializeOwned>(
+    disk: &D,
+    file: &str,
+) -> Result<T, StorageError> {
+    decode(file, 0, &read_one(disk, file)?)
+}
+
+pub(crate) fn decode<T: DeserializeOwned>(
+    file: &str,
+    offset: usize,
+    bytes: &[u8],
+) -> Result<T, StorageError> {
+    rmp_serde::from_slice(bytes).map_err(|error| damaged(file, offset, &error.to_string()))
+}
+
+pub(crate) fn encode(value: &impl Serialize) -> Vec<u8> {
+    rmp_serde::to_vec(value).expect("plain data encodes")
+}
+
+pub(crate) fn damaged(file: &str, offset: usize, reason: &str) -> StorageError {
+    StorageError::Damaged {
+        file: file.to_owned(),
+        offset: offset as u64,
+        reason: reason.to_owned(),
+    }
+}
--- a/control/src/frame.rs
+++ b/control/src/frame.rs
@@ -31,11 +31,16 @@
 
 /// Appends a frame around `contents` to `bytes`.
 pub(crate) fn push_frame(bytes: &mut Vec<u8>, contents: &[u8]) {
+    push_frame_header(bytes, contents);
+    bytes.extend_from_slice(contents);
+}
+
+/// Appends what a frame around `contents` starts with.
+pub(crate) fn push_frame_header(bytes: &mut Vec<u8>, contents: &[u8]) {
     let length = u32::try_from(contents.len()).expect("a frame is smaller than 4 GiB");
     bytes.extend_from_slice(MARKER);
     bytes.extend_from_slice(&length.to_le_bytes());
     bytes.extend_from_slice(&checksum(length, contents).to_le_bytes());
-    bytes.extend_from_slice(contents);
 }
 
 /// Finds the frames of a file. A tail that an interrupted write may have left is not among them;
--- a/control/src/replica.rs
+++ b/control/src/replica.rs
@@ -10,17 +10,15 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-use crate::append::Appending;
-use crate::calls_seen::Seen;
 use crate::core::Core;
-use crate::election::VoteRequest;
-use crate::install::{Incoming, SnapshotPart};
+use crate::install::Incoming;
 use crate::proposals::{Command, Proposal, unknown};
+use crate::start::{open, restore};
 use crate::volatile::Volatile;
 use crate::{
-    Committed, Confirmed, ControlError, ControlReply, ControlRequest, Disk, FileDisk, Loaded,
-    NotRun, PeerLink, ReplaceError, ReplicaSettings, ReplicaStatus, Role, State, Status,
-    StorageError, Store, SubmitError,
+    Committed, Confirmed, ControlError, ControlReply, ControlRequest, Disk, FileDisk, NotRun,
+    PeerLink, ReplaceError, ReplicaSettings, ReplicaStatus, Role, Status, StorageError,
+    SubmitError,
 };
 
 /// Proposals that wait for the leader's disk at most.
@@ -28,7 +26,7 @@
 
 /// Handle of a running replica of the change log.
 pub struct Replica<L: PeerLink, D: Disk = FileDisk> {
-    core: Arc<Core<L, D>>,
+    pub(crate) core: Arc<Core<L, D>>,
 }
 
 impl<L: PeerLink, D: Disk> Clone for Replica<L, D> {
@@ -120,79 +118,6 @@
         answer.await.unwrap_or(ControlReply::Failed)
     }
 
-    async fn answer(&self, from: InstanceId, request: ControlRequest) -> ControlReply {
-        match request {
-            ControlRequest::Identify => ControlReply::Identity {
-                identity: self.core.identity,
-                cluster: self.core.volatile().cluster(),
-            },
-            ControlRequest::Vote {
-                header,
-                pre_vote,
-                transfer,
-                last_index,
-                last_term,
-            } => {
-                let request = VoteRequest {
-                    header,
-                    pre_vote,
-                    transfer,
-                    last_index,
-                    last_term,
-                };
-                self.core.on_vote(request).await
-            }
-            ControlRequest::Append {
-                header,
-                previous_index,
-                previous_term,
-                entries,
-                commit_index,
-            } => {
-                let appending = Appending {
-                    header,
-                    previous_index,
-                    previous_term,
-                    entries,
-                    commit_index,
-                };
-                self.core.on_append(from, appending).await
-            }
-            ControlRequest::Snapshot {
-                header,
-                index,
-                total_bytes,
-                offset,
-                bytes,
-                digest,
-            } => {
-                let part = SnapshotPart {
-                    header,
-                    index,
-                    total_bytes,
-                    offset,
-                    bytes,
-                    digest,
-                };
-                self.core.on_snapshot(from, part).await
-            }
-            ControlRequest::TakeOver { header } => self.core.on_take_over(header).await,
-            ControlRequest::Submit {
-                term,
-                call,
-                submission,
-            } => ControlReply::Submitted(self.on_submit(term, (from, call), submission).await),
-            ControlRequest::ReadIndex => {
-                let volatile = self.core.volatile();
-                let index = volatile.commit_index;
-                ControlReply::ReadIndex(self.core.has_lease(&volatile).then_some(index))
-            }
-            ControlRequest::Replace { old, new } => {
-                ControlReply::Replaced(self.core.replace_here(old, new).await)
-            }
-        }
-    }
-
     /// Submits a change and returns its committed answer; a follower passes it on to the leader.
     ///
     /// # Errors
@@ -210,26 +135,10 @@
         }
     }
 
-    /// Submits what another replica passed on.
-    async fn on_submit(
+    pub(crate) async fn submit_here(
         &self,
-        term: Term,
-        call: (InstanceId, u64),
         submission: Submission,
     ) -> Result<Committed, SubmitError> {
-        let seen = {
-            let mut volatile = self.core.volatile();
-            let leads = volatile.leads(term);
-            volatile.calls_seen.note(term, leads, call)
-        };
-        match seen {
-            Seen::New => self.submit_here(submission).await,
-            Seen::Never => Err(NotRun::NotLeader.into()),
-            Seen::Perhaps => Err(unknown(&submission, "the message may have come twice")),
-        }
-    }
-
-    async fn submit_here(&self, submission: Submission) -> Result<Committed, SubmitError> {
         let unanswered = unknown(&submission, "the replica stopped");
         let (reply, answer) = oneshot::channel();
         let proposal = Proposal::Command(Command { submission, reply });
@@ -292,6 +201,11 @@
         timeout(within, caught_up).await.is_ok()
     }
 
+    /// Returns the link to the other replicas.
+    pub fn link(&self) -> &L {
+        &self.core.link
+    }
+
     /// Returns a receiver of the committed configuration; its versions only rise.
     pub fn watch(&self) -> watch::Receiver<Arc<Configuration>> {
         self.core.configuration.subscribe()
@@ -406,38 +320,3 @@
         self.core.volatile().leader
     }
 }
-
-async fn open<D: Disk>(
-    disk: &D,
-    name: &str,
-    generator: &mut ChaCha8Rng,
-) -> Result<(Store<D>, Loaded), StorageError> {
-    let (files, name, mut own) = (disk.clone(), name.to_owned(), generator.clone());
-    let opened = disk.run(move || Store::open(files, &name, &mut own)).await;
-    *generator = ChaCha8Rng::from_rng(generator);
-    opened
-}
-
-fn restore(loaded: Loaded) -> Result<Volatile, StorageError> {
-    let state = match &loaded.snapshot {
-        Some(bytes) => {
-            rmp_serde::from_slice::<State>(bytes).map_err(|error| StorageError::Damaged {
-                file: "snapshot".to_owned(),
-                offset: 0,
-                reason: error.to_string(),
-            })?
-        }
-        None => State::default(),
-    };
-    let later = loaded.entries.into_iter();
-    let later = later.filter(|entry| entry.index > state.index && entry.term >= state.term);
-    let later: Vec<_> = later.collect();
-    match later.first() {
-        Some(first) if first.index != state.index + 1 => Err(StorageError::Damaged {
-            file: "log".to_owned(),
-            offset: 0,
-            reason: format!("entry {} is missing", state.index + 1),
-        }),
-        _ => Ok(Volatile::new(loaded.identity, loaded.vote, state, later)),
-    }
-}
--- a/control/src/snapshots.rs
+++ b/control/src/snapshots.rs
@@ -6,22 +6,27 @@
 use crate::core::Core;
 use crate::{Disk, PeerLink};
 
+/// Steered blocks in entries after which a snapshot is taken, however few the entries are.
+const SNAPSHOT_BLOCKS: usize = 100_000;
+
 impl<L: PeerLink, D: Disk> Core<L, D> {
     /// Takes a snapshot whenever enough entries were committed since the last one.
     pub async fn run_snapshots(self: Arc<Self>) {
         let mut changed = self.changed.subscribe();
         while changed.changed().await.is_ok() {
-            let due = {
-                let volatile = self.volatile();
-                let since = volatile.commit_index - volatile.snapshot_index;
-                self.settings.snapshot_every > 0 && since >= self.settings.snapshot_every
-            };
-            if due && !self.take_snapshot().await {
+            if self.snapshot_is_due() && !self.take_snapshot().await {
                 sleep(self.settings.election()).await;
             }
         }
     }
 
+    fn snapshot_is_due(&self) -> bool {
+        let volatile = self.volatile();
+        let since = volatile.commit_index - volatile.snapshot_index;
+        let every = self.settings.snapshot_every;
+        every > 0 && (since >= every || volatile.entry_blocks >= SNAPSHOT_BLOCKS)
+    }
+
     /// Stores a snapshot of the committed state; returns false when it could not be stored.
     async fn take_snapshot(&self) -> bool {
         let guard = self.lock_store().await;
--- a/control/src/store.rs
+++ b/control/src/store.rs
@@ -1,21 +1,17 @@
 use std::io;
 
 use rand::Rng;
-use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
 
+use crate::files::{
+    LOCK, LOG_PREFIX, REPLICA, SNAPSHOT_PREFIX, VOTE, decode_one, encode, log_name, one_frame,
+    read_one, snapshot_name, write_whole,
+};
+use crate::folder::{
+    SegmentStart, lock_error, prepare, read_log, read_owner, read_snapshot, remove_unfinished,
+};
 use crate::frame::{self, push_frame};
 use crate::{Disk, Entry, ReplicaIdentity, StorageError, Vote};
 
-const LOCK: &str = "lock";
-const REPLICA: &str = "replica";
-const VOTE: &str = "vote";
-const LOG_PREFIX: &str = "log-";
-const SNAPSHOT_PREFIX: &str = "snapshot-";
-const UNFINISHED_SUFFIX: &str = ".tmp";
-/// Folder that some file systems keep in an empty volume.
-const LOST_AND_FOUND: &str = "lost+found";
-
 /// Files of one replica: its identity, its vote, a snapshot and the log after it.
 ///
 /// Every method returns once its effect lasts, or leaves what was stored before.
@@ -44,23 +40,9 @@
 
 /// File that entries are appended to.
 #[derive(Debug)]
-struct Segment {
-    number: u64,
-    length_bytes: u64,
-}
-
-/// First frame of a segment.
-#[derive(Serialize, Deserialize)]
-struct SegmentStart {
-    /// Drops all entries of earlier segments when it follows a snapshot.
-    follows_snapshot: bool,
-}
-
-/// Contents of the file that names a folder's replica.
-#[derive(Serialize, Deserialize)]
-struct FolderOwner {
-    identity: ReplicaIdentity,
-    instance: String,
+pub(crate) struct Segment {
+    pub number: u64,
+    pub length_bytes: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -151,7 +133,7 @@
     ///
     /// Returns the error of the file system; the earlier vote stays.
     pub fn save_vote(&mut self, vote: Vote) -> Result<(), StorageError> {
-        write_whole(&self.disk, VOTE, &one_frame(&encode(&vote)))
+        write_whole(&self.disk, VOTE, &[&one_frame(&encode(&vote))])
     }
 
     /// Stores a snapshot beside the log, then a log of the entries after it, then removes what
@@ -169,7 +151,9 @@
         let file = log_name(self.segment.number);
         self.repair(&file)?;
         let name = snapshot_name(index);
-        write_whole(&self.disk, &name, &one_frame(snapshot))?;
+        let mut start = frame::file_header();
+        frame::push_frame_header(&mut start, snapshot);
+        write_whole(&self.disk, &name, &[&start, snapshot])?;
         self.segment.number += 1;
         if let Err(error) = self.start_segment(true, later) {
             self.segment.number -= 1;
@@ -202,7 +186,7 @@
         if !later.is_empty() {
             push_frame(&mut bytes, &encode(&later));
         }
-        write_whole(&self.disk, &log_name(self.segment.number), &bytes)?;
+        write_whole(&self.disk, &log_name(self.segment.number), &[&bytes])?;
         self.segment.length_bytes = bytes.len() as u64;
         Ok(())
     }
@@ -253,227 +237,3 @@
         }
     }
 }
-
-fn lock_error(error: io::Error) -> StorageError {
-    match error.kind() {
-        io::ErrorKind::WouldBlock => StorageError::InUse {
-            file: LOCK.to_owned(),
-        },
-        _ => StorageError::io("lock", LOCK, error),
-    }
-}
-
-fn remove_unfinished<D: Disk>(disk: &D, names: &[String]) -> Result<(), StorageError> {
-    for name in names
-        .iter()
-        .filter(|name| name.ends_with(UNFINISHED_SUFFIX))
-    {
-        disk.remove(name)
-            .map_err(|e| StorageError::io("remove", name, e))?;
-    }
-    Ok(())
-}
-
-fn read_owner<D: Disk>(disk: &D, instance: &str) -> Result<ReplicaIdentity, StorageError> {
-    let owner: FolderOwner = decode_one(disk, REPLICA)?;
-    match owner.instance == instance {
-        true => Ok(owner.identity),
-        false => Err(StorageError::Foreign {
-            file: REPLICA.to_owned(),
-            reason: format!(
-                "it belongs to instance {:?}, not {instance:?}",
-                owner.instance
-            ),
-        }),
-    }
-}
-
-fn prepare<D: Disk>(
-    disk: &D,
-    names: &[String],
-    instance: &str,
-    generator: &mut impl Rng,
-) -> Result<ReplicaIdentity, StorageError> {
-    let other = names.iter().find(|name| {
-        let ours = [LOCK, LOST_AND_FOUND].contains(&name.as_str());
-        !ours && !name.ends_with(UNFINISHED_SUFFIX)
-    });
-    if let Some(name) = other {
-        return Err(StorageError::Foreign {
-            file: name.clone(),
-            reason: format!("the folder is not empty, but has no file {REPLICA:?}"),
-        });
-    }
-    let owner = FolderOwner {
-        identity: ReplicaIdentity::random(generator),
-        instance: instance.to_owned(),
-    };
-    write_whole(disk, REPLICA, &one_frame(&encode(&owner)))?;
-    Ok(owner.identity)
-}
-
-fn read_snapshot<D: Disk>(disk: &D, names: &[String]) -> Result<Option<Vec<u8>>, StorageError> {
-    let newest = names
-        .iter()
-        .filter(|name| name.starts_with(SNAPSHOT_PREFIX) && !name.ends_with(UNFINISHED_SUFFIX))
-        .max();
-    newest.map(|name| read_one(disk, name)).transpose()
-}
-
-type Log = (Vec<Entry>, Option<Segment>, u64);
-
-fn read_log<D: Disk>(disk: &D, names: &[String]) -> Result<Log, StorageError> {
-    let mut files: Vec<&String> = names
-        .iter()
-        .filter(|name| name.starts_with(LOG_PREFIX) && !name.ends_with(UNFINISHED_SUFFIX))
-        .collect();
-    files.sort();
-    let (mut entries, mut segment, mut cut_bytes) = (Vec::new(), None, 0);
-    for (position, file) in files.iter().enumerate() {
-        let bytes = read(disk, file)?;
-        let frames = frame::scan(file, &bytes)?;
-        let left = bytes.len() - frames.whole_bytes;
-        if left > 0 {
-            if position + 1 < files.len() {
-                return Err(damaged(
-                    file,
-                    frames.whole_bytes,
-                    "the file ends within a frame",
-                ));
-            }
-            cut_bytes = left as u64;
-            cut_tail(disk, file, frames.whole_bytes as u64)?;
-        }
-        read_frames(file, &bytes, &frames, &mut entries)?;
-        segment = Some(Segment {
-            number: log_number(file)?,
-            length_bytes: frames.whole_bytes as u64,
-        });
-    }
-    Ok((entries, segment, cut_bytes))
-}
-
-fn read_frames(
-    file: &str,
-    bytes: &[u8],
-    frames: &frame::Frames,
-    entries: &mut Vec<Entry>,
-) -> Result<(), StorageError> {
-    let Some((first, rest)) = frames.contents.split_first() else {
-        return Err(damaged(
-            file,
-            frames.whole_bytes,
-            "the first frame is missing",
-        ));
-    };
-    let start: SegmentStart = decode(file, first.start, &bytes[first.clone()])?;
-    if start.follows_snapshot {
-        entries.clear();
-    }
-    for contents in rest {
-        let added: Vec<Entry> = decode(file, contents.start, &bytes[contents.clone()])?;
-        for entry in added {
-            let next = entries.last().map(|last| last.index + 1);
-            if next.is_some_and(|next| entry.index > next) {
-                let reason = format!("entry {} follows a gap", entry.index);
-                return Err(damaged(file, contents.start, &reason));
-            }
-            while entries.last().is_some_and(|last| last.index >= entry.index) {
-                entries.pop();
-            }
-            entries.push(entry);
-        }
-    }
-    Ok(())
-}
-
-fn cut_tail<D: Disk>(disk: &D, file: &str, length_bytes: u64) -> Result<(), StorageError> {
-    disk.truncate(file, length_bytes)
-        .map_err(|e| StorageError::io("truncate", file, e))?;
-    disk.sync(file)
-        .map_err(|e| StorageError::io("sync", file, e))
-}
-
-fn log_number(file: &str) -> Result<u64, StorageError> {
-    let digits = file.strip_prefix(LOG_PREFIX).unwrap_or(file);
-    digits.parse().map_err(|_| StorageError::Foreign {
-        file: file.to_owned(),
-        reason: "expected a number after \"log-\"".to_owned(),
-    })
-}
-
-fn log_name(number: u64) -> String {
-    format!("{LOG_PREFIX}{number:020}")
-}
-
-fn snapshot_name(index: u64) -> String {
-    format!("{SNAPSHOT_PREFIX}{index:020}")
-}
-
-fn one_frame(contents: &[u8]) -> Vec<u8> {
-    let mut bytes = frame::file_header();
-    push_frame(&mut bytes, contents);
-    bytes
-}
-
-/// Writes a file beside, syncs it, renames it and syncs the folder.
-fn write_whole<D: Disk>(disk: &D, file: &str, bytes: &[u8]) -> Result<(), StorageError> {
-    let unfinished = format!("{file}{UNFINISHED_SUFFIX}");
-    let written = write_renamed(disk, &unfinished, file, bytes);
-    if written.is_err() {
-        // The name is removed when the folder is next opened if it cannot be removed now.
-        let _ = disk.remove(&unfinished);
-    }
-    written
-}
-
-fn write_renamed<D: Disk>(
-    disk: &D,
-    unfinished: &str,
-    file: &str,
-    bytes: &[u8],
-) -> Result<(), StorageError> {
-    disk.truncate(unfinished, 0)
-        .map_err(|e| StorageError::io("truncate", unfinished, e))?;
-    disk.write(unfinished, 0, bytes)
-        .map_err(|e| StorageError::io("write", unfinished, e))?;
-    disk.sync(unfinished)
-        .map_err(|e| StorageError::io("sync", unfinished, e))?;
-    disk.rename(unfinished, file)
-        .map_err(|e| StorageError::io("rename", unfinished, e))?;
-    disk.sync_folder()
-        .map_err(|e| StorageError::io("sync folder of", file, e))
-}
-
-fn read<D: Disk>(disk: &D, file: &str) -> Result<Vec<u8>, StorageError> {
-    disk.read(file)
-        .map_err(|e| StorageError::io("read", file, e))
-}
-
-fn read_one<D: Disk>(disk: &D, file: &str) -> Result<Vec<u8>, StorageError> {
-    let mut bytes = read(disk, file)?;
-    let contents = frame::scan_one(file, &bytes)?;
-    bytes.truncate(contents.end);
-    bytes.drain(..contents.start);
-    Ok(bytes)
-}
-
-fn decode_one<D: Disk, T: DeserializeOwned>(disk: &D, file: &str) -> Result<T, StorageError> {
-    decode(file, 0, &read_one(disk, file)?)
-}
-
-fn decode<T: DeserializeOwned>(file: &str, offset: usize, bytes: &[u8]) -> Result<T, StorageError> {
-    rmp_serde::from_slice(bytes).map_err(|error| damaged(file, offset, &error.to_string()))
-}
-
-fn encode(value: &impl Serialize) -> Vec<u8> {
-    rmp_serde::to_vec(value).expect("plain data encodes")
-}
-
-fn damaged(file: &str, offset: usize, reason: &str) -> StorageError {
-    StorageError::Damaged {
-        file: file.to_owned(),
-        offset: offset as u64,
-        reason: reason.to_owned(),
-    }
-}
--- a/control/src/volatile.rs
+++ b/control/src/volatile.rs
@@ -25,6 +25,8 @@
     pub snapshot_term: Term,
     /// Entries after the snapshot.
     pub entries: VecDeque<Arc<Entry>>,
+    /// Steered blocks that the entries name.
+    pub entry_blocks: usize,
     pub commit_index: u64,
     pub state: State,
     /// Other members, on a leader.
@@ -53,6 +55,7 @@
             snapshot_index: state.index,
             snapshot_term: state.term,
             entries: entries.into_iter().map(Arc::new).collect(),
+            entry_blocks: 0,
             commit_index: state.index,
             state,
             progress: BTreeMap::new(),
@@ -61,6 +64,7 @@
             storage_full: false,
             calls_seen: CallsSeen::default(),
         };
+        volatile.count_blocks();
         volatile.update_members();
         volatile
     }
@@ -101,7 +105,11 @@
         let kept = (first.index - self.snapshot_index - 1) as usize;
         let replaces = kept < self.entries.len();
         let has_members = |entry: &Entry| matches!(entry.payload, Payload::Members(_));
-        self.entries.truncate(kept);
+        if replaces {
+            self.entries.truncate(kept);
+            self.count_blocks();
+        }
+        self.entry_blocks += entries.iter().map(Entry::blocks).sum::<usize>();
         self.entries.extend(entries.iter().cloned().map(Arc::new));
         if replaces || entries.iter().any(has_members) {
             self.update_members();
@@ -120,6 +128,7 @@
         self.commit_index = self.commit_index.max(state.index);
         self.entries = later.into_iter().map(Arc::new).collect();
         self.state = state;
+        self.count_blocks();
         self.update_members();
     }
 
@@ -129,6 +138,7 @@
         self.entries.drain(..covered.min(self.entries.len()));
         self.snapshot_index = index;
         self.snapshot_term = term;
+        self.count_blocks();
     }
 
     /// Returns the log that this replica belongs to; `None` while it is blank.
@@ -193,6 +203,10 @@
         self.role = self.resting_role();
     }
 
+    fn count_blocks(&mut self) {
+        self.entry_blocks = self.entries.iter().map(|entry| entry.blocks()).sum();
+    }
+
     fn resting_role(&self) -> Role {
         match (self.members.list.is_empty(), self.is_voter()) {
             (true, _) => Role::Blank,
