--- a/control/benches/commit.rs
+++ b/control/benches/commit.rs
@@ -2,7 +2,7 @@
 //! memory by number of changes, and the cost of a change among many steered blocks.
 //!
 //! `cargo bench -p laburnumdeal-control` measures; `cargo test --benches` runs through it in about
-//! a second.
+//! a second. Names of measurements (commit, restart, blocks) choose among them.
 
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -57,15 +57,28 @@
     let is_bench = std::env::args().any(|argument| argument == "--bench");
     let size = if is_bench { FULL } else { TEST };
     let runtime = tokio::runtime::Runtime::new().unwrap();
-    for count in [1, 3, 5, 7] {
-        runtime.block_on(measure_commits(count, size.commits));
+    let chosen = |name: &str| {
+        let mut names = std::env::args()
+            .skip(1)
+            .filter(|a| !a.starts_with("--"))
+            .peekable();
+        names.peek().is_none() || names.any(|other| other == name)
+    };
+    if chosen("commit") {
+        for count in [1, 3, 5, 7] {
+            runtime.block_on(measure_commits(count, size.commits));
+        }
     }
-    for length in size.log_lengths {
-        for snapshot_every in [0, 4096] {
-            runtime.block_on(measure_restart(*length, snapshot_every));
+    if chosen("restart") {
+        for length in size.log_lengths {
+            for snapshot_every in [0, 4096] {
+                runtime.block_on(measure_restart(*length, snapshot_every));
+            }
         }
     }
-    runtime.block_on(measure_blocks(size.blocks));
+    if chosen("blocks") {
+        runtime.block_on(measure_blocks(size.blocks));
+    }
 }
 
 fn topology() -> Arc<Topology> {
@@ -254,7 +267,7 @@
     let snapshot_ms = begun.elapsed().as_millis();
     println!(
         "{blocks} steered blocks: restart from the log {opened_ms} ms, elected with a snapshot \
-         after {snapshot_ms} ms, memory in all {} KiB",
+         after {snapshot_ms} ms, memory of the process {} KiB",
         memory_kib()
     );
     drop(replica);
--- a/control/src/answers.rs
+++ b/control/src/answers.rs
@@ -15,11 +15,13 @@
 
 /// First answers by command id. Bounded: an older command is known by its id's hash alone.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-#[serde(from = "AnswersStored", into = "AnswersStored")]
+#[serde(from = "AnswersStored")]
 pub struct Answers {
     kept: VecDeque<Arc<Answer>>,
-    by_id: HashMap<CommandId, Arc<Answer>>,
     forgotten: VecDeque<u64>,
+    #[serde(skip)]
+    by_id: HashMap<CommandId, Arc<Answer>>,
+    #[serde(skip)]
     forgotten_ids: HashSet<u64>,
 }
 
@@ -53,7 +55,8 @@
     Forgotten,
 }
 
-#[derive(Serialize, Deserialize)]
+/// Fields of [`Answers`] that are stored, in the same order.
+#[derive(Deserialize)]
 struct AnswersStored {
     kept: VecDeque<Arc<Answer>>,
     forgotten: VecDeque<u64>,
@@ -140,15 +143,6 @@
     }
 }
 
-impl From<Answers> for AnswersStored {
-    fn from(answers: Answers) -> Self {
-        Self {
-            kept: answers.kept,
-            forgotten: answers.forgotten,
-        }
-    }
-}
-
 /// Returns a hash that tells changes under one command id apart.
 pub fn change_digest(change: &Change) -> Digest {
     let bytes = rmp_serde::to_vec(change).expect("plain data encodes");
--- a/control/src/snapshots.rs
+++ b/control/src/snapshots.rs
@@ -29,15 +29,19 @@
 
     /// Stores a snapshot of the committed state; returns false when it could not be stored.
     async fn take_snapshot(&self) -> bool {
+        let state = self.volatile().state.clone();
+        let (index, term) = (state.index, state.term);
+        let encode = move || rmp_serde::to_vec(&state).expect("plain data encodes");
+        let bytes = self.disk.run(encode).await;
+        let length_bytes = bytes.len();
         let guard = self.lock_store().await;
-        let (bytes, index, term, later) = {
+        let later = {
             let volatile = self.volatile();
-            let bytes = rmp_serde::to_vec(&volatile.state).expect("plain data encodes");
-            let (index, term) = (volatile.state.index, volatile.state.term);
-            let later = volatile.entries_from(index + 1, usize::MAX);
-            (bytes, index, term, later)
+            if volatile.snapshot_index >= index {
+                return true;
+            }
+            volatile.entries_from(index + 1, usize::MAX)
         };
-        let length_bytes = bytes.len();
         let (_guard, saved) = self
             .with_store(guard, move |store| {
                 store.save_snapshot(index, &bytes, &later)
