--- a/control/src/dispatch.rs
+++ b/control/src/dispatch.rs
@@ -78,6 +78,7 @@
                 let index = volatile.commit_index;
                 ControlReply::ReadIndex(self.core.has_lease(&volatile).then_some(index))
             }
+            ControlRequest::Records { from_index } => self.core.on_records(from_index).await,
             ControlRequest::Replace { old, new } => {
                 ControlReply::Replaced(self.core.replace_here(old, new).await)
             }
--- a/control/src/files.rs
+++ b/control/src/files.rs
@@ -2,12 +2,13 @@
 use serde::de::DeserializeOwned;
 
 use crate::frame::{self, push_frame};
-use crate::{Disk, StorageError};
+use crate::{AuditRange, Disk, StorageError};
 
 pub(crate) const LOCK: &str = "lock";
 pub(crate) const REPLICA: &str = "replica";
 pub(crate) const VOTE: &str = "vote";
 pub(crate) const LOG_PREFIX: &str = "log-";
+pub(crate) const AUDIT_PREFIX: &str = "audit-";
 pub(crate) const SNAPSHOT_PREFIX: &str = "snapshot-";
 pub(crate) const UNFINISHED_SUFFIX: &str = ".tmp";
 
@@ -27,6 +28,10 @@
     format!("{SNAPSHOT_PREFIX}{index:020}")
 }
 
+pub(crate) fn audit_name(range: AuditRange) -> String {
+    format!("{AUDIT_PREFIX}{:020}-{:020}", range.first, range.last)
+}
+
 pub(crate) fn one_frame(contents: &[u8]) -> Vec<u8> {
     let mut bytes = frame::file_header();
     push_frame(&mut bytes, contents);
--- a/control/src/folder.rs
+++ b/control/src/folder.rs
@@ -4,11 +4,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::files::{
-    LOCK, LOG_PREFIX, REPLICA, SNAPSHOT_PREFIX, UNFINISHED_SUFFIX, damaged, decode, decode_one,
-    encode, log_number, one_frame, read, read_one, write_whole,
+    LOCK, LOG_PREFIX, REPLICA, SNAPSHOT_PREFIX, UNFINISHED_SUFFIX, audit_name, damaged, decode,
+    decode_one, encode, log_number, one_frame, read, read_one, write_whole,
 };
 use crate::store::Segment;
-use crate::{Disk, Entry, ReplicaIdentity, StorageError, frame};
+use crate::{AuditRange, Disk, Entry, ReplicaIdentity, StorageError, frame};
 
 /// Folder that some file systems keep in an empty volume.
 const LOST_AND_FOUND: &str = "lost+found";
@@ -92,13 +92,46 @@
     disk: &D,
     names: &[String],
 ) -> Result<Option<Vec<u8>>, StorageError> {
-    let newest = names
-        .iter()
-        .filter(|name| name.starts_with(SNAPSHOT_PREFIX) && !name.ends_with(UNFINISHED_SUFFIX))
-        .max();
+    let newest = newest_snapshot(names);
     newest.map(|name| read_one(disk, name)).transpose()
 }
 
+fn newest_snapshot(names: &[String]) -> Option<&String> {
+    let snapshots = names.iter();
+    snapshots
+        .filter(|name| name.starts_with(SNAPSHOT_PREFIX) && !name.ends_with(UNFINISHED_SUFFIX))
+        .max()
+}
+
+/// Returns the files of audit records, and removes those that an interrupted snapshot left: the
+/// log still has their records, or a longer file of the same start has.
+pub(crate) fn audit_files<D: Disk>(
+    disk: &D,
+    names: &[String],
+) -> Result<Vec<AuditRange>, StorageError> {
+    let newest = newest_snapshot(names).and_then(|name| name.strip_prefix(SNAPSHOT_PREFIX));
+    let snapshot_index = newest.and_then(|digits| digits.parse().ok()).unwrap_or(0);
+    let mut ranges: Vec<AuditRange> = names.iter().filter_map(|n| AuditRange::parse(n)).collect();
+    ranges.sort();
+    let mut kept: Vec<AuditRange> = Vec::new();
+    for range in ranges {
+        let replaced = match kept.last().copied() {
+            _ if range.last > snapshot_index => Some(range),
+            Some(earlier) if earlier.first == range.first => kept.pop(),
+            _ => None,
+        };
+        if let Some(replaced) = replaced {
+            let name = audit_name(replaced);
+            disk.remove(&name)
+                .map_err(|e| StorageError::io("remove", &name, e))?;
+        }
+        if replaced != Some(range) {
+            kept.push(range);
+        }
+    }
+    Ok(kept)
+}
+
 /// Entries, the last segment, and the bytes that were cut off.
 type Log = (Vec<Entry>, Option<Segment>, u64);
 
--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -38,6 +38,7 @@
 
 mod answers;
 mod append;
+mod backfill;
 mod calls_seen;
 mod committed;
 mod confirmed;
@@ -78,6 +79,7 @@
 mod storage_error;
 mod store;
 mod submit_error;
+mod trail;
 mod undo;
 mod volatile;
 mod vote;
@@ -105,4 +107,5 @@
 pub use storage_error::StorageError;
 pub use store::{Loaded, Store};
 pub use submit_error::{NotRun, SubmitError};
+pub use trail::AuditRange;
 pub use vote::Vote;
--- a/control/src/replica.rs
+++ b/control/src/replica.rs
@@ -14,6 +14,7 @@
 use crate::install::Incoming;
 use crate::proposals::{Command, Proposal, unknown};
 use crate::start::{open, restore};
+use crate::trail::Trail;
 use crate::volatile::Volatile;
 use crate::{
     Committed, Confirmed, ControlError, ControlReply, ControlRequest, Disk, FileDisk, NotRun,
@@ -104,6 +105,7 @@
         core.spawn(core.clone().run_replacements());
         core.spawn(core.clone().run_drains());
         core.spawn(core.clone().run_snapshots());
+        core.spawn(core.clone().run_backfill());
         Ok(Self { core })
     }
 
@@ -211,9 +213,18 @@
         self.core.configuration.subscribe()
     }
 
-    /// Returns audit records from an index on, in order.
+    /// Returns audit records from an index on, in order. Records are missing only while a new
+    /// replica still fetches what its snapshot skipped; their chain shows the gap.
     pub fn history(&self, from_index: u64, limit: usize) -> Vec<Applied> {
-        self.core.volatile().state.records_from(from_index, limit)
+        let trail = Trail::new(&self.core.volatile());
+        let mut records = trail.read(&self.core.disk, from_index, limit);
+        if let Some(error) = &records.error {
+            warn!(self.core.log, "audit records cannot be read"; "error" => %error);
+        }
+        let (next, left) = (records.through_index + 1, limit - records.list.len());
+        let kept = self.core.volatile().state.records_from(next, left);
+        records.list.extend(kept);
+        records.list
     }
 
     /// Returns the accepted changes after a version; `None` when a full copy is needed.
--- a/control/src/reply.rs
+++ b/control/src/reply.rs
@@ -1,4 +1,4 @@
-use laburnumdeal_model::Term;
+use laburnumdeal_model::{Applied, Term};
 use serde::{Deserialize, Serialize};
 
 use crate::{ClusterId, Committed, ReplaceError, ReplicaIdentity, SubmitError};
@@ -46,6 +46,13 @@
     Submitted(Result<Committed, SubmitError>),
     /// Entry that a confirmed read must have seen; `None` without a valid lease.
     ReadIndex(Option<u64>),
+    /// Audit records without a gap.
+    Records {
+        /// Records in order.
+        records: Vec<Applied>,
+        /// Last index that they cover.
+        through_index: u64,
+    },
     /// Outcome of a replacement.
     Replaced(Result<(), ReplaceError>),
 }
--- a/control/src/request.rs
+++ b/control/src/request.rs
@@ -65,6 +65,11 @@
     },
     /// Asks the leader for the entry that a confirmed read must have seen.
     ReadIndex,
+    /// Asks for audit records.
+    Records {
+        /// Index of the first.
+        from_index: u64,
+    },
     /// Asks the leader to replace a voter.
     Replace {
         /// Instance whose replica goes.
--- a/control/src/snapshots.rs
+++ b/control/src/snapshots.rs
@@ -4,7 +4,8 @@
 use tokio::time::sleep;
 
 use crate::core::Core;
-use crate::{Disk, PeerLink};
+use crate::trail::commands;
+use crate::{AuditRange, Disk, PeerLink, Store};
 
 /// Steered blocks in entries after which a snapshot is taken, however few the entries are.
 const SNAPSHOT_BLOCKS: usize = 100_000;
@@ -35,21 +36,27 @@
         let bytes = self.disk.run(encode).await;
         let length_bytes = bytes.len();
         let guard = self.lock_store().await;
-        let later = {
+        let (later, range, records) = {
             let volatile = self.volatile();
             if volatile.snapshot_index >= index {
                 return true;
             }
-            volatile.entries_from(index + 1, usize::MAX)
+            let first = volatile.snapshot_index + 1;
+            let covered = volatile.entries.iter().take((index + 1 - first) as usize);
+            let covered: Vec<_> = covered.cloned().collect();
+            let range = AuditRange { first, last: index };
+            let later = volatile.entries_from(index + 1, usize::MAX);
+            (later, range, commands(&covered, first))
         };
-        let (_guard, saved) = self
-            .with_store(guard, move |store| {
-                store.save_snapshot(index, &bytes, &later)
-            })
-            .await;
+        let save = move |store: &mut Store<D>| {
+            store.save_audit(range, &records)?;
+            store.save_snapshot(index, &bytes, &later)
+        };
+        let (_guard, saved) = self.with_store(guard, save).await;
         let mut volatile = self.volatile();
         match saved {
             Ok(()) => {
+                volatile.add_audit_file(range);
                 volatile.compact(index, term);
                 info!(self.log, "took a snapshot"; "index" => index, "bytes" => length_bytes);
                 true
--- a/control/src/start.rs
+++ b/control/src/start.rs
@@ -37,6 +37,10 @@
             offset: 0,
             reason: format!("entry {} is missing", state.index + 1),
         }),
-        _ => Ok(Volatile::new(loaded.identity, loaded.vote, state, later)),
+        _ => {
+            let mut volatile = Volatile::new(loaded.identity, loaded.vote, state, later);
+            volatile.audit_files = loaded.audit_files;
+            Ok(volatile)
+        }
     }
 }
--- a/control/src/store.rs
+++ b/control/src/store.rs
@@ -1,16 +1,18 @@
 use std::io;
 
+use laburnumdeal_model::Applied;
 use rand::Rng;
 
 use crate::files::{
-    LOCK, LOG_PREFIX, REPLICA, SNAPSHOT_PREFIX, VOTE, decode_one, encode, log_name, one_frame,
-    read_one, snapshot_name, write_whole,
+    LOCK, LOG_PREFIX, REPLICA, SNAPSHOT_PREFIX, VOTE, audit_name, decode_one, encode, log_name,
+    one_frame, read_one, snapshot_name, write_whole,
 };
 use crate::folder::{
-    SegmentStart, lock_error, prepare, read_log, read_owner, read_snapshot, remove_unfinished,
+    SegmentStart, audit_files, lock_error, prepare, read_log, read_owner, read_snapshot,
+    remove_unfinished,
 };
 use crate::frame::{self, push_frame};
-use crate::{Disk, Entry, ReplicaIdentity, StorageError, Vote};
+use crate::{AuditRange, Disk, Entry, ReplicaIdentity, StorageError, Vote};
 
 /// Files of one replica: its identity, its vote, a snapshot and the log after it.
 ///
@@ -34,6 +36,8 @@
     pub snapshot: Option<Vec<u8>>,
     /// Entries of the log, some of which the snapshot may cover.
     pub entries: Vec<Entry>,
+    /// Files of audit records, in order.
+    pub audit_files: Vec<AuditRange>,
     /// Bytes that an interrupted write had left at the end of the log, and that were cut off.
     pub cut_bytes: u64,
 }
@@ -78,11 +82,13 @@
         };
         let snapshot = read_snapshot(&disk, &names)?;
         let (entries, segment, cut_bytes) = read_log(&disk, &names)?;
+        let audit_files = audit_files(&disk, &names)?;
         let loaded = Loaded {
             identity,
             vote,
             snapshot,
             entries,
+            audit_files,
             cut_bytes,
         };
         let mut store = Self {
@@ -162,6 +168,20 @@
         self.remove_replaced(&name)
     }
 
+    /// Stores the audit records of a range of entries.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the file system; nothing is stored then.
+    pub fn save_audit(
+        &mut self,
+        range: AuditRange,
+        records: &[Applied],
+    ) -> Result<(), StorageError> {
+        let contents = one_frame(&encode(&records));
+        write_whole(&self.disk, &audit_name(range), &[&contents])
+    }
+
     /// Returns the contents of the snapshot at an index.
     ///
     /// # Errors
--- a/control/src/volatile.rs
+++ b/control/src/volatile.rs
@@ -6,7 +6,7 @@
 
 use crate::calls_seen::CallsSeen;
 use crate::progress::Progress;
-use crate::{ClusterId, Entry, Members, Payload, ReplicaIdentity, Role, State, Vote};
+use crate::{AuditRange, ClusterId, Entry, Members, Payload, ReplicaIdentity, Role, State, Vote};
 
 /// What a replica keeps in memory. Everything in it that others rely on is on the disk before.
 #[derive(Debug)]
@@ -36,6 +36,8 @@
     /// Time when this replica became leader.
     pub leading_since: Instant,
     pub storage_full: bool,
+    /// Files of audit records, in order.
+    pub audit_files: Vec<AuditRange>,
     /// Submissions passed on to this replica as leader.
     pub calls_seen: CallsSeen,
 }
@@ -62,6 +64,7 @@
             first_index: 0,
             leading_since: now,
             storage_full: false,
+            audit_files: Vec::new(),
             calls_seen: CallsSeen::default(),
         };
         volatile.count_blocks();
@@ -132,6 +135,12 @@
         self.update_members();
     }
 
+    /// Adds a file of audit records in its place.
+    pub fn add_audit_file(&mut self, range: AuditRange) {
+        self.audit_files.push(range);
+        self.audit_files.sort();
+    }
+
     /// Drops the entries that a snapshot of this replica's own state covers.
     pub fn compact(&mut self, index: u64, term: Term) {
         let covered = index.saturating_sub(self.snapshot_index) as usize;
--- a/control/tests/changes.rs
+++ b/control/tests/changes.rs
@@ -222,6 +222,36 @@
     assert_eq!(cluster.replica(2).history(0, 100), trail);
 }
 
+#[tokio::test(start_paused = true)]
+async fn history_outlives_kept_records_and_lost_disk() {
+    let mut cluster = Cluster::new(3, 20);
+    cluster.snapshot_every = 500;
+    cluster.start_all().await;
+    let leader = cluster.leader().await;
+    for number in 0..5000 {
+        let id = format!("c{number}");
+        cluster.submit(leader, cap(&id, number)).await;
+    }
+    let lost = (leader + 1) % 3;
+    cluster.lose_disk(lost).await;
+    cluster.submit(leader, cap("last", 1)).await;
+    sleep(10_000).await;
+    cluster.settle().await;
+    let trail = cluster.replica(leader).history(0, usize::MAX);
+    assert_eq!(trail.len(), 5001);
+    assert!(
+        trail
+            .windows(2)
+            .all(|pair| pair[1].expected_chain(pair[0].chain) == pair[1].chain)
+    );
+    assert_eq!(cluster.replica(lost).history(0, usize::MAX), trail);
+    cluster.restart(lost).await;
+    cluster.settle().await;
+    assert_eq!(cluster.replica(lost).history(0, usize::MAX), trail);
+    let part = cluster.replica(lost).history(trail[3000].index, 7);
+    assert_eq!(part[..], trail[3000..3007]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn changes_since_follow_a_version() {
     let cluster = Cluster::started(1, 11).await;
--- a/control/tests/histories.rs
+++ b/control/tests/histories.rs
@@ -176,6 +176,7 @@
         client.await.unwrap();
     }
     cluster.settle().await;
+    sleep(5000).await;
     let trails = cluster
         .running()
         .map(|replica| replica.history(0, usize::MAX));
