Mend catch-up of a replica whose disk was full

Cause: a test that lets a full leader hand over found that the old leader never caught up: its reply still said 'full' from the write that had failed, and the new leader then did not step back to the entry where the logs agree. A leader whose disk is full hands over to a voter that answers and has room, so changes go on; a lone replica refuses them. A member that makes no progress is asked again after a heartbeat, no sooner. The test of a full leader now wants more: the change passes elsewhere while the first disk is still full; a lone replica has the old test.

--- a/control/src/install.rs
+++ b/control/src/install.rs
@@ -61,6 +61,7 @@
             drop(volatile);
             return self.append_reply(false, 0);
         }
+        volatile.storage_full = false;
         volatile.install(state);
         self.publish(&volatile);
         drop(volatile);
--- a/control/src/peer_task.rs
+++ b/control/src/peer_task.rs
@@ -223,6 +223,7 @@
                 let Some(progress) = volatile.progress.get_mut(&identity) else {
                     return false;
                 };
+                let before = (progress.next_index, sending.as_ref().map(|s| s.offset));
                 progress.answered_at = Some(sent_at);
                 progress.storage_full = storage_full;
                 progress.blank_identity = None;
@@ -233,11 +234,12 @@
                     sending.offset = usize::try_from(matched)
                         .unwrap_or(0)
                         .min(sending.bytes.len());
-                } else if !storage_full {
+                } else {
                     progress.next_index = matched.min(progress.next_index - 1) + 1;
                     progress.next_index = progress.next_index.max(progress.matched_index + 1);
                 }
-                let more = !storage_full && progress.next_index <= last_index;
+                let after = (progress.next_index, sending.as_ref().map(|s| s.offset));
+                let more = after != before && progress.next_index <= last_index;
                 self.commit_majority(&mut volatile);
                 more
             }
--- a/control/src/proposals.rs
+++ b/control/src/proposals.rs
@@ -92,6 +92,9 @@
         let entries = std::mem::take(&mut decided.entries);
         if let Err(error) = self.store_proposed(guard, entries).await {
             self.refuse(decided.waiting, &error);
+            if error.is_full() {
+                self.hand_over().await;
+            }
             return next;
         }
         let acknowledge_early = self.settings.faults.acknowledge_before_majority;
--- a/control/src/replacement.rs
+++ b/control/src/replacement.rs
@@ -206,14 +206,15 @@
         })
     }
 
-    /// Stops leading and lets the voter with the longest log stand for election.
-    pub async fn hand_over(self: &Arc<Self>) {
+    /// Stops leading and lets the voter with the longest log stand for election. A leader without
+    /// a voter that answers and has room goes on leading.
+    pub async fn hand_over(&self) {
         let (heir, header) = {
             let mut volatile = self.volatile();
             if volatile.role != Role::Leader {
                 return;
             }
-            let Some(heir) = heir(&volatile) else {
+            let Some(heir) = self.heir(&volatile) else {
                 return;
             };
             let header = self.header(&volatile, heir.1);
@@ -229,13 +230,14 @@
             warn!(self.log, "leadership could not be handed over"; "to" => heir, "error" => error);
         }
     }
-}
 
-fn heir(volatile: &Volatile) -> Option<(String, ReplicaIdentity)> {
-    let others = volatile.members.voters().filter_map(|member| {
-        let progress = volatile.progress.get(&member.identity)?;
-        Some((progress.matched_index, member))
-    });
-    let heir = others.max_by_key(|(matched_index, _)| *matched_index);
-    heir.map(|(_, member)| (member.instance.clone(), member.identity))
+    fn heir(&self, volatile: &Volatile) -> Option<(String, ReplicaIdentity)> {
+        let others = volatile.members.voters().filter_map(|member| {
+            let progress = volatile.progress.get(&member.identity)?;
+            let able = !progress.storage_full && progress.answered_within(self.settings.election());
+            able.then_some((progress.matched_index, member))
+        });
+        let heir = others.max_by_key(|(matched_index, _)| *matched_index);
+        heir.map(|(_, member)| (member.instance.clone(), member.identity))
+    }
 }
--- a/control/src/snapshots.rs
+++ b/control/src/snapshots.rs
@@ -63,7 +63,6 @@
             }
             Err(error) => {
                 warn!(self.log, "a snapshot cannot be stored"; "error" => %error);
-                volatile.storage_full = error.is_full();
                 false
             }
         }
--- a/control/tests/changes.rs
+++ b/control/tests/changes.rs
@@ -168,12 +168,31 @@
     let SubmitError::NotRun(NotRun::Refused(Refusal::StorageFull { .. })) = refused else {
         panic!("{refused}");
     };
-    assert!(cluster.replica(leader).confirmed().await.confirmed);
+    // Another replica leads, and the full one goes on following and confirming.
+    let other = cluster.next_leader(leader).await;
+    let changed = cluster.submit(other, cap("b", 2)).await;
+    assert_eq!(changed.version, Version(2));
+    sleep(500).await;
+    let served = cluster.replica(leader).confirmed().await;
+    assert!(!served.confirmed || served.configuration.version == Version(2));
+    assert_eq!(served.configuration.version.0, 1);
     cluster.disks[leader].set_room(None);
-    assert_eq!(
-        cluster.submit(leader, cap("b", 2)).await.version,
-        Version(2)
-    );
+    cluster.settle().await;
+    assert!(cluster.replica(leader).confirmed().await.confirmed);
+}
+
+#[tokio::test(start_paused = true)]
+async fn submit_only_replica_full_refuses_and_goes_on_serving() {
+    let cluster = Cluster::started(1, 8).await;
+    cluster.submit(0, cap("a", 1)).await;
+    cluster.disks[0].set_room(Some(10));
+    let refused = cluster.replica(0).submit(cap("b", 2)).await.unwrap_err();
+    let SubmitError::NotRun(NotRun::Refused(Refusal::StorageFull { .. })) = refused else {
+        panic!("{refused}");
+    };
+    assert!(cluster.replica(0).confirmed().await.confirmed);
+    cluster.disks[0].set_room(None);
+    assert_eq!(cluster.submit(0, cap("b", 2)).await.version, Version(2));
 }
 
 #[tokio::test(start_paused = true)]
--- a/control/tests/cluster.rs
+++ b/control/tests/cluster.rs
@@ -197,6 +197,12 @@
     }
 }
 
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.running().for_each(|replica| replica.abort());
+    }
+}
+
 pub async fn sleep(ms: u64) {
     tokio::time::sleep(Duration::from_millis(ms)).await;
 }
--- a/control/tests/membership.rs
+++ b/control/tests/membership.rs
@@ -173,3 +173,32 @@
         }
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn spawn_learner_killed_at_each_step() {
+    for step in 1..50 {
+        let mut cluster = Cluster::new(3, 200 + step);
+        cluster.snapshot_every = 4;
+        cluster.start_all().await;
+        submit_some(&cluster, 0, "a").await;
+        let lost = (cluster.leader().await + 1) % 3;
+        cluster.lose_disk(lost).await;
+        cluster.disks[lost].kill_in(step);
+        sleep(1500).await;
+        cluster.restart(lost).await;
+        wait_for_voter(&cluster, lost).await;
+        cluster.settle().await;
+        sleep(2000).await;
+
+        assert_eq!(
+            cluster.replica(lost).status().version,
+            Version(10),
+            "step {step}"
+        );
+        assert_eq!(
+            cluster.replica(lost).history(0, 100).len(),
+            10,
+            "step {step}"
+        );
+    }
+}
--- a/control/tests/quorum.rs
+++ b/control/tests/quorum.rs
@@ -176,3 +176,40 @@
     cluster.restart(old).await;
     cluster.settle().await;
 }
+
+/// Kills a replica at each step of its disk while a change is stored and a snapshot is taken.
+async fn submit_while_killed(victim_leads: bool) {
+    for step in 1..40 {
+        let mut cluster = Cluster::new(3, 100 + step);
+        cluster.snapshot_every = 4;
+        cluster.start_all().await;
+        let leader = cluster.leader().await;
+        let victim = if victim_leads {
+            leader
+        } else {
+            (leader + 1) % 3
+        };
+        cluster.disks[victim].kill_in(step);
+        for number in 0..6 {
+            let id = format!("c{number}");
+            cluster.submit((leader + 2) % 3, cap(&id, number)).await;
+        }
+        cluster.restart(victim).await;
+        cluster.settle().await;
+        sleep(2000).await;
+        for replica in cluster.running() {
+            assert_eq!(replica.status().version, Version(6), "step {step}");
+            assert_eq!(replica.history(0, 100).len(), 6, "step {step}");
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn submit_leader_killed_at_each_step() {
+    submit_while_killed(true).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn submit_follower_killed_at_each_step() {
+    submit_while_killed(false).await;
+}
