Refuse submissions in the leader's own name; fill and stop in the histories

Cause: an operator named like the leader could have moved drain steps, and the seeded runs had no full disks and no planned stops.

--- a/control/src/replica.rs
+++ b/control/src/replica.rs
@@ -2,7 +2,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
-use laburnumdeal_model::{Applied, Configuration, InstanceId, Submission, Term, Version};
+use laburnumdeal_model::{Applied, Configuration, InstanceId, Refusal, Submission, Term, Version};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, info, warn};
@@ -11,6 +11,7 @@
 use tokio::time::timeout;
 
 use crate::core::Core;
+use crate::decider::LEADER_OPERATOR;
 use crate::install::Incoming;
 use crate::proposals::{Command, Proposal, unknown};
 use crate::start::{open, restore};
@@ -126,6 +127,10 @@
     ///
     /// [`SubmitError::NotRun`] says that this submission appended nothing anywhere.
     pub async fn submit(&self, submission: Submission) -> Result<Committed, SubmitError> {
+        if submission.operator == LEADER_OPERATOR {
+            let operator = submission.operator;
+            return Err(NotRun::Refused(Refusal::NotAllowed { operator }).into());
+        }
         let (leader, term) = {
             let volatile = self.core.volatile();
             (volatile.leader, volatile.vote.term)
--- a/control/tests/drains.rs
+++ b/control/tests/drains.rs
@@ -1,3 +1,4 @@
+use laburnumdeal_control::{NotRun, SubmitError};
 use laburnumdeal_model::{Change, InstanceId, Refusal, Submission, Target, Verdict};
 
 use crate::cluster::{Cluster, change, now_ms, sleep};
@@ -103,6 +104,12 @@
         target: target(),
         moved_permille: 1000,
     };
+    let mut disguised = change("d", step.clone());
+    disguised.operator = "laburnumdeal".into();
+    let refused = cluster.replica(0).submit(disguised).await.unwrap_err();
+    let SubmitError::NotRun(NotRun::Refused(Refusal::NotAllowed { .. })) = refused else {
+        panic!("{refused}");
+    };
     let verdict = cluster.submit(0, change("s", step)).await.verdict;
     assert!(matches!(
         verdict,
--- a/control/tests/histories.rs
+++ b/control/tests/histories.rs
@@ -1,5 +1,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use laburnumdeal_control::{Faults, SubmitError};
 use laburnumdeal_model::{Applied, Change, InstanceId, Submission, Version};
@@ -115,7 +116,7 @@
     running.get(chosen).map(|replica| (*replica).clone())
 }
 
-/// Cuts, kills, freezes, slows and repairs at random times.
+/// Cuts, kills, freezes, slows, fills, stops and repairs at random times.
 async fn run_faults(cluster: &mut Cluster, count: u16, seed: u64, replicas: &Replicas) {
     let mut generator = ChaCha8Rng::seed_from_u64(seed + 7);
     for _ in 0..FAULTS {
@@ -123,7 +124,7 @@
         let number = generator.random_range(0..usize::from(count));
         let one = InstanceId(number as u16);
         let others = (0..count).map(InstanceId).filter(|other| *other != one);
-        match generator.random_range(0..10) {
+        match generator.random_range(0..12) {
             0 => others.for_each(|other| cluster.network.cut(one, other)),
             1 => others.for_each(|other| cluster.network.cut_one_way(one, other)),
             2 => cluster
@@ -141,7 +142,13 @@
                 generator.random_range(0..300),
             ),
             8 => cluster.network.heal(),
+            9 => cluster.disks[number].set_room(Some(generator.random_range(0..600))),
+            10 if cluster.replicas[number].is_some() => {
+                let replica = cluster.replica(number).clone();
+                let _ = tokio::time::timeout(Duration::from_secs(1), replica.stop()).await;
+            }
             _ => {
+                cluster.disks[number].set_room(None);
                 cluster.restart(number).await;
                 cluster.start_all().await;
             }
@@ -169,6 +176,7 @@
     cluster.network.set_faults(2, 0, 0);
     for number in 0..usize::from(count) {
         cluster.disks[number].set_delay(0);
+        cluster.disks[number].set_room(None);
         cluster.restart(number).await;
     }
     replicas.write().await.clone_from(&cluster.replicas);
