--- a/control/tests/histories.rs
+++ b/control/tests/histories.rs
@@ -119,12 +119,13 @@
 /// Cuts, kills, freezes, slows, fills, stops and repairs at random times.
 async fn run_faults(cluster: &mut Cluster, count: u16, seed: u64, replicas: &Replicas) {
     let mut generator = ChaCha8Rng::seed_from_u64(seed + 7);
+    let mut has_lost_disk = false;
     for _ in 0..FAULTS {
         sleep(generator.random_range(20..300)).await;
         let number = generator.random_range(0..usize::from(count));
         let one = InstanceId(number as u16);
         let others = (0..count).map(InstanceId).filter(|other| *other != one);
-        match generator.random_range(0..12) {
+        match generator.random_range(0..13) {
             0 => others.for_each(|other| cluster.network.cut(one, other)),
             1 => others.for_each(|other| cluster.network.cut_one_way(one, other)),
             2 => cluster
@@ -147,6 +148,11 @@
                 let replica = cluster.replica(number).clone();
                 let _ = tokio::time::timeout(Duration::from_secs(1), replica.stop()).await;
             }
+            // One disk a run: a second loss before the first is made good may lose changes.
+            11 if !has_lost_disk => {
+                has_lost_disk = true;
+                cluster.lose_disk(number).await;
+            }
             _ => {
                 cluster.disks[number].set_room(None);
                 cluster.restart(number).await;
