--- a/control/tests/histories.rs
+++ b/control/tests/histories.rs
@@ -1,5 +1,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use laburnumdeal_control::{Faults, SubmitError};
 use laburnumdeal_model::{Applied, Change, InstanceId, Submission, Version};
@@ -115,15 +116,16 @@
     running.get(chosen).map(|replica| (*replica).clone())
 }
 
-/// Cuts, kills, freezes, slows and repairs at random times.
+/// Cuts, kills, freezes, slows, fills, stops and repairs at random times.
 async fn run_faults(cluster: &mut Cluster, count: u16, seed: u64, replicas: &Replicas) {
     let mut generator = ChaCha8Rng::seed_from_u64(seed + 7);
+    let mut has_lost_disk = false;
     for _ in 0..FAULTS {
         sleep(generator.random_range(20..300)).await;
         let number = generator.random_range(0..usize::from(count));
         let one = InstanceId(number as u16);
         let others = (0..count).map(InstanceId).filter(|other| *other != one);
-        match generator.random_range(0..10) {
+        match generator.random_range(0..13) {
             0 => others.for_each(|other| cluster.network.cut(one, other)),
             1 => others.for_each(|other| cluster.network.cut_one_way(one, other)),
             2 => cluster
@@ -141,7 +143,18 @@
                 generator.random_range(0..300),
             ),
             8 => cluster.network.heal(),
+            9 => cluster.disks[number].set_room(Some(generator.random_range(0..600))),
+            10 if cluster.replicas[number].is_some() => {
+                let replica = cluster.replica(number).clone();
+                let _ = tokio::time::timeout(Duration::from_secs(1), replica.stop()).await;
+            }
+            // One disk a run: a second loss before the first is made good may lose changes.
+            11 if !has_lost_disk => {
+                has_lost_disk = true;
+                cluster.lose_disk(number).await;
+            }
             _ => {
+                cluster.disks[number].set_room(None);
                 cluster.restart(number).await;
                 cluster.start_all().await;
             }
@@ -169,6 +182,7 @@
     cluster.network.set_faults(2, 0, 0);
     for number in 0..usize::from(count) {
         cluster.disks[number].set_delay(0);
+        cluster.disks[number].set_room(None);
         cluster.restart(number).await;
     }
     replicas.write().await.clone_from(&cluster.replicas);
@@ -176,6 +190,7 @@
         client.await.unwrap();
     }
     cluster.settle().await;
+    sleep(5000).await;
     let trails = cluster
         .running()
         .map(|replica| replica.history(0, usize::MAX));
