Draw the identity of a blank folder from the system, never from the seed

Cause: the daemon's tests found that a replica with a lost disk and a fixed seed came back under its old identity and was taken for one that had the log. The tests hand in a counter.

--- a/control/src/folder.rs
+++ b/control/src/folder.rs
@@ -1,6 +1,5 @@
 use std::io;
 
-use rand::Rng;
 use serde::{Deserialize, Serialize};
 
 use crate::files::{
@@ -68,7 +67,7 @@
     disk: &D,
     names: &[String],
     instance: &str,
-    generator: &mut impl Rng,
+    identity: ReplicaIdentity,
 ) -> Result<ReplicaIdentity, StorageError> {
     let other = names.iter().find(|name| {
         let ours = [LOCK, LOST_AND_FOUND].contains(&name.as_str());
@@ -81,7 +80,7 @@
         });
     }
     let owner = FolderOwner {
-        identity: ReplicaIdentity::random(generator),
+        identity,
         instance: instance.to_owned(),
     };
     write_whole(disk, REPLICA, &[&one_frame(&encode(&owner))])?;
--- a/control/src/identity.rs
+++ b/control/src/identity.rs
@@ -1,6 +1,5 @@
 use std::fmt;
 
-use rand::Rng;
 use serde::{Deserialize, Serialize};
 
 /// Random identity of one replica's folder. A replica that lost its disk has another one.
@@ -12,9 +11,9 @@
 pub struct ClusterId(pub u64);
 
 impl ReplicaIdentity {
-    /// Returns a new identity from a generator.
-    pub fn random(generator: &mut impl Rng) -> Self {
-        Self(generator.random())
+    /// Returns an identity that no other folder has, from the system's generator.
+    pub fn random() -> Self {
+        Self(rand::random())
     }
 }
 
--- a/control/src/replica.rs
+++ b/control/src/replica.rs
@@ -71,7 +71,7 @@
         settings.check()?;
         let mut generator = ChaCha8Rng::seed_from_u64(settings.seed);
         let name = settings.topology.instance(settings.me).name.clone();
-        let (store, loaded) = open(&disk, &name, &mut generator).await?;
+        let (store, loaded) = open(&disk, &name, (settings.new_identity)()).await?;
         if loaded.cut_bytes > 0 {
             warn!(log, "cut off what an interrupted write left at the end of the log";
                 "bytes" => loaded.cut_bytes);
--- a/control/src/replica_settings.rs
+++ b/control/src/replica_settings.rs
@@ -4,7 +4,7 @@
 
 use laburnumdeal_model::{InstanceId, Topology};
 
-use crate::{ControlError, Faults};
+use crate::{ControlError, Faults, ReplicaIdentity};
 
 /// Time between two heartbeats of a leader.
 const HEARTBEAT_MS: u64 = 100;
@@ -32,12 +32,14 @@
     pub election_ms: u64,
     /// Time that a leader may confirm reads after a majority answered; shorter than an election.
     pub lease_ms: u64,
-    /// Seed of election timeouts and of the identity of a new folder.
+    /// Seed of election timeouts.
     pub seed: u64,
     /// Entries between two snapshots; 0 takes none.
     pub snapshot_every: u64,
     /// Returns the time in milliseconds since the Unix epoch.
     pub now_ms: fn() -> u64,
+    /// Returns the identity of a blank folder, which no other may ever have had.
+    pub new_identity: fn() -> ReplicaIdentity,
     /// Faults for tests.
     pub faults: Faults,
 }
@@ -61,6 +63,7 @@
             seed: rand::random(),
             snapshot_every: SNAPSHOT_EVERY,
             now_ms: unix_now_ms,
+            new_identity: ReplicaIdentity::random,
             faults: Faults::default(),
         }
     }
--- a/control/src/start.rs
+++ b/control/src/start.rs
@@ -1,19 +1,14 @@
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
-
 use crate::volatile::Volatile;
-use crate::{Disk, Loaded, State, StorageError, Store};
+use crate::{Disk, Loaded, ReplicaIdentity, State, StorageError, Store};
 
 /// Opens the folder where it holds up no other task.
 pub(crate) async fn open<D: Disk>(
     disk: &D,
     name: &str,
-    generator: &mut ChaCha8Rng,
+    identity: ReplicaIdentity,
 ) -> Result<(Store<D>, Loaded), StorageError> {
-    let (files, name, mut own) = (disk.clone(), name.to_owned(), generator.clone());
-    let opened = disk.run(move || Store::open(files, &name, &mut own)).await;
-    *generator = ChaCha8Rng::from_rng(generator);
-    opened
+    let (files, name) = (disk.clone(), name.to_owned());
+    disk.run(move || Store::open(files, &name, identity)).await
 }
 
 /// Returns the memory of a replica as its folder has it.
--- a/control/src/store.rs
+++ b/control/src/store.rs
@@ -1,7 +1,6 @@
 use std::io;
 
 use laburnumdeal_model::Applied;
-use rand::Rng;
 
 use crate::files::{
     LOCK, LOG_PREFIX, REPLICA, SNAPSHOT_PREFIX, VOTE, audit_name, decode_one, encode, log_name,
@@ -59,7 +58,7 @@
 }
 
 impl<D: Disk> Store<D> {
-    /// Opens the folder of an instance, and prepares an empty one with a new identity.
+    /// Opens the folder of an instance, and prepares an empty one under `new_identity`.
     ///
     /// # Errors
     ///
@@ -67,14 +66,14 @@
     pub fn open(
         disk: D,
         instance: &str,
-        generator: &mut impl Rng,
+        new_identity: ReplicaIdentity,
     ) -> Result<(Self, Loaded), StorageError> {
         let lock = disk.lock(LOCK).map_err(lock_error)?;
         let names = disk.list().map_err(|e| StorageError::io("list", ".", e))?;
         remove_unfinished(&disk, &names)?;
         let identity = match names.iter().any(|name| name == REPLICA) {
             true => read_owner(&disk, instance)?,
-            false => prepare(&disk, &names, instance, generator)?,
+            false => prepare(&disk, &names, instance, new_identity)?,
         };
         let vote = match names.iter().any(|name| name == VOTE) {
             true => decode_one(&disk, VOTE)?,
--- a/control/tests/cluster.rs
+++ b/control/tests/cluster.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use laburnumdeal_control::{Committed, ControlError, Faults, ReplicaSettings, Role, SubmitError};
+use laburnumdeal_control::{
+    Committed, ControlError, Faults, ReplicaIdentity, ReplicaSettings, Role, SubmitError,
+};
 use laburnumdeal_model::{Change, InstanceId, Submission, Topology, Version, embedded_topology};
 use slog::{Discard, Logger, o};
 use tokio::time::Instant;
@@ -17,6 +19,7 @@
 const INSTANCES: u16 = 8;
 
 thread_local! {
+    static IDENTITIES: Cell<u128> = const { Cell::new(0) };
     static STARTED_AT: Cell<Option<Instant>> = const { Cell::new(None) };
 }
 
@@ -29,6 +32,12 @@
     STARTED_MS + u64::try_from(elapsed.as_millis()).unwrap()
 }
 
+/// Returns identities in the same order in every run.
+fn new_identity() -> ReplicaIdentity {
+    IDENTITIES.set(IDENTITIES.get() + 1);
+    ReplicaIdentity(IDENTITIES.get() << 64)
+}
+
 /// Replicas on fake disks over a fake network.
 pub struct Cluster {
     pub network: Network,
@@ -105,6 +114,7 @@
             seed: self.seed * 1000 + self.starts,
             snapshot_every: self.snapshot_every,
             now_ms,
+            new_identity,
             faults: self.faults,
         };
         let log = Logger::root(Discard, o!());
--- a/control/tests/membership.rs
+++ b/control/tests/membership.rs
@@ -1,7 +1,13 @@
-use laburnumdeal_control::{MemberRole, ReplaceError};
+use std::collections::BTreeSet;
+use std::path::Path;
+
+use laburnumdeal_control::{MemberRole, NoPeers, ReplaceError, Replica, ReplicaSettings};
 use laburnumdeal_model::{InstanceId, Version};
 
-use crate::cluster::{Cluster, cap, sleep};
+use slog::{Discard, Logger, o};
+
+use crate::cluster::{Cluster, cap, sleep, topology};
+use crate::fake_disk::FakeDisk;
 
 /// Waits until the running replica of an instance votes.
 async fn wait_for_voter(cluster: &Cluster, number: usize) {
@@ -202,3 +208,19 @@
         );
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn spawn_blank_folder_gets_new_identity_under_same_seed() {
+    let me = InstanceId(0);
+    let mut identities = BTreeSet::new();
+    for _ in 0..3 {
+        let mut settings = ReplicaSettings::new(me, vec![me], Path::new(""), topology());
+        settings.seed = 7;
+        let log = Logger::root(Discard, o!());
+        let replica = Replica::spawn_on(FakeDisk::new(), settings, NoPeers, log).await;
+        let replica = replica.unwrap();
+        identities.insert(replica.status().identity);
+        replica.abort();
+    }
+    assert_eq!(identities.len(), 3);
+}
--- a/control/tests/storage.rs
+++ b/control/tests/storage.rs
@@ -1,14 +1,12 @@
-use laburnumdeal_control::{Disk, Entry, Payload, StorageError, Store, Vote};
+use laburnumdeal_control::{Disk, Entry, Payload, ReplicaIdentity, StorageError, Store, Vote};
 use laburnumdeal_model::Term;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
 
 use crate::fake_disk::FakeDisk;
 
 const NAME: &str = "control-0";
 
 fn open(disk: &FakeDisk) -> Result<(Store<FakeDisk>, laburnumdeal_control::Loaded), StorageError> {
-    Store::open(disk.clone(), NAME, &mut ChaCha8Rng::seed_from_u64(1))
+    Store::open(disk.clone(), NAME, ReplicaIdentity(1))
 }
 
 fn noop(index: u64) -> Entry {
@@ -225,8 +223,7 @@
 #[test]
 fn open_folder_of_another_instance_is_refused() {
     let disk = disk_with(1);
-    let mut generator = ChaCha8Rng::seed_from_u64(1);
-    let error = Store::open(disk, "control-1", &mut generator)
+    let error = Store::open(disk, "control-1", ReplicaIdentity(1))
         .err()
         .unwrap();
     assert!(matches!(error, StorageError::Foreign { .. }), "{error}");
