Refuse a folder without its vote; fetch audit records in linear time

Cause: a deleted vote file let a replica vote twice in one term, and each fetch of audit records read the whole trail to find where its chain goes on.

--- a/control/src/backfill.rs
+++ b/control/src/backfill.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use laburnumdeal_model::{Applied, Digest, InstanceId};
+use laburnumdeal_model::{Applied, InstanceId};
 use slog::{info, warn};
 use tokio::time::sleep;
 
@@ -84,13 +84,9 @@
     async fn follows(&self, first: u64, records: &[Applied]) -> bool {
         let trail = Trail::new(&self.volatile());
         let disk = self.disk.clone();
-        let earlier = self
-            .disk
-            .run(move || trail.read(&disk, 1, usize::MAX).list)
-            .await;
-        let before = earlier.iter().rev().find(|record| record.index < first);
-        let chain = before.map_or(Digest::default(), |record| record.chain);
-        let fits = continues(chain, records);
+        let chain_before = move || trail.chain_before(&disk, first);
+        let chain = self.disk.run(chain_before).await;
+        let fits = chain.is_some_and(|chain| continues(chain, records));
         if !fits {
             warn!(self.log, "audit records of a member break the chain"; "from" => first);
         }
--- a/control/src/start.rs
+++ b/control/src/start.rs
@@ -1,3 +1,4 @@
+use crate::files::VOTE;
 use crate::volatile::Volatile;
 use crate::{Disk, Loaded, ReplicaIdentity, State, StorageError, Store};
 
@@ -26,6 +27,17 @@
     let later = loaded.entries.into_iter();
     let later = later.filter(|entry| entry.index > state.index && entry.term >= state.term);
     let later: Vec<_> = later.collect();
+    let newest_term = later.last().map_or(state.term, |entry| entry.term);
+    if loaded.vote.term < newest_term {
+        return Err(StorageError::Damaged {
+            file: VOTE.to_owned(),
+            offset: 0,
+            reason: format!(
+                "the log has term {newest_term}, the vote only {}",
+                loaded.vote.term
+            ),
+        });
+    }
     match later.first() {
         Some(first) if first.index != state.index + 1 => Err(StorageError::Damaged {
             file: "log".to_owned(),
--- a/control/src/trail.rs
+++ b/control/src/trail.rs
@@ -86,6 +86,21 @@
     }
 }
 
+impl Trail {
+    /// Returns the hash of the last record in the files before an index; `None` when one of them
+    /// cannot be read.
+    pub fn chain_before<D: Disk>(&self, disk: &D, index: u64) -> Option<Digest> {
+        let earlier = self.files.iter().rev().filter(|range| range.last < index);
+        for range in earlier {
+            let list: Vec<Applied> = decode_one(disk, &audit_name(*range)).ok()?;
+            if let Some(last) = list.last() {
+                return Some(last.chain);
+            }
+        }
+        Some(Digest::default())
+    }
+}
+
 impl AuditRange {
     /// Returns the range that a file's name tells.
     pub(crate) fn parse(name: &str) -> Option<Self> {
--- a/control/tests/quorum.rs
+++ b/control/tests/quorum.rs
@@ -1,4 +1,4 @@
-use laburnumdeal_control::{NotRun, SubmitError};
+use laburnumdeal_control::{Disk, NotRun, SubmitError};
 use laburnumdeal_model::{InstanceId, Verdict, Version};
 
 use crate::cluster::{Cluster, LEASE_MS, cap, is_not_run, sleep};
@@ -213,3 +213,14 @@
 async fn submit_follower_killed_at_each_step() {
     submit_while_killed(false).await;
 }
+
+#[tokio::test(start_paused = true)]
+async fn spawn_without_its_vote_is_refused() {
+    let mut cluster = Cluster::started(3, 10).await;
+    cluster.submit(0, cap("a", 1)).await;
+    cluster.settle().await;
+    cluster.kill(1);
+    cluster.disks[1].remove("vote").unwrap();
+    let error = cluster.start(1).await.unwrap_err().to_string();
+    insta::assert_snapshot!(error, @r#"file "vote" in the data folder is damaged at offset 0: the log has term 1, the vote only 0"#);
+}
