Bound messages by the blocks that they name

Cause: 256 entries of 10,000 blocks made one message of about 50 MB, and replies with audit records could grow likewise. Entries and records are cut at 20,000 blocks a message; a single change goes whole.

--- a/control/src/backfill.rs
+++ b/control/src/backfill.rs
@@ -5,6 +5,7 @@
 use tokio::time::sleep;
 
 use crate::core::Core;
+use crate::entry::{blocks, cut_to_message};
 use crate::trail::{AuditRange, Trail, continues, first_gap};
 use crate::{ControlReply, ControlRequest, Disk, PeerLink};
 
@@ -98,10 +99,15 @@
         let trail = Trail::new(&self.volatile());
         let disk = self.disk.clone();
         let read = move || trail.read(&disk, from_index, RECORDS_PER_REPLY);
-        let records = self.disk.run(read).await;
+        let mut records = self.disk.run(read).await;
         if let Some(error) = &records.error {
             warn!(self.log, "audit records cannot be read"; "error" => %error);
         }
+        let before = records.list.len();
+        cut_to_message(&mut records.list, |record| blocks(&record.change));
+        if records.list.len() < before {
+            records.through_index = records.list.last().map_or(0, |record| record.index);
+        }
         ControlReply::Records {
             records: records.list,
             through_index: records.through_index,
--- a/control/src/entry.rs
+++ b/control/src/entry.rs
@@ -3,6 +3,9 @@
 
 use crate::Members;
 
+/// Steered blocks named by one message at most, unless a single change names more.
+const MESSAGE_BLOCKS: usize = 20_000;
+
 /// One entry of the replicated log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -32,6 +35,17 @@
     }
 }
 
+/// Cuts a list where it would name more steered blocks than one message carries; one item stays.
+pub(crate) fn cut_to_message<T>(list: &mut Vec<T>, blocks: impl Fn(&T) -> usize) {
+    let mut sum = 0;
+    let fitting = list.iter().take_while(|item| {
+        sum += blocks(item);
+        sum <= MESSAGE_BLOCKS
+    });
+    let fitting = fitting.count();
+    list.truncate(fitting.max(1));
+}
+
 /// Contents of an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Payload {
--- a/control/src/peer_task.rs
+++ b/control/src/peer_task.rs
@@ -5,8 +5,9 @@
 use tokio::time::{Instant, timeout};
 
 use crate::core::Core;
+use crate::entry::cut_to_message;
 use crate::progress::Progress;
-use crate::{ControlReply, ControlRequest, Disk, Member, PeerLink, ReplicaIdentity};
+use crate::{ControlReply, ControlRequest, Disk, Entry, Member, PeerLink, ReplicaIdentity};
 
 /// Most entries in one request.
 const ENTRIES_PER_REQUEST: usize = 256;
@@ -143,11 +144,13 @@
         }
         let next_index = volatile.progress.get(&identity)?.next_index;
         let next_index = next_index.max(volatile.snapshot_index + 1);
+        let mut entries = volatile.entries_from(next_index, ENTRIES_PER_REQUEST);
+        cut_to_message(&mut entries, Entry::blocks);
         Some(ControlRequest::Append {
             header: self.header(&volatile, identity),
             previous_index: next_index - 1,
             previous_term: volatile.term_at(next_index - 1)?,
-            entries: volatile.entries_from(next_index, ENTRIES_PER_REQUEST),
+            entries,
             commit_index: volatile.commit_index,
         })
     }
