--- a/control/src/backfill.rs
+++ b/control/src/backfill.rs
@@ -1,10 +1,11 @@
 use std::sync::Arc;
 
-use laburnumdeal_model::{Applied, Digest, InstanceId};
+use laburnumdeal_model::{Applied, InstanceId};
 use slog::{info, warn};
 use tokio::time::sleep;
 
 use crate::core::Core;
+use crate::entry::{blocks, cut_to_message};
 use crate::trail::{AuditRange, Trail, continues, first_gap};
 use crate::{ControlReply, ControlRequest, Disk, PeerLink};
 
@@ -84,13 +85,9 @@
     async fn follows(&self, first: u64, records: &[Applied]) -> bool {
         let trail = Trail::new(&self.volatile());
         let disk = self.disk.clone();
-        let earlier = self
-            .disk
-            .run(move || trail.read(&disk, 1, usize::MAX).list)
-            .await;
-        let before = earlier.iter().rev().find(|record| record.index < first);
-        let chain = before.map_or(Digest::default(), |record| record.chain);
-        let fits = continues(chain, records);
+        let chain_before = move || trail.chain_before(&disk, first);
+        let chain = self.disk.run(chain_before).await;
+        let fits = chain.is_some_and(|chain| continues(chain, records));
         if !fits {
             warn!(self.log, "audit records of a member break the chain"; "from" => first);
         }
@@ -102,10 +99,15 @@
         let trail = Trail::new(&self.volatile());
         let disk = self.disk.clone();
         let read = move || trail.read(&disk, from_index, RECORDS_PER_REPLY);
-        let records = self.disk.run(read).await;
+        let mut records = self.disk.run(read).await;
         if let Some(error) = &records.error {
             warn!(self.log, "audit records cannot be read"; "error" => %error);
         }
+        let before = records.list.len();
+        cut_to_message(&mut records.list, |record| blocks(&record.change));
+        if records.list.len() < before {
+            records.through_index = records.list.last().map_or(0, |record| record.index);
+        }
         ControlReply::Records {
             records: records.list,
             through_index: records.through_index,
--- a/control/src/start.rs
+++ b/control/src/start.rs
@@ -1,19 +1,15 @@
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
-
+use crate::files::VOTE;
 use crate::volatile::Volatile;
-use crate::{Disk, Loaded, State, StorageError, Store};
+use crate::{Disk, Loaded, ReplicaIdentity, State, StorageError, Store};
 
 /// Opens the folder where it holds up no other task.
 pub(crate) async fn open<D: Disk>(
     disk: &D,
     name: &str,
-    generator: &mut ChaCha8Rng,
+    identity: ReplicaIdentity,
 ) -> Result<(Store<D>, Loaded), StorageError> {
-    let (files, name, mut own) = (disk.clone(), name.to_owned(), generator.clone());
-    let opened = disk.run(move || Store::open(files, &name, &mut own)).await;
-    *generator = ChaCha8Rng::from_rng(generator);
-    opened
+    let (files, name) = (disk.clone(), name.to_owned());
+    disk.run(move || Store::open(files, &name, identity)).await
 }
 
 /// Returns the memory of a replica as its folder has it.
@@ -31,6 +27,17 @@
     let later = loaded.entries.into_iter();
     let later = later.filter(|entry| entry.index > state.index && entry.term >= state.term);
     let later: Vec<_> = later.collect();
+    let newest_term = later.last().map_or(state.term, |entry| entry.term);
+    if loaded.vote.term < newest_term {
+        return Err(StorageError::Damaged {
+            file: VOTE.to_owned(),
+            offset: 0,
+            reason: format!(
+                "the log has term {newest_term}, the vote only {}",
+                loaded.vote.term
+            ),
+        });
+    }
     match later.first() {
         Some(first) if first.index != state.index + 1 => Err(StorageError::Damaged {
             file: "log".to_owned(),
--- a/control/src/store.rs
+++ b/control/src/store.rs
@@ -1,7 +1,6 @@
 use std::io;
 
 use laburnumdeal_model::Applied;
-use rand::Rng;
 
 use crate::files::{
     LOCK, LOG_PREFIX, REPLICA, SNAPSHOT_PREFIX, VOTE, audit_name, decode_one, encode, log_name,
@@ -59,7 +58,24 @@
 }
 
 impl<D: Disk> Store<D> {
-    /// Opens the folder of an instance, and prepares an empty one with a new identity.
+    /// Opens the folder of an instance, and prepares an empty one under `new_identity`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use laburnumdeal_control::{Entry, FileDisk, Payload, ReplicaIdentity, Store};
+    /// use laburnumdeal_model::Term;
+    ///
+    /// let folder = tempfile::tempdir()?;
+    /// let disk = FileDisk::open(folder.path())?;
+    /// let (mut store, _) = Store::open(disk.clone(), "nasr-1", ReplicaIdentity::random())?;
+    /// store.append(&[Entry { index: 1, term: Term(1), payload: Payload::Noop }])?;
+    /// assert!(Store::open(disk.clone(), "nasr-1", ReplicaIdentity::random()).is_err());
+    /// drop(store);
+    /// let (_, loaded) = Store::open(disk, "nasr-1", ReplicaIdentity::random())?;
+    /// assert_eq!(loaded.entries.len(), 1);
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
     ///
     /// # Errors
     ///
@@ -67,14 +83,14 @@
     pub fn open(
         disk: D,
         instance: &str,
-        generator: &mut impl Rng,
+        new_identity: ReplicaIdentity,
     ) -> Result<(Self, Loaded), StorageError> {
         let lock = disk.lock(LOCK).map_err(lock_error)?;
         let names = disk.list().map_err(|e| StorageError::io("list", ".", e))?;
         remove_unfinished(&disk, &names)?;
         let identity = match names.iter().any(|name| name == REPLICA) {
             true => read_owner(&disk, instance)?,
-            false => prepare(&disk, &names, instance, generator)?,
+            false => prepare(&disk, &names, instance, new_identity)?,
         };
         let vote = match names.iter().any(|name| name == VOTE) {
             true => decode_one(&disk, VOTE)?,
