--- a/policy/tests/choice_queue.rs
+++ b/policy/tests/choice_queue.rs
@@ -6,9 +6,9 @@
 
 use choice_setup::*;
 use laburnumdeal_model::UpstreamId;
-use laburnumdeal_policy::{Ending, NoSlotReason, Pool, PoolSettings};
+use laburnumdeal_policy::{Admission, Ending, NoSlotReason, Pool, PoolCore, PoolSettings};
 use tokio::task::yield_now;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 #[tokio::test(start_paused = true)]
 async fn acquire_waits_in_order_of_arrival() {
@@ -138,3 +138,43 @@
         .for_each(|slot| slot.finish(Ending::Cancelled));
     assert_eq!(head.await.unwrap(), UpstreamId(1));
 }
+
+#[tokio::test(start_paused = true)]
+async fn acquire_wakes_when_assumed_slots_expire() {
+    let pool = warm(&[owned(0, 1)]).await;
+    pool.assume_taken(UpstreamId(0), 1, in_ms(300));
+    let before = in_ms(0);
+    assert!(pool.acquire(SERVICE, in_ms(900), &[]).await.is_ok());
+    let waited = in_ms(0) - before;
+    assert!((300..=301).contains(&waited.as_millis()), "{waited:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn acquire_wakes_when_ejection_ends() {
+    let pool = warm(&[owned(0, 4)]).await;
+    let running = [take(&pool)];
+    take(&pool).finish(Ending::Refused);
+    let before = in_ms(0);
+    assert!(pool.acquire(SERVICE, in_ms(900), &[]).await.is_ok());
+    assert!((in_ms(0) - before).as_millis() <= 251);
+    drop(running);
+}
+
+#[test]
+fn admit_that_serves_the_queue_keeps_tickets_apart() {
+    let start = Instant::now();
+    let mut core = PoolCore::new(PoolSettings::default());
+    core.configure(start, &[owned(0, 1)]);
+    core.assume_taken(UpstreamId(0), 1, start + Duration::from_millis(100), start);
+    let deadline = start + Duration::from_secs(2);
+    let mut wait = |after_ms| {
+        let now = start + Duration::from_millis(after_ms);
+        match core.admit(SERVICE, deadline, &[], now) {
+            Admission::Queued { ticket, .. } => ticket,
+            other => panic!("{other:?}"),
+        }
+    };
+    let (first, second) = (wait(0), wait(100));
+    assert_ne!(first.index(), second.index());
+    assert_eq!(core.granted()[0].0, first);
+}
