Say that a fresh instance is not ready until its shares are usable; name cells that get stuck

Cause: in its first second an instance refuses by its own caps, since an earlier run may have spent them, so the matrix' requests went elsewhere and their step was never reached; the run hung without a word.

Red: four cells of at_most_once still do not reach their step.

--- a/daemon/src/readiness.rs
+++ b/daemon/src/readiness.rs
@@ -1,4 +1,7 @@
+use std::time::Duration;
+
 use derive_more::Display;
+use laburnumdeal_policy::ShareSettings;
 
 use crate::state::State;
 
@@ -14,6 +17,9 @@
     /// Has no configuration yet.
     #[display("not ready: no configuration yet")]
     NoConfiguration,
+    /// Started a moment ago: an earlier run may have spent the shares of this second.
+    #[display("not ready: shares of caps are not usable yet")]
+    Starting,
     /// Stops after its work.
     #[display("not ready: leaving")]
     Leaving,
@@ -26,6 +32,8 @@
             Self::Leaving
         } else if !state.configuration.is_known() {
             Self::NoConfiguration
+        } else if state.uptime() < shares_usable_after() {
+            Self::Starting
         } else if state.configuration.is_fenced() {
             Self::Fenced
         } else {
@@ -38,3 +46,8 @@
         matches!(self, Self::Ready | Self::Fenced)
     }
 }
+
+/// Returns the time after the start from which this instance may spend its shares.
+fn shares_usable_after() -> Duration {
+    Duration::from_millis(ShareSettings::default().count_back_ms(0))
+}
--- a/tests/src/matrix.rs
+++ b/tests/src/matrix.rs
@@ -156,6 +156,9 @@
         /// Time waited.
         waited_ms: u64,
     },
+    /// The cell did not come to its end, for example because its step was never reached.
+    #[display("the cell did not come to its end")]
+    NoEnd,
     /// A request ended without an outcome.
     #[display("operation {operation} ended without an outcome")]
     NoOutcome {
--- a/tests/src/run_cells.rs
+++ b/tests/src/run_cells.rs
@@ -1,11 +1,15 @@
 use std::fmt::Display;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use crate::matrix::Broken;
 
 /// Cells that run at the same time, each on a thread of its own.
 const CELLS_AT_A_TIME: usize = 8;
 
+/// Time after which a cell counts as stuck, far above what any takes.
+const CELL_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Runs every cell and returns a line for each promise that one broke.
 ///
 /// # Panics
@@ -25,7 +29,10 @@
                     .build()
                     .expect("a runtime can be made");
                 while let Some(cell) = next(&waiting) {
-                    let broken = runtime.block_on(run(cell));
+                    let broken = runtime.block_on(async {
+                        let ended = tokio::time::timeout(CELL_TIMEOUT, run(cell)).await;
+                        ended.unwrap_or_else(|_| vec![Broken::NoEnd])
+                    });
                     let lines = broken
                         .into_iter()
                         .map(|promise| format!("{cell}: {promise}"));
