Add install and settings pages with a test against the code

Cause: operators had no reference of the settings, and nothing would have kept one true.

Ruled out: a page that is generated from the types. It would say nothing on what a field is for, and the build would need a generator.

Conclusion: the pages are written by hand. The examples wire and operations print the exchanges and the answers that the pages show.

--- /dev/null
+++ b/tests/examples/operations.rs
@@ -0,0 +1,161 @@
+//! Goes through what the operators' pages describe on real daemons and prints what an operator sees:
+//! a planned drain, a machine that is lost, a zone that is cut off, a lost disk, a planned stop.
+
+use std::process::Command;
+
+use laburnumdeal_tests::{
+    Ask, Caller, Cluster, LinkState, OPERATOR_TOKEN, Plan, binary, wait_until,
+};
+use tokio::time::{Duration, sleep};
+
+/// Time for which the demonstration waits where a page says that time passes.
+const PAUSE: Duration = Duration::from_secs(4);
+
+#[tokio::main]
+async fn main() {
+    let plan = Plan {
+        zones: vec![
+            ("nasr", "cairo", 2),
+            ("smouha", "alexandria", 2),
+            ("tanta", "delta", 1),
+        ],
+        control: 3,
+        ..Plan::default()
+    };
+    let mut cluster = Cluster::spawn(plan).await;
+    cluster.wait_members().await;
+    drain(&cluster).await;
+    lost_machine(&mut cluster).await;
+    cut_off_zone(&cluster).await;
+    lost_disk(&mut cluster).await;
+    planned_stop(&mut cluster).await;
+}
+
+async fn drain(cluster: &Cluster) {
+    title("planned drain");
+    control(
+        cluster,
+        "nasr-1",
+        "drain zone nasr now for 1h by 50% every 1s --dry-run",
+    );
+    control(
+        cluster,
+        "nasr-1",
+        "drain zone nasr now for 1h by 50% every 1s --wait",
+    );
+    wait_until("the drain has moved everything", async || {
+        let rows = cluster.operator("nasr-1").rows("show drains").await;
+        rows.iter().any(|row| row[5] == "1000")
+    })
+    .await;
+    control(cluster, "nasr-1", "show drains");
+    control(cluster, "nasr-1", "explain catalog from 192.0.2.7");
+    let ask = Ask::get("catalog", "/units").header("laburnum-request-id", "after-drain");
+    let _ = cluster.send("nasr-1", &ask).await;
+    control(cluster, "nasr-1", "explain request after-drain");
+    control(cluster, "nasr-1", "undrain zone nasr");
+    control(cluster, "nasr-1", "undrain zone nasr");
+    control(cluster, "nasr-2", "undrain zone nasr");
+    control(cluster, "nasr-1", "history last 5");
+}
+
+async fn lost_machine(cluster: &mut Cluster) {
+    title("lost machine");
+    cluster.kill("nasr-2");
+    sleep(PAUSE).await;
+    control(cluster, "nasr-1", "show instances");
+    control(cluster, "nasr-1", "show upstreams where zone = nasr");
+    control(cluster, "nasr-1", "cap shift catalog at 40 per s");
+    cluster.start("nasr-2").await.expect("nasr-2 starts");
+    cluster.wait_ready("nasr-2").await;
+    cluster.wait_members().await;
+    control(cluster, "nasr-1", "show instances");
+}
+
+async fn cut_off_zone(cluster: &Cluster) {
+    title("cut-off zone");
+    cluster.set_zone_links("nasr", LinkState::Silent);
+    sleep(PAUSE).await;
+    page(cluster, "nasr-1", "/ready").await;
+    page(cluster, "smouha-1", "/ready").await;
+    control(cluster, "nasr-1", "show instances");
+    control(cluster, "nasr-1", "show zones");
+    control(cluster, "nasr-1", "explain catalog from 192.0.2.7");
+    control(cluster, "nasr-1", "cap shift catalog at 50 per s");
+    control(cluster, "smouha-1", "cap shift catalog at 60 per s --wait");
+    let token = cluster.look_up("nasr-1", "gatekeeper").await;
+    let token = token
+        .expect("a zone that is cut off answers look-ups")
+        .token;
+    let ask =
+        Ask::post("gatekeeper", "/unlock/7", "").header("laburnum-key", format!("{token}.door-7"));
+    let got = cluster.send("nasr-1", &ask).await.expect("an answer");
+    println!("unlock in the zone: {} {}\n", got.status, got.outcome());
+    cluster.set_zone_links("nasr", LinkState::Open);
+    wait_until("the zone has the latest version", async || {
+        let rows = cluster.operator("nasr-1").rows("show caps").await;
+        rows.iter().any(|row| row[2] == "60")
+    })
+    .await;
+    cluster.wait_members().await;
+    control(cluster, "nasr-1", "show caps");
+    page(cluster, "nasr-1", "/ready").await;
+}
+
+async fn lost_disk(cluster: &mut Cluster) {
+    title("lost disk");
+    cluster.kill("smouha-1");
+    cluster.lose_disk("smouha-1");
+    cluster.start("smouha-1").await.expect("smouha-1 starts");
+    cluster.wait_ready("smouha-1").await;
+    cluster.wait_members().await;
+    control(cluster, "smouha-1", "show status");
+    control(cluster, "smouha-1", "history last 2");
+    control(cluster, "smouha-1", "audit verify");
+    control(cluster, "nasr-1", "audit verify");
+    control(cluster, "nasr-1", "show status");
+}
+
+async fn planned_stop(cluster: &mut Cluster) {
+    title("planned stop");
+    let stopping = cluster.take("smouha-2");
+    let address = cluster.instance("smouha-2").operator_address;
+    let task = tokio::spawn(stopping.stop());
+    sleep(Duration::from_millis(200)).await;
+    let got = Caller.send(address, &Ask::get("", "/ready")).await;
+    if let Ok(got) = got {
+        println!("smouha-2 /ready: {} {}", got.status, got.text());
+    }
+    control(cluster, "nasr-1", "show instances");
+    let _ = task.await;
+    sleep(PAUSE).await;
+    control(cluster, "nasr-1", "show instances");
+    page(cluster, "nasr-1", "/health").await;
+    page(cluster, "nasr-1", "/metrics").await;
+}
+
+fn title(text: &str) {
+    println!("\n==== {text}\n");
+}
+
+async fn page(cluster: &Cluster, instance: &str, path: &str) {
+    let address = cluster.instance(instance).operator_address;
+    let got = Caller.send(address, &Ask::get("", path)).await;
+    let got = got.expect("an instance that runs answers");
+    println!("{instance} {path}: {}\n{}", got.status, got.text());
+}
+
+/// Runs one operator's command at an instance and prints its answer.
+fn control(cluster: &Cluster, instance: &str, words: &str) {
+    let address = cluster.instance(instance).operator_address.to_string();
+    println!("$ laburnumctl --address {instance} {words}");
+    let output = Command::new(binary("laburnumctl").expect("laburnumctl is built"))
+        .env("LABURNUMCTL_TOKEN", OPERATOR_TOKEN)
+        .args(["--address", &address])
+        .args(words.split(' '))
+        .output()
+        .expect("laburnumctl runs");
+    print!("{}", String::from_utf8_lossy(&output.stdout));
+    print!("{}", String::from_utf8_lossy(&output.stderr));
+    println!("[{}]\n", output.status);
+}
