--- a/tests/src/matrix.rs
+++ b/tests/src/matrix.rs
@@ -156,6 +156,32 @@
         /// Time waited.
         waited_ms: u64,
     },
+    /// A request ended without an outcome.
+    #[display("operation {operation} ended without an outcome")]
+    NoOutcome {
+        /// Operation of the request.
+        operation: String,
+    },
+    /// A request that could have been answered was not.
+    #[display("operation {operation} was not answered although healthy upstreams had room: {seen}")]
+    NotAnswered {
+        /// Operation of the request.
+        operation: String,
+        /// Outcome as it came.
+        seen: String,
+    },
+    /// A refusal names no time to come back.
+    #[display("operation {operation} was refused without a time to come back")]
+    NoTimeToComeBack {
+        /// Operation of the request.
+        operation: String,
+    },
+    /// An upstream that is leaving got new work.
+    #[display("an upstream that has been leaving for seconds got {requests} requests")]
+    WorkWhileLeaving {
+        /// Requests that it got.
+        requests: usize,
+    },
     /// New requests are refused long after the fault.
     #[display("new requests get no answer after the fault: {seen}")]
     NotServing {
@@ -235,9 +261,9 @@
 
     async fn induce(&mut self, fault: RequestFault, place: &str, partner: &str, ask: &Ask) {
         match fault {
-            RequestFault::Kill => self.cluster.kill(place),
+            RequestFault::Kill => self.cluster.kill(place).await,
             RequestFault::KillRestart => {
-                self.cluster.kill(place);
+                self.cluster.kill(place).await;
                 self.cluster
                     .start(place)
                     .await
@@ -250,10 +276,10 @@
             RequestFault::Silent => self.cut(place, partner, ask, LinkState::Silent).await,
             RequestFault::Broken => self.cut(place, partner, ask, LinkState::Broken).await,
             RequestFault::Forget => self.cut(place, partner, ask, LinkState::ForgetOpen).await,
-            RequestFault::PartnerKill => self.cluster.kill(partner),
+            RequestFault::PartnerKill => self.cluster.kill(partner).await,
             RequestFault::BothRestart => {
                 for name in [place, partner] {
-                    self.cluster.kill(name);
+                    self.cluster.kill(name).await;
                 }
                 for name in [place, partner] {
                     self.cluster
