--- a/daemon/src/state.rs
+++ b/daemon/src/state.rs
@@ -141,7 +141,7 @@
             flights: Flights::new(topology.upstreams.len()),
             shares,
             router,
-            claims: ClaimTable::new(claim_settings(me, boot, &topology)),
+            claims: ClaimTable::new(claim_settings(me, boot, &topology, &settings)),
             sealer: TokenSealer::new(settings.peer_secret.as_bytes()),
             budget: RetryBudget::new(RETRIES_PERMILLE, RETRY_LIMIT),
             configuration: ConfigurationView::new(topology.clone(), lease),
@@ -303,13 +303,19 @@
     since.as_millis() as u64
 }
 
-fn claim_settings(me: InstanceId, boot: BootId, topology: &Topology) -> ClaimSettings {
+fn claim_settings(
+    me: InstanceId,
+    boot: BootId,
+    topology: &Topology,
+    settings: &Settings,
+) -> ClaimSettings {
     let members = topology
         .instance_ids()
         .map(|id| (id, topology.instance(id).zone))
         .collect();
     ClaimSettings {
         members,
+        resend_horizon_ms: settings.resend_horizon_ms,
         ..ClaimSettings::new(me, boot)
     }
 }
