--- a/tests/tests/settings_page.rs
+++ b/tests/tests/settings_page.rs
@@ -148,7 +148,7 @@
 #[test]
 fn page_ranges_are_those_of_the_code() {
     type Set = fn(&mut Settings, u64);
-    let fields: [(&str, Set); 4] = [
+    let fields: [(&str, Set); 5] = [
         ("peer_timeout_ms", |settings, value| {
             settings.peer_timeout_ms = value
         }),
@@ -157,7 +157,16 @@
         ("lookup_ttl_ms", |settings, value| {
             settings.lookup_ttl_ms = value
         }),
+        ("resend_horizon_ms", |settings, value| {
+            settings.resend_horizon_ms = value
+        }),
     ];
+    let named = rows("## The process");
+    let has_range = |field: &str| cell("## The process", field, 4).contains(" to ");
+    let ranged = named
+        .iter()
+        .filter(|(field, _)| has_range(field) && field != "seed");
+    assert_eq!(ranged.count(), fields.len(), "rows with a range");
     for (field, set) in fields {
         let (least_value, most_value) = range(field);
         let accepts = |value: u64| {
