--- a/tests/examples/operations.rs
+++ b/tests/examples/operations.rs
@@ -110,6 +110,13 @@
     cluster.wait_ready("smouha-1").await;
     cluster.wait_members().await;
     control(cluster, "smouha-1", "show status");
+    wait_until("the replica votes again", async || {
+        let rows = cluster.operator("smouha-1").rows("show status").await;
+        rows.iter()
+            .any(|row| row[0] == "replica role" && row[1] == "follower")
+    })
+    .await;
+    control(cluster, "smouha-1", "show status");
     control(cluster, "smouha-1", "history last 2");
     control(cluster, "smouha-1", "audit verify");
     control(cluster, "nasr-1", "audit verify");
