--- a/control/src/volatile.rs
+++ b/control/src/volatile.rs
@@ -6,7 +6,7 @@
 
 use crate::calls_seen::CallsSeen;
 use crate::progress::Progress;
-use crate::{ClusterId, Entry, Members, Payload, ReplicaIdentity, Role, State, Vote};
+use crate::{AuditRange, ClusterId, Entry, Members, Payload, ReplicaIdentity, Role, State, Vote};
 
 /// What a replica keeps in memory. Everything in it that others rely on is on the disk before.
 #[derive(Debug)]
@@ -25,6 +25,8 @@
     pub snapshot_term: Term,
     /// Entries after the snapshot.
     pub entries: VecDeque<Arc<Entry>>,
+    /// Steered blocks that the entries name.
+    pub entry_blocks: usize,
     pub commit_index: u64,
     pub state: State,
     /// Other members, on a leader.
@@ -34,6 +36,8 @@
     /// Time when this replica became leader.
     pub leading_since: Instant,
     pub storage_full: bool,
+    /// Files of audit records, in order.
+    pub audit_files: Vec<AuditRange>,
     /// Submissions passed on to this replica as leader.
     pub calls_seen: CallsSeen,
 }
@@ -53,14 +57,17 @@
             snapshot_index: state.index,
             snapshot_term: state.term,
             entries: entries.into_iter().map(Arc::new).collect(),
+            entry_blocks: 0,
             commit_index: state.index,
             state,
             progress: BTreeMap::new(),
             first_index: 0,
             leading_since: now,
             storage_full: false,
+            audit_files: Vec::new(),
             calls_seen: CallsSeen::default(),
         };
+        volatile.count_blocks();
         volatile.update_members();
         volatile
     }
@@ -101,7 +108,11 @@
         let kept = (first.index - self.snapshot_index - 1) as usize;
         let replaces = kept < self.entries.len();
         let has_members = |entry: &Entry| matches!(entry.payload, Payload::Members(_));
-        self.entries.truncate(kept);
+        if replaces {
+            self.entries.truncate(kept);
+            self.count_blocks();
+        }
+        self.entry_blocks += entries.iter().map(Entry::blocks).sum::<usize>();
         self.entries.extend(entries.iter().cloned().map(Arc::new));
         if replaces || entries.iter().any(has_members) {
             self.update_members();
@@ -120,15 +131,23 @@
         self.commit_index = self.commit_index.max(state.index);
         self.entries = later.into_iter().map(Arc::new).collect();
         self.state = state;
+        self.count_blocks();
         self.update_members();
     }
 
+    /// Adds a file of audit records in its place.
+    pub fn add_audit_file(&mut self, range: AuditRange) {
+        self.audit_files.push(range);
+        self.audit_files.sort();
+    }
+
     /// Drops the entries that a snapshot of this replica's own state covers.
     pub fn compact(&mut self, index: u64, term: Term) {
         let covered = index.saturating_sub(self.snapshot_index) as usize;
         self.entries.drain(..covered.min(self.entries.len()));
         self.snapshot_index = index;
         self.snapshot_term = term;
+        self.count_blocks();
     }
 
     /// Returns the log that this replica belongs to; `None` while it is blank.
@@ -193,6 +212,10 @@
         self.role = self.resting_role();
     }
 
+    fn count_blocks(&mut self) {
+        self.entry_blocks = self.entries.iter().map(|entry| entry.blocks()).sum();
+    }
+
     fn resting_role(&self) -> Role {
         match (self.members.list.is_empty(), self.is_voter()) {
             (true, _) => Role::Blank,
