Bound callers' deadlines by the planned stop; pass rejections on as such; prove the topology

Deadlines beyond stop_ms are refused, and stop_ms may not be shorter than a service's deadline. Slots of a dead owner are assumed taken for as long. - A 409 of the home counted as an answer in metrics and explain. - Callers could claim another address in laburnum-caller. - Only heartbeats compared topologies; the proof between peers now holds it, and it covers slots and what may be repeated.

--- a/daemon/src/attempt.rs
+++ b/daemon/src/attempt.rs
@@ -32,6 +32,8 @@
 pub enum Attempt {
     /// The answer, whole or still arriving.
     Answered(Response<AnswerBody>),
+    /// Another instance found the request malformed; it did not run.
+    Rejected(Response<AnswerBody>),
     /// The attempt proved that the request did not run.
     NotRun {
         /// What proves it.
@@ -121,7 +123,7 @@
     .await;
     match (received, outcome.as_deref()) {
         (Ok(response), Some("not-run")) if response.status().is_client_error() => {
-            Attempt::Answered(response)
+            Attempt::Rejected(response)
         }
         (_, Some("not-run")) => said_not_run(&reason, retry_after),
         (Ok(response), Some("answer")) => Attempt::Answered(response),
--- a/daemon/src/caller_handler.rs
+++ b/daemon/src/caller_handler.rs
@@ -5,7 +5,6 @@
 use hyper::body::Incoming;
 
 use crate::answer_body::AnswerBody;
-use crate::header;
 use crate::http_server::Handle;
 use crate::lookup_handler::{LOOKUP_PATH, look_up};
 use crate::request_error::RequestError;
@@ -38,10 +37,7 @@
                 path: path.to_owned(),
             })
         } else {
-            let caller = header::text(request.headers(), &header::CALLER)
-                .and_then(|text| text.parse().ok())
-                .unwrap_or(peer.ip());
-            handle(&self.state, request, caller, Role::Entry).await
+            handle(&self.state, request, peer.ip(), Role::Entry).await
         };
         if self.state.is_leaving() {
             let close = HeaderValue::from_static("close");
--- a/daemon/src/claim_path.rs
+++ b/daemon/src/claim_path.rs
@@ -214,6 +214,11 @@
                 Served::unknown("the answer broke off")
             }
         },
+        Served::Rejected(response) => {
+            started.finish_not_run();
+            tell_fence(state, prepared, mirror);
+            Served::Rejected(response)
+        }
         Served::NotRun {
             reason,
             retry_after,
@@ -331,6 +336,7 @@
     if is_reachable {
         match attempt::at_peer(state, prepared, pair.home, Role::Home).await {
             Attempt::Answered(response) => return Ok(Served::Answer(response)),
+            Attempt::Rejected(response) => return Ok(Served::Rejected(response)),
             Attempt::NotRun {
                 proof: NotRunProof::Shed,
                 reason,
--- a/daemon/src/daemon.rs
+++ b/daemon/src/daemon.rs
@@ -234,7 +234,7 @@
                 from: state.me,
                 to: *to,
                 in_flight: state.pool.in_flight(upstream),
-                longest_deadline_ms: longest_deadline_ms(state, upstream),
+                longest_deadline_ms: state.settings.stop_ms,
             })
             .collect();
         let _ = state
@@ -244,13 +244,6 @@
     }
 }
 
-fn longest_deadline_ms(state: &State, upstream: laburnumdeal_model::UpstreamId) -> u64 {
-    state
-        .topology
-        .service(state.topology.upstream(upstream).service)
-        .deadline_ms
-}
-
 /// Hands every claim to the other live instances of the zone, or of the others when there is none.
 async fn hand_over_claims(state: &Arc<State>) {
     let now = Instant::now();
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -13,7 +13,7 @@
     match run(&arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("laburnumdeald: {error:#}");
+            eprintln!("laburnumdeald: {error}");
             ExitCode::FAILURE
         }
     }
--- a/daemon/src/ownership_task.rs
+++ b/daemon/src/ownership_task.rs
@@ -137,8 +137,7 @@
 /// Assumes every slot taken until the deadlines that may be out have passed.
 fn assume_all(state: &State, taken: &TakeOver) {
     let upstream = state.topology.upstream(taken.upstream);
-    let deadline_ms = state.topology.service(upstream.service).deadline_ms;
-    let until = Instant::now() + Duration::from_millis(deadline_ms);
+    let until = Instant::now() + Duration::from_millis(state.settings.stop_ms);
     state
         .pool
         .assume_taken(taken.upstream, upstream.slots, until);
--- a/daemon/src/peer_handler.rs
+++ b/daemon/src/peer_handler.rs
@@ -190,7 +190,7 @@
     async fn handle(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<AnswerBody> {
         let Some(from) = self.sender(request.headers()) else {
             warn!(self.state.log, "peer without proof refused"; "address" => peer.to_string());
-            let text = "the sender does not prove to be an instance of the topology\n";
+            let text = "the sender does not prove that it has the same secret and topology\n";
             return text_response(StatusCode::UNAUTHORIZED, text, "peer proof");
         };
         if request.uri().path() == MESSAGE_PATH {
--- a/daemon/src/peer_proof.rs
+++ b/daemon/src/peer_proof.rs
@@ -1,6 +1,7 @@
+use laburnumdeal_model::Digest;
 use subtle::ConstantTimeEq;
 
-/// Proves to other instances that this one knows the peers' secret.
+/// Proves to other instances that this one knows the peers' secret and has the same topology.
 #[derive(Clone)]
 pub struct PeerProof {
     key: [u8; 32],
@@ -10,10 +11,13 @@
 const CONTEXT: &str = "laburnumdeal 2026-12 peer proof";
 
 impl PeerProof {
-    /// Derives the proof key from the secret of the settings.
-    pub fn new(secret: &str) -> Self {
+    /// Derives the proof key from the secret of the settings and the topology, without which keys
+    /// in messages mean nothing.
+    pub fn new(secret: &str, topology: Digest) -> Self {
+        let mut material = secret.as_bytes().to_vec();
+        material.extend(topology.0);
         Self {
-            key: blake3::derive_key(CONTEXT, secret.as_bytes()),
+            key: blake3::derive_key(CONTEXT, &material),
         }
     }
 
--- a/daemon/src/prepared.rs
+++ b/daemon/src/prepared.rs
@@ -14,9 +14,6 @@
 use crate::request_body::RequestBody;
 use crate::request_error::RequestError;
 
-/// Longest deadline that a caller may name.
-const MAX_DEADLINE_MS: u64 = 600_000;
-
 /// Longest request body that is held whole, so that it can be sent again.
 const REPLAY_BYTES: u64 = 64 * 1024;
 
@@ -65,7 +62,8 @@
 }
 
 impl Prepared {
-    /// Checks a request and reads its body when it is short.
+    /// Checks a request and reads its body when it is short. A deadline beyond `most_deadline_ms`
+    /// is refused, since a planned stop waits no longer.
     ///
     /// # Errors
     ///
@@ -74,12 +72,13 @@
         request: Request<Incoming>,
         caller: IpAddr,
         topology: &Topology,
+        most_deadline_ms: u64,
         new_id: impl FnOnce() -> String,
     ) -> Result<Self, RequestError> {
         let (parts, incoming) = request.into_parts();
         let service_id = find_service(&parts.headers, topology)?;
         let service = topology.service(service_id);
-        let deadline = Instant::now() + find_deadline(&parts.headers, service)?;
+        let deadline = Instant::now() + find_deadline(&parts.headers, service, most_deadline_ms)?;
         let request_id = find_request_id(&parts.headers)?.unwrap_or_else(new_id);
         check_method(&parts.method)?;
         let idempotent = service.idempotent || parts.method.is_safe();
@@ -199,7 +198,11 @@
         })
 }
 
-fn find_deadline(headers: &HeaderMap, service: &Service) -> Result<Duration, RequestError> {
+fn find_deadline(
+    headers: &HeaderMap,
+    service: &Service,
+    most_ms: u64,
+) -> Result<Duration, RequestError> {
     let Some(value) = headers.get(header::DEADLINE_MS) else {
         return Ok(Duration::from_millis(service.deadline_ms));
     };
@@ -207,11 +210,11 @@
         .to_str()
         .ok()
         .and_then(|text| text.parse::<u64>().ok());
-    match parsed.filter(|ms| (1..=MAX_DEADLINE_MS).contains(ms)) {
+    match parsed.filter(|ms| (1..=most_ms).contains(ms)) {
         Some(ms) => Ok(Duration::from_millis(ms)),
         None => Err(RequestError::BadDeadline {
             text: String::from_utf8_lossy(value.as_bytes()).into_owned(),
-            most: MAX_DEADLINE_MS,
+            most: most_ms,
         }),
     }
 }
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -27,7 +27,14 @@
 ) -> Response<AnswerBody> {
     let _in_progress = state.count_request();
     let started_at = Instant::now();
-    let reading = Prepared::read(request, caller, &state.topology, || state.new_request_id()).await;
+    let reading = Prepared::read(
+        request,
+        caller,
+        &state.topology,
+        state.settings.stop_ms,
+        || state.new_request_id(),
+    )
+    .await;
     let prepared = match reading {
         Ok(prepared) => Arc::new(prepared),
         Err(error) => return rejection(&error),
--- a/daemon/src/request_path.rs
+++ b/daemon/src/request_path.rs
@@ -466,6 +466,10 @@
     /// Returns the final outcome that an attempt leads to, or `None` when another may follow.
     fn judge(&mut self, candidate: &str, attempt: Attempt) -> Option<Served> {
         match attempt {
+            Attempt::Rejected(response) => {
+                self.trace.step(candidate, "rejected the request");
+                Some(Served::Rejected(response))
+            }
             Attempt::Answered(response) => {
                 self.trace.step(candidate, "answered");
                 Some(Served::Answer(response))
--- a/daemon/src/served.rs
+++ b/daemon/src/served.rs
@@ -11,6 +11,8 @@
 pub enum Served {
     /// The whole answer of an upstream.
     Answer(Response<AnswerBody>),
+    /// A rejection that another instance gave; the request did not run.
+    Rejected(Response<AnswerBody>),
     /// The request did not run and never will under this key.
     NotRun {
         /// Why it did not run.
@@ -30,7 +32,7 @@
     pub fn outcome(&self) -> Outcome {
         match self {
             Self::Answer(_) => Outcome::Answer,
-            Self::NotRun { .. } => Outcome::NotRun,
+            Self::NotRun { .. } | Self::Rejected(_) => Outcome::NotRun,
             Self::Unknown { .. } => Outcome::Unknown,
         }
     }
@@ -54,7 +56,7 @@
     pub fn into_response(self) -> Response<AnswerBody> {
         let outcome = header::value(&self.outcome().to_string());
         let mut response = match self {
-            Self::Answer(response) => response,
+            Self::Answer(response) | Self::Rejected(response) => response,
             Self::NotRun {
                 reason,
                 retry_after,
@@ -64,11 +66,7 @@
                 text_response(StatusCode::GATEWAY_TIMEOUT, &text, &reason)
             }
         };
-        // A rejection that another instance gave keeps the outcome it came with.
-        response
-            .headers_mut()
-            .entry(header::OUTCOME)
-            .or_insert(outcome);
+        response.headers_mut().insert(header::OUTCOME, outcome);
         response
     }
 }
--- a/daemon/src/state.rs
+++ b/daemon/src/state.rs
@@ -123,7 +123,7 @@
         let shares = ShareBook::new(me, boot, topology.clone(), share_settings, now);
         let ramp = RampSettings::default();
         let router = Router::new(my_zone, topology.clone(), shares.clone(), ramp, now);
-        let proof = PeerProof::new(&settings.peer_secret);
+        let proof = PeerProof::new(&settings.peer_secret, topology.digest);
         let lease = Duration::from_millis(settings.lease_ms);
         Ok(Self {
             me,
--- a/model/src/settings.rs
+++ b/model/src/settings.rs
@@ -202,11 +202,22 @@
         Ok(())
     }
 
+    /// Returns the longest deadline of a service; a planned stop must not be shorter.
+    fn longest_deadline_ms(&self) -> u64 {
+        let deadlines = self.topology.services.iter().map(|s| s.deadline_ms);
+        deadlines.max().unwrap_or(0)
+    }
+
     fn check_numbers(&self) -> Result<(), SettingsError> {
         let ranges = [
             ("peer_timeout_ms", self.peer_timeout_ms, 50, 60_000),
             ("lease_ms", self.lease_ms, 100, 600_000),
-            ("stop_ms", self.stop_ms, 0, 3_600_000),
+            (
+                "stop_ms",
+                self.stop_ms,
+                self.longest_deadline_ms(),
+                3_600_000,
+            ),
             ("lookup_ttl_ms", self.lookup_ttl_ms, 100, 3_600_000),
             (
                 "resend_horizon_ms",
--- a/model/src/topology.rs
+++ b/model/src/topology.rs
@@ -35,7 +35,8 @@
     pub upstreams: Vec<Upstream>,
     /// Links between regions.
     pub links: Vec<Link>,
-    /// Hash of names, order and relations, which give keys their meaning; addresses may differ.
+    /// Hash of what instances must agree on: names, order, relations, slots and what may be
+    /// repeated. Addresses may differ.
     pub digest: Digest,
 }
 
@@ -420,11 +421,15 @@
         .iter()
         .map(|i| (&i.name, &i.zone, i.control))
         .collect();
-    let services: Vec<_> = settings.services.iter().map(|s| &s.name).collect();
+    let services: Vec<_> = settings
+        .services
+        .iter()
+        .map(|s| (&s.name, s.idempotent, s.requires_key))
+        .collect();
     let upstreams: Vec<_> = settings
         .upstreams
         .iter()
-        .map(|u| (&u.name, &u.service, &u.zone))
+        .map(|u| (&u.name, &u.service, &u.zone, u.slots))
         .collect();
     let links: Vec<_> = settings.links.iter().map(|l| (&l.from, &l.to)).collect();
     let all = (regions, zones, instances, services, upstreams, links);
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -30,9 +30,7 @@
 pub use fake_upstream::{DOWN_FOR, FakeUpstream, Run};
 pub use host::Host;
 pub use loopback::Loopback;
-pub use matrix::{
-    Broken, MatrixRun, Place, RequestCell, RequestFault, request_cells, wait_serving,
-};
+pub use matrix::{Broken, MatrixRun, Place, RequestCell, RequestFault, request_cells};
 pub use operator::Operator;
 pub use plan::{OPERATOR_TOKEN, Plan, service};
 pub use process::{Process, Signal, binary};
--- a/tests/src/matrix.rs
+++ b/tests/src/matrix.rs
@@ -209,6 +209,7 @@
         };
         let cluster = Cluster::spawn(plan).await;
         cluster.wait_members().await;
+        wait_own_upstream(&cluster, "nasr-2", "gatekeeper-nasr-1").await;
         let mut run = Self {
             cluster,
             broken: Vec::new(),
@@ -385,7 +386,7 @@
     /// Checks the promises from what callers and upstreams saw.
     fn check(&mut self) {
         let runs = self.cluster.runs();
-        for (operation, count) in &runs {
+        for (operation, count) in runs.iter().filter(|(name, _)| !name.is_empty()) {
             if *count > 1 {
                 self.broken.push(Broken::RanTwice {
                     operation: operation.clone(),
@@ -421,18 +422,18 @@
     }
 }
 
-/// Waits until a cluster serves unlocks again.
-pub async fn wait_serving(cluster: &Cluster, name: &str) {
-    wait_until(&format!("{name} serves"), async || {
-        let Ok(found) = cluster.look_up(name, "gatekeeper").await else {
+/// Waits until an instance has its unlocks run on an upstream of its own zone.
+async fn wait_own_upstream(cluster: &Cluster, at: &str, upstream: &str) {
+    let mut number = 0;
+    wait_until(&format!("{at} uses {upstream}"), async || {
+        let Ok(found) = cluster.look_up(at, "gatekeeper").await else {
             return false;
         };
-        let ask = Ask::post("gatekeeper", "/unlock/probe", "")
-            .header("laburnum-key", format!("{}.probe", found.token));
-        cluster
-            .send(name, &ask)
-            .await
-            .is_ok_and(|got| got.outcome() == "answer")
+        number += 1;
+        let ask = Ask::post("gatekeeper", "/unlock/warm", "")
+            .header("laburnum-key", format!("{}.warm-{number}", found.token));
+        let got = cluster.send(at, &ask).await;
+        got.is_ok_and(|got| got.header("laburnum-upstream") == upstream)
     })
     .await;
 }
