Measure what an idle instance, a change, a request and a drain cost

benches/capacity runs real daemons, each on its own runtime, and prints bytes and processor time of an idle instance by zones and members with a fit, cost of a configuration by blocks, time of a change until it is in force on 11 instances, latency by route and drain time. FakeLink counts the bytes that it passes on, and threads of instances carry a name, so that links and fakes are left out of the processor time.

Ruled out: /proc/self/io (does not count socket calls) and the counters of the loopback device (shared with other processes); one term for digests and one for member reports (both grow by members times zones and cannot be told apart, so they share one).

--- /dev/null
+++ b/tests/benches/capacity/drain.rs
@@ -0,0 +1,108 @@
+//! Time until a drained upstream gets no more requests, and time of a planned stop.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use laburnumdeal_tests::{Ask, Caller, Cluster, Plan};
+use tokio::task::JoinSet;
+
+use crate::load::quantile;
+
+const ROUNDS: usize = 5;
+const TEST_ROUNDS: usize = 1;
+
+/// Callers that send one request after the other.
+const CALLERS: usize = 6;
+
+/// Time that a request takes at an upstream.
+const LATENCY: Duration = Duration::from_millis(20);
+
+/// Time for which requests go on after the drain.
+const WATCH: Duration = Duration::from_millis(500);
+
+/// Upstream that is drained.
+const UPSTREAM: &str = "catalog-nasr-1";
+
+/// Prints the longest and the median time of both.
+pub async fn run(is_bench: bool) {
+    let rounds = if is_bench { ROUNDS } else { TEST_ROUNDS };
+    let (mut drains_us, mut stops_us) = (Vec::new(), Vec::new());
+    for _ in 0..rounds {
+        let mut cluster = Cluster::spawn(Plan::default()).await;
+        cluster.wait_members().await;
+        for upstream in cluster.upstreams() {
+            upstream.set(|behavior| behavior.latency = LATENCY);
+        }
+        drains_us.push(drain(&cluster).await.as_micros() as u64);
+        stops_us.push(stop(&mut cluster).await.as_micros() as u64);
+    }
+    print("drain to last new request", &mut drains_us);
+    print(
+        "planned stop under load, look-ups valid for 300 ms",
+        &mut stops_us,
+    );
+}
+
+fn print(what: &str, times_us: &mut [u64]) {
+    println!(
+        "{what}: median {} us, longest {} us, {} runs",
+        quantile(times_us, 500),
+        quantile(times_us, 1_000),
+        times_us.len()
+    );
+}
+
+/// Returns the time from sending the drain to the last request that was new at the upstream.
+async fn drain(cluster: &Cluster) -> Duration {
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut callers = callers(cluster, &stop);
+    tokio::time::sleep(WATCH).await;
+    let sent_at = Instant::now();
+    let drain = format!("drain upstream {UPSTREAM}");
+    cluster.operator("nasr-1").change(&drain).await;
+    let mut last = Duration::ZERO;
+    let mut seen = cluster.upstream(UPSTREAM).runs().len();
+    while sent_at.elapsed() < WATCH {
+        let now = cluster.upstream(UPSTREAM).runs().len();
+        if now != seen {
+            (seen, last) = (now, sent_at.elapsed());
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    stop.store(true, Ordering::Relaxed);
+    while callers.join_next().await.is_some() {}
+    last
+}
+
+/// Returns the time that a planned stop takes while callers go on at the instance.
+async fn stop(cluster: &mut Cluster) -> Duration {
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut callers = callers(cluster, &stop);
+    tokio::time::sleep(WATCH).await;
+    let host = cluster.take("nasr-1");
+    let started_at = Instant::now();
+    let stopping = tokio::spawn(host.stop());
+    // Callers look up again within the time to live of their answer.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    stop.store(true, Ordering::Relaxed);
+    while callers.join_next().await.is_some() {}
+    stopping.await.expect("the stop does not panic");
+    started_at.elapsed()
+}
+
+fn callers(cluster: &Cluster, stop: &Arc<AtomicBool>) -> JoinSet<()> {
+    let to = cluster.instance("nasr-1").caller_address;
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        let stop = stop.clone();
+        callers.spawn(async move {
+            let ask = Ask::get("catalog", &format!("/units/{number}"));
+            while !stop.load(Ordering::Relaxed) {
+                let got = Caller.send(to, &ask).await.expect("an answer");
+                assert_eq!(got.outcome(), "answer", "{}", got.text());
+            }
+        });
+    }
+    callers
+}
--- /dev/null
+++ b/tests/benches/capacity/main.rs
@@ -0,0 +1,42 @@
+//! Slopes for docs/CAPACITY.md and figures for docs/MEASURES.md, printed as tables.
+//!
+//! `cargo bench -p laburnumdeal-tests --bench capacity -- PART` runs one part: `idle`,
+//! `configuration`, `change`, `latency` or `drain`. Without `--bench`, as under `cargo test`, every
+//! part runs at its smallest size.
+
+mod change;
+mod configuration;
+mod drain;
+mod fit;
+mod idle;
+mod latency;
+mod load;
+
+use std::future::Future;
+
+/// Parts that the command line can name; other arguments are those of the test runner.
+const PARTS: [&str; 5] = ["configuration", "idle", "change", "latency", "drain"];
+
+/// Runs every part that the command line names, or all of them.
+#[tokio::main]
+async fn main() {
+    // Cargo passes `--bench` for a measurement and not for a test.
+    let is_bench = std::env::args().any(|argument| argument == "--bench");
+    run("configuration", configuration::run(is_bench)).await;
+    run("idle", idle::run(is_bench)).await;
+    run("change", change::run(is_bench)).await;
+    run("latency", latency::run(is_bench)).await;
+    run("drain", drain::run(is_bench)).await;
+}
+
+async fn run(part: &str, measure: impl Future<Output = ()>) {
+    let named: Vec<String> = std::env::args()
+        .filter(|argument| PARTS.contains(&argument.as_str()))
+        .collect();
+    if !named.is_empty() && !named.iter().any(|name| name == part) {
+        return;
+    }
+    println!("{part}: load {} before", load::average());
+    measure.await;
+    println!("{part}: load {} after\n", load::average());
+}
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -183,6 +183,11 @@
         }
     }
 
+    /// Returns the bytes that all instances have sent each other.
+    pub fn peer_bytes(&self) -> u64 {
+        self.links.values().map(FakeLink::passed_bytes).sum()
+    }
+
     /// Returns an upstream.
     pub fn upstream(&self, name: &str) -> &FakeUpstream {
         &self.upstreams[name]
--- a/tests/src/fake_link.rs
+++ b/tests/src/fake_link.rs
@@ -1,6 +1,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -14,6 +15,7 @@
 #[derive(Debug)]
 pub struct FakeLink {
     state: Arc<watch::Sender<LinkState>>,
+    passed_bytes: Arc<AtomicU64>,
     server: JoinHandle<()>,
 }
 
@@ -41,8 +43,23 @@
     pub async fn bind(from: SocketAddr, to: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind(from).await?;
         let state = Arc::new(watch::Sender::new(LinkState::Open));
-        let server = tokio::spawn(accept(listener, to, state.clone()));
-        Ok(Self { state, server })
+        let passed_bytes = Arc::default();
+        let server = tokio::spawn(accept(
+            listener,
+            to,
+            state.clone(),
+            Arc::clone(&passed_bytes),
+        ));
+        Ok(Self {
+            state,
+            passed_bytes,
+            server,
+        })
+    }
+
+    /// Returns the bytes that the link has passed on, both directions together.
+    pub fn passed_bytes(&self) -> u64 {
+        self.passed_bytes.load(Ordering::Relaxed)
     }
 
     /// Changes the state of the link.
@@ -57,17 +74,27 @@
     }
 }
 
-async fn accept(listener: TcpListener, to: SocketAddr, state: Arc<watch::Sender<LinkState>>) {
+async fn accept(
+    listener: TcpListener,
+    to: SocketAddr,
+    state: Arc<watch::Sender<LinkState>>,
+    passed_bytes: Arc<AtomicU64>,
+) {
     let mut connections = JoinSet::new();
     while let Ok((near, _)) = listener.accept().await {
         if *state.borrow() != LinkState::Broken {
-            connections.spawn(pass(near, to, state.subscribe()));
+            connections.spawn(pass(near, to, state.subscribe(), passed_bytes.clone()));
         }
         while connections.try_join_next().is_some() {}
     }
 }
 
-async fn pass(near: TcpStream, to: SocketAddr, state: watch::Receiver<LinkState>) {
+async fn pass(
+    near: TcpStream,
+    to: SocketAddr,
+    state: watch::Receiver<LinkState>,
+    passed_bytes: Arc<AtomicU64>,
+) {
     let mut waiting = state.clone();
     if waiting
         .wait_for(|s| !matches!(s, LinkState::Silent | LinkState::SilentForward))
@@ -82,8 +109,8 @@
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     let (near_in, near_out) = near.into_split();
     let (far_in, far_out) = far.into_split();
-    let forward = copy(near_in, far_out, state.clone(), true);
-    let back = copy(far_in, near_out, state, false);
+    let forward = copy(near_in, far_out, state.clone(), true, &passed_bytes);
+    let back = copy(far_in, near_out, state, false, &passed_bytes);
     tokio::join!(forward, back);
 }
 
@@ -92,6 +119,7 @@
     mut to: impl AsyncWrite + Unpin,
     mut state: watch::Receiver<LinkState>,
     is_forward: bool,
+    passed_bytes: &AtomicU64,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
     let mut is_forgotten = false;
@@ -116,6 +144,7 @@
                         if to.write_all(&buffer[..length]).await.is_err() {
                             return;
                         }
+                        passed_bytes.fetch_add(length as u64, Ordering::Relaxed);
                     }
                 }
             }
--- a/tests/src/host.rs
+++ b/tests/src/host.rs
@@ -10,6 +10,9 @@
 /// Worker threads of one instance.
 const WORKERS: usize = 2;
 
+/// Name of the threads that run instances, by which their processor time is told from that of fakes.
+pub const INSTANCE_THREAD: &str = "instance";
+
 /// Longest time that the threads of a killed daemon take to end.
 const END_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -41,6 +44,7 @@
     pub async fn spawn(settings: Settings) -> Result<Self, DaemonError> {
         let runtime = Builder::new_multi_thread()
             .worker_threads(WORKERS)
+            .thread_name(INSTANCE_THREAD)
             .enable_all()
             .build()
             .expect("a runtime can be made");
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -28,7 +28,7 @@
 pub use fake_link::{FakeLink, LinkState};
 pub use fake_platform::FakePlatform;
 pub use fake_upstream::{DOWN_FOR, FakeUpstream, Run};
-pub use host::Host;
+pub use host::{Host, INSTANCE_THREAD};
 pub use loopback::Loopback;
 pub use matrix::{
     Broken, MatrixRun, Place, RequestCell, RequestFault, request_cells, wait_serving,
