Work out the capacity of each role at the target; measure restarts

The drain bench looked at the upstream only after the change was answered, so it could miss the last request, and it passed over callers that had failed.

The drain bench takes the arrival time of the last request, and ends when a caller got no answer. A new part restarts an instance and counts bytes.

Ruled out: whole copies on each change.

--- a/tests/benches/capacity/change.rs
+++ b/tests/benches/capacity/change.rs
@@ -32,9 +32,10 @@
 
 /// Time over which the cluster is measured without changes.
 const IDLE: Duration = Duration::from_millis(1_000);
+const TEST_IDLE: Duration = Duration::from_millis(200);
 
 /// Eleven instances in six zones of three regions, three of them control replicas.
-fn plan() -> Plan {
+pub fn plan() -> Plan {
     Plan {
         zones: vec![
             ("nasr", "cairo", 2),
@@ -55,18 +56,18 @@
     let changes = if is_bench { CHANGES } else { TEST_CHANGES };
     let blocks = if is_bench { &BLOCKS[..] } else { &TEST_BLOCKS };
     for blocks in blocks {
-        measure(*blocks, changes).await;
+        measure(*blocks, changes, if is_bench { IDLE } else { TEST_IDLE }).await;
     }
 }
 
 /// Sends changes one after the other and prints when all instances had them in force.
-async fn measure(blocks: u32, changes: u64) {
+async fn measure(blocks: u32, changes: u64, idle: Duration) {
     let cluster = Cluster::spawn(plan()).await;
     cluster.wait_members().await;
     let operator = cluster.operator(&leader(&cluster).await);
     steer(&operator, blocks).await;
     tokio::time::sleep(SETTLES).await;
-    let idle = Used::measure(&cluster, tokio::time::sleep(IDLE)).await;
+    let idle = Used::measure(&cluster, tokio::time::sleep(idle)).await;
     let mut times_us = Vec::new();
     let mut everywhere = 0;
     let busy = Used::measure(&cluster, async {
@@ -93,7 +94,8 @@
     );
 }
 
-async fn steer(operator: &Operator, blocks: u32) {
+/// Steers a number of blocks.
+pub async fn steer(operator: &Operator, blocks: u32) {
     let list: Vec<String> = (0..blocks)
         .map(|n| Ipv4Addr::from_bits(FIRST.to_bits() + (n << BLOCK_BITS)))
         .map(|address| format!("{address}/24"))
@@ -105,14 +107,18 @@
 }
 
 /// What all instances of a cluster used in a time.
-struct Used {
-    bytes: f64,
-    cpu_us: f64,
-    elapsed_s: f64,
+pub struct Used {
+    /// Bytes that instances sent each other.
+    pub bytes: f64,
+    /// Processor time of all instances.
+    pub cpu_us: f64,
+    /// Length of the time.
+    pub elapsed_s: f64,
 }
 
 impl Used {
-    async fn measure(cluster: &Cluster, during: impl Future<Output = ()>) -> Self {
+    /// Measures while something else goes on.
+    pub async fn measure(cluster: &Cluster, during: impl Future<Output = ()>) -> Self {
         let (bytes, cpu_ns) = (cluster.peer_bytes(), load::instances_cpu_ns());
         let started_at = Instant::now();
         during.await;
@@ -125,7 +131,7 @@
 }
 
 /// Returns the control replica that leads.
-async fn leader(cluster: &Cluster) -> String {
+pub async fn leader(cluster: &Cluster) -> String {
     let mut found = String::new();
     let replicas = cluster.topology().instances.iter();
     let replicas: Vec<&str> = replicas
--- a/tests/benches/capacity/drain.rs
+++ b/tests/benches/capacity/drain.rs
@@ -56,29 +56,24 @@
 /// Returns the time from sending the drain to the last request that was new at the upstream.
 async fn drain(cluster: &Cluster) -> Duration {
     let stop = Arc::new(AtomicBool::new(false));
-    let mut callers = callers(cluster, &stop);
+    let callers = callers(cluster, &stop);
     tokio::time::sleep(WATCH).await;
-    let sent_at = Instant::now();
+    let sent_at = tokio::time::Instant::now();
     let drain = format!("drain upstream {UPSTREAM}");
     cluster.operator("nasr-1").change(&drain).await;
-    let mut last = Duration::ZERO;
-    let mut seen = cluster.upstream(UPSTREAM).runs().len();
-    while sent_at.elapsed() < WATCH {
-        let now = cluster.upstream(UPSTREAM).runs().len();
-        if now != seen {
-            (seen, last) = (now, sent_at.elapsed());
-        }
-        tokio::time::sleep(Duration::from_millis(1)).await;
-    }
+    tokio::time::sleep(WATCH).await;
     stop.store(true, Ordering::Relaxed);
-    while callers.join_next().await.is_some() {}
-    last
+    join(callers).await;
+    let runs = cluster.upstream(UPSTREAM).runs();
+    let last = runs.iter().map(|run| run.at).max();
+    last.expect("the upstream had requests")
+        .saturating_duration_since(sent_at)
 }
 
 /// Returns the time that a planned stop takes while callers go on at the instance.
 async fn stop(cluster: &mut Cluster) -> Duration {
     let stop = Arc::new(AtomicBool::new(false));
-    let mut callers = callers(cluster, &stop);
+    let callers = callers(cluster, &stop);
     tokio::time::sleep(WATCH).await;
     let host = cluster.take("nasr-1");
     let started_at = Instant::now();
@@ -86,7 +81,7 @@
     // Callers look up again within the time to live of their answer.
     tokio::time::sleep(Duration::from_millis(200)).await;
     stop.store(true, Ordering::Relaxed);
-    while callers.join_next().await.is_some() {}
+    join(callers).await;
     stopping.await.expect("the stop does not panic");
     started_at.elapsed()
 }
@@ -106,3 +101,10 @@
     }
     callers
 }
+
+/// Waits for the callers to end; each must have got nothing but answers.
+async fn join(mut callers: JoinSet<()>) {
+    while let Some(ended) = callers.join_next().await {
+        ended.expect("every request is answered");
+    }
+}
--- a/tests/benches/capacity/main.rs
+++ b/tests/benches/capacity/main.rs
@@ -1,7 +1,7 @@
 //! Slopes for docs/CAPACITY.md and figures for docs/MEASURES.md, printed as tables.
 //!
 //! `cargo bench -p laburnumdeal-tests --bench capacity -- PART` runs one part: `idle`,
-//! `configuration`, `change`, `latency` or `drain`. Without `--bench`, as under `cargo test`, every
+//! `configuration`, `change`, `restart`, `latency` or `drain`. Without `--bench`, as under `cargo test`, every
 //! part runs at its smallest size.
 
 mod change;
@@ -11,11 +11,19 @@
 mod idle;
 mod latency;
 mod load;
+mod restart;
 
 use std::future::Future;
 
 /// Parts that the command line can name; other arguments are those of the test runner.
-const PARTS: [&str; 5] = ["configuration", "idle", "change", "latency", "drain"];
+const PARTS: [&str; 6] = [
+    "configuration",
+    "idle",
+    "change",
+    "restart",
+    "latency",
+    "drain",
+];
 
 /// Runs every part that the command line names, or all of them.
 #[tokio::main]
@@ -25,6 +33,7 @@
     run("configuration", configuration::run(is_bench)).await;
     run("idle", idle::run(is_bench)).await;
     run("change", change::run(is_bench)).await;
+    run("restart", restart::run(is_bench)).await;
     run("latency", latency::run(is_bench)).await;
     run("drain", drain::run(is_bench)).await;
 }
