Run the parts of the capacity bench at once under cargo test

Processor time of a part then loses what the threads of another part's cluster had used when they end, so the difference stops at 0; a measurement still runs the parts one after the other.

--- a/tests/benches/capacity/change.rs
+++ b/tests/benches/capacity/change.rs
@@ -124,7 +124,7 @@
         during.await;
         Self {
             bytes: (cluster.peer_bytes() - bytes) as f64,
-            cpu_us: (load::instances_cpu_ns() - cpu_ns) as f64 / 1_000.0,
+            cpu_us: load::instances_cpu_us_since(cpu_ns),
             elapsed_s: started_at.elapsed().as_secs_f64(),
         }
     }
--- a/tests/benches/capacity/idle.rs
+++ b/tests/benches/capacity/idle.rs
@@ -121,7 +121,7 @@
     tokio::time::sleep(time).await;
     let elapsed_s = started_at.elapsed().as_secs_f64();
     let bytes = (cluster.peer_bytes() - bytes) as f64;
-    let cpu_us = (load::instances_cpu_ns() - cpu_ns) as f64 / 1_000.0;
+    let cpu_us = load::instances_cpu_us_since(cpu_ns);
     Used {
         // Each byte is sent by one instance and received by another.
         bytes_per_s: 2.0 * bytes / elapsed_s / instances,
--- a/tests/benches/capacity/load.rs
+++ b/tests/benches/capacity/load.rs
@@ -34,6 +34,12 @@
         .sum()
 }
 
+/// Returns the processor time of all instances since `before_ns`. Threads of a cluster that ended
+/// meanwhile are taken away from it, so that only one cluster may run in a measurement.
+pub fn instances_cpu_us_since(before_ns: u64) -> f64 {
+    instances_cpu_ns().saturating_sub(before_ns) as f64 / 1_000.0
+}
+
 /// Returns the value below which `permille` thousandths of the samples lie.
 pub fn quantile(samples: &mut [u64], permille: usize) -> u64 {
     samples.sort_unstable();
--- a/tests/benches/capacity/main.rs
+++ b/tests/benches/capacity/main.rs
@@ -1,8 +1,8 @@
 //! Slopes for docs/CAPACITY.md and figures for docs/MEASURES.md, printed as tables.
 //!
 //! `cargo bench -p laburnumdeal-tests --bench capacity -- PART` runs one part: `idle`,
-//! `configuration`, `change`, `restart`, `latency` or `drain`. Without `--bench`, as under `cargo test`, every
-//! part runs at its smallest size.
+//! `configuration`, `change`, `restart`, `latency` or `drain`. Without `--bench`, as under `cargo test`, all
+//! parts run at once at their smallest size.
 
 mod change;
 mod configuration;
@@ -30,12 +30,23 @@
 async fn main() {
     // Cargo passes `--bench` for a measurement and not for a test.
     let is_bench = std::env::args().any(|argument| argument == "--bench");
-    run("configuration", configuration::run(is_bench)).await;
-    run("idle", idle::run(is_bench)).await;
-    run("change", change::run(is_bench)).await;
-    run("restart", restart::run(is_bench)).await;
-    run("latency", latency::run(is_bench)).await;
-    run("drain", drain::run(is_bench)).await;
+    let configuration = run("configuration", configuration::run(is_bench));
+    let idle = run("idle", idle::run(is_bench));
+    let change = run("change", change::run(is_bench));
+    let restart = run("restart", restart::run(is_bench));
+    let latency = run("latency", latency::run(is_bench));
+    let drain = run("drain", drain::run(is_bench));
+    if is_bench {
+        configuration.await;
+        idle.await;
+        change.await;
+        restart.await;
+        latency.await;
+        drain.await;
+    } else {
+        // Figures of a test mean nothing, so that the parts need not wait for each other.
+        tokio::join!(configuration, idle, change, restart, latency, drain);
+    }
 }
 
 async fn run(part: &str, measure: impl Future<Output = ()>) {
