--- a/control/benches/commit.rs
+++ b/control/benches/commit.rs
@@ -2,7 +2,7 @@
 //! memory by number of changes, and the cost of a change among many steered blocks.
 //!
 //! `cargo bench -p laburnumdeal-control` measures; `cargo test --benches` runs through it in about
-//! a second.
+//! a second. Names of measurements (commit, restart, blocks) choose among them.
 
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -57,15 +57,28 @@
     let is_bench = std::env::args().any(|argument| argument == "--bench");
     let size = if is_bench { FULL } else { TEST };
     let runtime = tokio::runtime::Runtime::new().unwrap();
-    for count in [1, 3, 5, 7] {
-        runtime.block_on(measure_commits(count, size.commits));
+    let chosen = |name: &str| {
+        let mut names = std::env::args()
+            .skip(1)
+            .filter(|a| !a.starts_with("--"))
+            .peekable();
+        names.peek().is_none() || names.any(|other| other == name)
+    };
+    if chosen("commit") {
+        for count in [1, 3, 5, 7] {
+            runtime.block_on(measure_commits(count, size.commits));
+        }
     }
-    for length in size.log_lengths {
-        for snapshot_every in [0, 4096] {
-            runtime.block_on(measure_restart(*length, snapshot_every));
+    if chosen("restart") {
+        for length in size.log_lengths {
+            for snapshot_every in [0, 4096] {
+                runtime.block_on(measure_restart(*length, snapshot_every));
+            }
         }
     }
-    runtime.block_on(measure_blocks(size.blocks));
+    if chosen("blocks") {
+        runtime.block_on(measure_blocks(size.blocks));
+    }
 }
 
 fn topology() -> Arc<Topology> {
@@ -175,13 +188,15 @@
     times_us.sort_unstable();
     let (median, high) = (times_us[commits / 2], times_us[commits * 99 / 100]);
     println!("commit, {count} replicas: median {median} us, 99th percentile {high} us");
-    stop(&replicas).await;
+    stop(replicas).await;
 }
 
-async fn stop(replicas: &[Replica<Local>]) {
-    for replica in replicas {
+async fn stop(replicas: Vec<Replica<Local>>) {
+    for replica in &replicas {
         replica.abort();
         replica.stop().await;
+        // The replicas hold each other through the link.
+        replica.link().replicas.lock().unwrap().clear();
     }
 }
 
@@ -203,8 +218,8 @@
         }
     }
     let grown_kib = memory_kib().saturating_sub(before_kib);
-    stop(&replicas).await;
-    drop((first, replicas));
+    drop(first);
+    stop(replicas).await;
     let bytes = folder_bytes(&folder.path().join("0"));
     let begun = Instant::now();
     let replicas = start(1, folder.path(), snapshot_every).await;
@@ -213,13 +228,13 @@
         "restart, {length} changes, snapshot every {snapshot_every}: {opened_ms} ms, \
          {bytes} bytes on disk, memory grew by {grown_kib} KiB"
     );
-    stop(&replicas).await;
+    stop(replicas).await;
 }
 
 async fn measure_blocks(blocks: u32) {
     let folder = tempfile::tempdir().unwrap();
     let before_kib = memory_kib();
-    let replicas = start(1, folder.path(), 0).await;
+    let replicas = start(1, folder.path(), 4096).await;
     let replica = leader(&replicas).await;
     let begun = Instant::now();
     for (number, first) in (0..blocks).step_by(BLOCKS_PER_CHANGE as usize).enumerate() {
@@ -238,8 +253,8 @@
         "{blocks} steered blocks: filled in {filled_ms} ms, one more steered in {one_block_us} us, \
          a cap in {one_cap_us} us, memory grew by {grown_kib} KiB"
     );
-    stop(&replicas).await;
-    drop((replica, replicas));
+    drop(replica);
+    stop(replicas).await;
     let begun = Instant::now();
     let replicas = start(1, folder.path(), 1).await;
     let opened_ms = begun.elapsed().as_millis();
@@ -252,11 +267,11 @@
     let snapshot_ms = begun.elapsed().as_millis();
     println!(
         "{blocks} steered blocks: restart from the log {opened_ms} ms, elected with a snapshot \
-         after {snapshot_ms} ms, memory in all {} KiB",
+         after {snapshot_ms} ms, memory of the process {} KiB",
         memory_kib()
     );
-    stop(&replicas).await;
-    drop((replica, replicas));
+    drop(replica);
+    stop(replicas).await;
     let begun = Instant::now();
     let replicas = start(1, folder.path(), 0).await;
     let opened_ms = begun.elapsed().as_millis();
@@ -264,7 +279,7 @@
     println!(
         "{blocks} steered blocks: restart from the snapshot {opened_ms} ms, {bytes} bytes on disk"
     );
-    stop(&replicas).await;
+    stop(replicas).await;
 }
 
 fn folder_bytes(folder: &Path) -> u64 {
--- a/policy/src/peer.rs
+++ b/policy/src/peer.rs
@@ -3,7 +3,7 @@
 use laburnumdeal_model::BootId;
 use tokio::time::Instant;
 
-use crate::{Heartbeat, MemberState, MembershipSettings, PeerState, PlatformState};
+use crate::{Heartbeat, MemberState, MembershipSettings, PeerState, PlatformState, Reach};
 
 /// Earlier runs of a peer that are remembered, so that their late heartbeats are known.
 const MAX_RETIRED_BOOTS: usize = 8;
@@ -29,6 +29,8 @@
 impl Peer {
     /// Takes in a heartbeat. Returns whether it is news.
     ///
+    /// `now` lies in the past for a heartbeat that another instance heard and passed on; one of
+    /// another run that is older than the last of this run is ignored.
     /// A heartbeat of an earlier run is late and ignored, unless that run goes on sending while the
     /// one that replaced it has been silent for the timeout: then their order was mistaken.
     pub fn heard(&mut self, heartbeat: Heartbeat, now: Instant, timeout: Duration) -> bool {
@@ -38,14 +40,15 @@
                 return false;
             }
             let is_silent = now.saturating_duration_since(heard.at) >= timeout;
-            if !is_same && !self.replaces(heartbeat, is_silent) {
+            let is_older = now < heard.at;
+            if !is_same && (is_older || !self.replaces(heartbeat, is_silent)) {
                 return false;
             }
             if !is_same {
                 self.retire(heard.heartbeat);
             }
         }
-        let at = now;
+        let at = self.heard.map_or(now, |heard| heard.at.max(now));
         self.heard = Some(Heard { heartbeat, at });
         self.has_failed = false;
         true
@@ -78,28 +81,42 @@
         since: Instant,
         now: Instant,
     ) -> MemberState {
-        let from = self.heard.map_or(since, |heard| heard.at.max(since));
-        let silent_ms = now.saturating_duration_since(from).as_millis() as u64;
-        let is_silent = silent_ms >= settings.peer_timeout_ms;
+        if let Some(state) = self.reach(settings, since).state(now) {
+            return state;
+        }
+        let is_silent = now >= self.silent_from(settings, since);
         let Some(heard) = self.heard else {
             return match is_silent {
                 true => MemberState::OutOfReach,
                 false => MemberState::Unknown,
             };
         };
-        let is_suspect = self.has_failed || silent_ms >= settings.suspect_ms;
-        let is_gone = self.listed == Some(PlatformState::Gone);
-        if self.is_leaving(heard.heartbeat) {
-            return match is_silent || is_suspect && is_gone {
-                true => MemberState::Left,
-                false => MemberState::Leaving,
-            };
+        let is_gone = self.is_gone() && now >= self.suspect_from(settings, since);
+        match self.is_leaving(heard.heartbeat) {
+            true if is_silent || is_gone => MemberState::Left,
+            true => MemberState::Leaving,
+            false if is_gone => MemberState::Left,
+            false => MemberState::OutOfReach,
         }
-        match (is_silent, is_suspect, is_gone) {
-            (_, true, true) => MemberState::Left,
-            (true, _, _) => MemberState::OutOfReach,
-            (_, true, _) => MemberState::Suspect,
-            _ => MemberState::Live,
+    }
+
+    /// Returns how long the peer takes work, if nothing is heard of it meanwhile.
+    pub fn reach(&self, settings: &MembershipSettings, since: Instant) -> Reach {
+        match self.heard {
+            Some(heard) if !self.is_leaving(heard.heartbeat) => {
+                let live_until = self.suspect_from(settings, since);
+                let silent_from = self.silent_from(settings, since);
+                let suspect_until = if self.is_gone() {
+                    live_until
+                } else {
+                    silent_from
+                };
+                Reach {
+                    live_until: Some(live_until),
+                    suspect_until: Some(suspect_until),
+                }
+            }
+            _ => Reach::default(),
         }
     }
 
@@ -122,6 +139,26 @@
         heartbeat.state == PeerState::Leaving || self.leaving_boot == Some(heartbeat.boot)
     }
 
+    fn is_gone(&self) -> bool {
+        self.listed == Some(PlatformState::Gone)
+    }
+
+    fn silence_start(&self, since: Instant) -> Instant {
+        self.heard.map_or(since, |heard| heard.at.max(since))
+    }
+
+    fn suspect_from(&self, settings: &MembershipSettings, since: Instant) -> Instant {
+        let start = self.silence_start(since);
+        match self.has_failed {
+            true => start,
+            false => start + Duration::from_millis(settings.suspect_ms),
+        }
+    }
+
+    fn silent_from(&self, settings: &MembershipSettings, since: Instant) -> Instant {
+        self.silence_start(since) + Duration::from_millis(settings.peer_timeout_ms)
+    }
+
     fn replaces(&mut self, heartbeat: Heartbeat, is_silent: bool) -> bool {
         let is_retired = |other: &Heartbeat| other.boot == heartbeat.boot;
         let Some(position) = self.retired.iter().position(is_retired) else {
--- a/policy/src/pool_core.rs
+++ b/policy/src/pool_core.rs
@@ -5,6 +5,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
+use crate::choosing::RoomAt;
 use crate::service_entry::ServiceEntry;
 use crate::slow_start::SlowStart;
 use crate::upstream_entry::UpstreamEntry;
@@ -47,9 +48,9 @@
     pub(crate) rng: ChaCha8Rng,
     pub(crate) next_ticket: u32,
     pub(crate) free_tickets: Vec<Ticket>,
+    pub(crate) preferred: Vec<RoomAt>,
+    pub(crate) deferred: Vec<RoomAt>,
     pub(crate) granted: Vec<(Ticket, SlotGrant)>,
-    pub(crate) preferred: Vec<UpstreamId>,
-    pub(crate) deferred: Vec<UpstreamId>,
 }
 
 impl PoolCore {
@@ -87,6 +88,13 @@
         self.dispatch_all(now);
     }
 
+    /// Returns how long a request of a service takes on the mean; `None` before any has ended.
+    pub fn service_time(&self, service: ServiceId) -> Option<Duration> {
+        let entry = self.services.get(service.index())?;
+        let is_measured = entry.time.is_measured();
+        is_measured.then(|| Duration::from_secs_f64(entry.time.mean_s()))
+    }
+
     /// Returns whether this instance owns an upstream.
     pub fn owns(&self, upstream: UpstreamId) -> bool {
         let entry = self.upstreams.get(upstream.index());
