Mark no innocents at an upstream that is down; let suspects wait for each other; pull once at a time

A crash counts once until the upstream answers again, unless a suspect was running. - The fake upstream's truncated answer was a panic of its HTTP library, so the cell 'truncates answers' showed a reset. It now sends a short body. - A restarted instance pulled the whole configuration from every peer at once (10 to 12 copies, measured); one pull is under way at a time. - The range of stop_ms depends on the services and has its own check.

--- a/daemon/src/configuration_puller.rs
+++ b/daemon/src/configuration_puller.rs
@@ -16,7 +16,7 @@
     };
     let known = state.configuration.digest();
     if known.is_none() || version > state.configuration.version() {
-        tokio::spawn(pull(state.clone(), from));
+        tokio::spawn(pull_alone(state.clone(), from));
     } else if version == state.configuration.version() && known != Some(digest) {
         let name = &state.topology.instance(from).name;
         error!(state.log, "peer has this version with other contents";
@@ -24,6 +24,13 @@
     }
 }
 
+/// Pulls unless another pull is under way; the next heartbeat tells again of what is missing.
+async fn pull_alone(state: Arc<State>, from: InstanceId) {
+    if let Ok(_alone) = state.pulling.try_lock() {
+        pull(state.clone(), from).await;
+    }
+}
+
 /// Pulls the configuration from a peer; a control replica gets it from its own log instead.
 async fn pull(state: Arc<State>, from: InstanceId) {
     if state.replica.is_some() {
--- a/daemon/src/flights.rs
+++ b/daemon/src/flights.rs
@@ -15,6 +15,7 @@
     started_at: Instant,
     poison: Mutex<PoisonTable>,
     running: Mutex<Vec<Vec<u64>>>,
+    is_down: Mutex<Vec<bool>>,
 }
 
 /// One request in flight on an upstream; it is over when this is dropped.
@@ -32,6 +33,7 @@
             started_at: Instant::now(),
             poison: Mutex::new(PoisonTable::new(PoisonSettings::default())),
             running: Mutex::new(vec![Vec::new(); upstreams]),
+            is_down: Mutex::new(vec![false; upstreams]),
         };
         Self {
             shared: Arc::new(shared),
@@ -72,11 +74,30 @@
         }
     }
 
-    fn crashed(&self, upstream: UpstreamId) {
-        let in_flight = self.running(upstream, |list| list.clone());
+    /// Notes that an upstream answers again.
+    pub fn recovered(&self, upstream: UpstreamId) {
+        self.set_down(upstream, false);
+    }
+
+    /// Marks what was in flight at a crash. An upstream that has not answered since its last crash
+    /// is still down, so only a request that is suspect already can have crashed it again.
+    fn crashed(&self, upstream: UpstreamId, fingerprint: u64) {
+        let was_down = self.set_down(upstream, true);
+        if was_down && self.check(fingerprint) == PoisonCheck::Clear {
+            return;
+        }
+        let in_flight = match was_down {
+            true => vec![fingerprint],
+            false => self.running(upstream, |list| list.clone()),
+        };
         self.poison().on_crash(&in_flight, upstream, self.now_ms());
     }
 
+    fn set_down(&self, upstream: UpstreamId, is_down: bool) -> bool {
+        let mut flags = self.shared.is_down.lock().expect("no panic while locked");
+        std::mem::replace(&mut flags[upstream.index()], is_down)
+    }
+
     fn running<T>(&self, upstream: UpstreamId, act: impl FnOnce(&mut Vec<u64>) -> T) -> T {
         let mut running = self.shared.running.lock().expect("no panic while locked");
         act(&mut running[upstream.index()])
@@ -94,6 +115,7 @@
 impl Flight {
     /// Notes that the request ran to its end.
     pub fn completed(self) {
+        self.flights.recovered(self.upstream);
         self.flights
             .poison()
             .on_complete(self.fingerprint, self.flights.now_ms());
@@ -101,7 +123,7 @@
 
     /// Notes that the upstream crashed while it ran the request.
     pub fn crashed(self) {
-        self.flights.crashed(self.upstream);
+        self.flights.crashed(self.upstream, self.fingerprint);
     }
 }
 
--- a/daemon/src/load_poller.rs
+++ b/daemon/src/load_poller.rs
@@ -40,7 +40,10 @@
         let asked_at = Instant::now();
         last = Some(asked_at);
         match get_json::<LoadReport>(&pool, LOAD_PATH, POLL_TIMEOUT).await {
-            Ok(report) => state.pool.report(upstream, report, asked_at),
+            Ok(report) => {
+                state.flights.recovered(upstream);
+                state.pool.report(upstream, report, asked_at);
+            }
             Err(_) => state.pool.report_missing(upstream, asked_at),
         }
     }
--- a/daemon/src/request_path.rs
+++ b/daemon/src/request_path.rs
@@ -29,6 +29,9 @@
 /// Shortest time in which an attempt is worth starting.
 const LEAST_ATTEMPT: Duration = Duration::from_millis(2);
 
+/// Pause before a suspect of a crash looks again for an upstream on which no other runs.
+const SUSPECT_PAUSE: Duration = Duration::from_millis(10);
+
 /// Longest time for telling other instances of a request that was in flight at a crash.
 const CRASH_TOLD: Duration = Duration::from_millis(150);
 
@@ -278,11 +281,13 @@
                 return None;
             }
             if !self.may_run_here(upstream) {
+                drop(slot);
                 self.note(
                     "another suspect of a crash runs there",
                     Some(DEFAULT_RETRY_AFTER),
                 );
-                return None;
+                tokio::time::sleep(SUSPECT_PAUSE).await;
+                continue;
             }
             self.tried.push(upstream);
             self.attempts += 1;
--- a/daemon/src/state.rs
+++ b/daemon/src/state.rs
@@ -80,6 +80,8 @@
     pub budget: RetryBudget,
     /// Configuration in force.
     pub configuration: ConfigurationView,
+    /// Held while the configuration is pulled from a peer.
+    pub pulling: tokio::sync::Mutex<()>,
     /// Load of availability zones.
     pub digests: RwLock<ZoneDigests>,
     /// Room on upstreams that other instances of this zone own.
@@ -146,6 +148,7 @@
             sealer: TokenSealer::new(settings.peer_secret.as_bytes()),
             budget: RetryBudget::new(RETRIES_PERMILLE, RETRY_LIMIT),
             configuration: ConfigurationView::new(topology.clone(), lease),
+            pulling: tokio::sync::Mutex::new(()),
             digests: RwLock::new(ZoneDigests::new(topology.zones.len())),
             peers_room: PeersRoom::new(topology.instances.len()),
             faults: FaultPoints::default(),
--- a/model/src/settings.rs
+++ b/model/src/settings.rs
@@ -160,6 +160,7 @@
         check_secret("peer_secret", &self.peer_secret)?;
         self.check_operators()?;
         self.check_numbers()?;
+        self.check_stop()?;
         match self.log_level.as_str() {
             "trace" | "debug" | "info" | "warning" | "error" => Ok(()),
             other => Err(field(
@@ -202,22 +203,27 @@
         Ok(())
     }
 
-    /// Returns the longest deadline of a service; a planned stop must not be shorter.
-    fn longest_deadline_ms(&self) -> u64 {
-        let deadlines = self.topology.services.iter().map(|s| s.deadline_ms);
-        deadlines.max().unwrap_or(0)
+    /// Checks that a planned stop waits for requests as long as they may take.
+    fn check_stop(&self) -> Result<(), SettingsError> {
+        let services = self.topology.services.iter();
+        let Some(longest) = services.max_by_key(|service| service.deadline_ms) else {
+            return Ok(());
+        };
+        if self.stop_ms >= longest.deadline_ms {
+            return Ok(());
+        }
+        let reason = format!(
+            "{} is shorter than the deadline of service {:?}; expected at least {}",
+            self.stop_ms, longest.name, longest.deadline_ms
+        );
+        Err(field("stop_ms", reason))
     }
 
     fn check_numbers(&self) -> Result<(), SettingsError> {
         let ranges = [
             ("peer_timeout_ms", self.peer_timeout_ms, 50, 60_000),
             ("lease_ms", self.lease_ms, 100, 600_000),
-            (
-                "stop_ms",
-                self.stop_ms,
-                self.longest_deadline_ms(),
-                3_600_000,
-            ),
+            ("stop_ms", self.stop_ms, 1, 3_600_000),
             ("lookup_ttl_ms", self.lookup_ttl_ms, 100, 3_600_000),
             (
                 "resend_horizon_ms",
--- a/model/tests/settings.rs
+++ b/model/tests/settings.rs
@@ -68,3 +68,13 @@
         TopologyError::ControlCount { count: 2 }
     );
 }
+
+#[test]
+fn parse_stop_shorter_than_deadline_names_service() {
+    let message = error("nasr-2", "\"stop_ms\": 4999,");
+    assert!(
+        message.contains("shorter than the deadline of service"),
+        "{message}"
+    );
+    assert!(Settings::parse(&text("nasr-2", "\"stop_ms\": 5000,")).is_ok());
+}
--- a/tests/src/fake_upstream.rs
+++ b/tests/src/fake_upstream.rs
@@ -4,9 +4,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -16,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::behavior::{Behavior, Fault};
+use crate::fake_body::FakeBody;
 
 /// An upstream of one service that records what it ran and fails as it is told.
 #[derive(Clone, Debug)]
@@ -159,7 +159,7 @@
         let _ = connection.await;
     }
 
-    async fn answer(self, request: Request<Incoming>) -> io::Result<Response<Full<Bytes>>> {
+    async fn answer(self, request: Request<Incoming>) -> io::Result<Response<FakeBody>> {
         match request.uri().path() {
             "/load" => return self.load(),
             "/health" => return Ok(text(StatusCode::OK, "ok")),
@@ -210,7 +210,7 @@
         operation: &str,
         body: &[u8],
         behavior: &Behavior,
-    ) -> Response<Full<Bytes>> {
+    ) -> Response<FakeBody> {
         let mut answer = format!(
             "{} ran {operation} {path} with {} bytes\n",
             self.shared.name,
@@ -218,14 +218,14 @@
         )
         .into_bytes();
         answer.resize(answer.len().max(behavior.answer_bytes), b'.');
-        let mut response = Response::new(Full::new(Bytes::from(answer)));
+        let mut response = Response::new(FakeBody::whole(answer));
         if let Ok(value) = HeaderValue::from_str(operation) {
             response.headers_mut().insert("x-operation", value);
         }
         response
     }
 
-    fn load(&self) -> io::Result<Response<Full<Bytes>>> {
+    fn load(&self) -> io::Result<Response<FakeBody>> {
         let state = self.state();
         let behavior = &state.behavior;
         if behavior.hide_load {
@@ -294,15 +294,15 @@
     value.unwrap_or("").to_owned()
 }
 
-fn text(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(text.to_owned())));
+fn text(status: StatusCode, text: &str) -> Response<FakeBody> {
+    let mut response = Response::new(FakeBody::whole(text.to_owned()));
     *response.status_mut() = status;
     response
 }
 
 /// Returns a response whose length header promises more than its body has.
-fn truncated(path: &str) -> Response<Full<Bytes>> {
-    let mut response = text(StatusCode::OK, path);
+fn truncated(path: &str) -> Response<FakeBody> {
+    let mut response = Response::new(FakeBody::cut(path.to_owned()));
     let promised = HeaderValue::from(path.len() + 100);
     response
         .headers_mut()
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -10,6 +10,7 @@
 mod behavior;
 mod caller;
 mod cluster;
+mod fake_body;
 mod fake_link;
 mod fake_platform;
 mod fake_upstream;
--- a/tests/tests/settings_page.rs
+++ b/tests/tests/settings_page.rs
@@ -171,6 +171,8 @@
         let (least_value, most_value) = range(field);
         let accepts = |value: u64| {
             let mut settings = least();
+            // A planned stop may not be shorter than this.
+            settings.topology.services[0].deadline_ms = 1;
             set(&mut settings, value);
             settings.check().is_ok()
         };
