--- a/daemon/src/claim_path.rs
+++ b/daemon/src/claim_path.rs
@@ -1,20 +1,17 @@
 //! Requests that may not be repeated: the claim on both instances of a pair comes first.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use http::{HeaderName, HeaderValue, Response, StatusCode};
-use http_body_util::BodyExt;
 use laburnumdeal_model::InstanceId;
 use laburnumdeal_policy::{
-    Begin, Claim, ClaimFinish, FenceReply, MemberState, MirrorReply, NotRunProof, Outcome,
-    RequestKey, Started, StoredAnswer, UnknownReason, pair_for_bare_key,
+    Begin, Claim, ClaimFinish, MemberState, MirrorReply, NotRunProof, Outcome, RequestKey, Started,
+    StoredAnswer, UnknownReason, pair_for_bare_key,
 };
 
 use tokio::time::Instant;
 
-use crate::answer_body::AnswerBody;
 use crate::attempt::{self, Attempt};
+use crate::claim_outcome::{Held, already_ran, fenced, finished, hold, of_fence};
 use crate::fault_points::{Planted, Step};
 use crate::peer_message::{PeerReply, PeerRequest};
 use crate::prepared::Prepared;
@@ -25,15 +22,9 @@
 use crate::state::State;
 use crate::trace::TraceBuilder;
 
-/// Time to come back, with a fresh key, after a key was fenced.
-const FENCED_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// Times that the mirror is asked before the claim is given up.
 const MIRROR_TRIES: u32 = 2;
 
-/// Longest answer that is kept for resends.
-const KEPT_ANSWER_BYTES: usize = 256 * 1024;
-
 /// Serves a request with a key: here when this instance is its home, through the home otherwise.
 ///
 /// # Errors
@@ -242,38 +233,6 @@
     }
 }
 
-/// Why an answer is not kept.
-enum Held {
-    /// It is long, and passed on as it arrives.
-    Streams(Response<AnswerBody>),
-    /// It broke off.
-    Broken,
-}
-
-async fn hold(response: Response<AnswerBody>) -> Result<StoredAnswer, Held> {
-    use http_body::Body;
-    let is_short = response
-        .body()
-        .size_hint()
-        .exact()
-        .is_some_and(|bytes| bytes <= KEPT_ANSWER_BYTES as u64);
-    if !is_short {
-        return Err(Held::Streams(response));
-    }
-    let (parts, body) = response.into_parts();
-    let body = body.collect().await.map_err(|_| Held::Broken)?.to_bytes();
-    let headers = parts
-        .headers
-        .iter()
-        .map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()))
-        .collect();
-    Ok(StoredAnswer {
-        status: parts.status.as_u16(),
-        headers,
-        body: body.to_vec(),
-    })
-}
-
 fn tell_answer(
     state: &Arc<State>,
     prepared: &Prepared,
@@ -400,44 +359,3 @@
         }
     }
 }
-
-fn of_fence(reply: FenceReply) -> Result<Served, RequestError> {
-    match reply {
-        FenceReply::Fenced => Ok(fenced()),
-        FenceReply::Claimed => Ok(already_ran()),
-        FenceReply::Finished(answer) => Ok(finished(ClaimFinish::Answer(answer))),
-        FenceReply::KeyReused => Err(RequestError::KeyReused),
-        FenceReply::Unknown(reason) => Ok(Served::unknown(reason.to_string())),
-    }
-}
-
-fn finished(finish: ClaimFinish) -> Served {
-    match finish {
-        ClaimFinish::Answer(answer) => restore(&answer).map_or_else(already_ran, Served::Answer),
-        ClaimFinish::NotRun => fenced(),
-        ClaimFinish::Unknown => already_ran(),
-    }
-}
-
-fn fenced() -> Served {
-    Served::not_run(
-        "the key was not claimed and never will be; use a new key",
-        FENCED_RETRY_AFTER,
-    )
-}
-
-fn already_ran() -> Served {
-    Served::unknown("the request was sent to an upstream and its answer is not kept")
-}
-
-fn restore(answer: &StoredAnswer) -> Option<Response<AnswerBody>> {
-    let mut response = Response::new(AnswerBody::whole(answer.body.clone()));
-    *response.status_mut() = StatusCode::from_u16(answer.status).ok()?;
-    for (name, value) in &answer.headers {
-        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
-        response
-            .headers_mut()
-            .append(name, HeaderValue::from_bytes(value).ok()?);
-    }
-    Some(response)
-}
--- /dev/null
+++ b/daemon/src/queueing.rs
@@ -0,0 +1,8 @@
+/// Whether a request may wait for a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Queueing {
+    /// It may wait.
+    Allowed,
+    /// It goes on elsewhere at once.
+    Refused,
+}
