Check links and operators for doubles; say when a body came too late

Cause: found by reading the settings page and the error texts against the code: two links between the same regions or two operators of one name were accepted, and a body that missed the deadline was said to have ended early.

Conclusion: the two checks have tests; the texts have none.

--- a/daemon/src/claim_path.rs
+++ b/daemon/src/claim_path.rs
@@ -7,7 +7,6 @@
     Begin, Claim, ClaimFinish, MemberState, MirrorReply, NotRunProof, Outcome, RequestKey, Started,
     StoredAnswer, UnknownReason, pair_for_bare_key,
 };
-
 use tokio::time::Instant;
 
 use crate::attempt::{self, Attempt};
--- a/daemon/src/lookup_handler.rs
+++ b/daemon/src/lookup_handler.rs
@@ -100,6 +100,7 @@
         return Ok(None);
     };
     text.replace("%3A", ":")
+        .replace("%3a", ":")
         .parse()
         .map(Some)
         .map_err(|_| RequestError::Query {
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -61,7 +61,11 @@
         let help = "Time from a request's head to its final outcome";
         registry.register_with_unit("request_latency", help, Unit::Seconds, latency.clone());
         registry.register("lookups", "Look-ups answered", lookups.clone());
-        registry.register("retries", "Attempts after the first", retries.clone());
+        registry.register(
+            "retries",
+            "Attempts after one that may have run",
+            retries.clone(),
+        );
         registry.register(
             "hedges",
             "Second attempts beside a slow first",
@@ -115,7 +119,7 @@
         self.lookups.inc();
     }
 
-    /// Counts an attempt after the first.
+    /// Counts an attempt after one that may have run.
     pub fn retried(&self, service: &str) {
         self.retries.get_or_create(&labels_of(service)).inc();
     }
--- a/daemon/src/request_error.rs
+++ b/daemon/src/request_error.rs
@@ -49,8 +49,8 @@
         /// Longest accepted body.
         most_bytes: u64,
     },
-    /// The body broke off.
-    #[display("request body ended early")]
+    /// The body broke off or came too late.
+    #[display("request body ended early, or did not arrive before the deadline")]
     BodyBroken,
     /// The method has no meaning for a forwarded request.
     #[display("method {method} is not forwarded")]
--- a/model/src/settings.rs
+++ b/model/src/settings.rs
@@ -191,6 +191,14 @@
                 return Err(field(&path, "empty; expected a name".to_owned()));
             }
             check_secret(&format!("operators[{index}].token"), &operator.token)?;
+            if self.operators[..index]
+                .iter()
+                .any(|other| other.name == operator.name)
+            {
+                let path = format!("operators[{index}].name");
+                let reason = format!("{:?} is defined twice", operator.name);
+                return Err(field(&path, reason));
+            }
             let same_token = |other: &OperatorSettings| other.token == operator.token;
             if self.operators[..index].iter().any(same_token) {
                 let path = format!("operators[{index}].token");
--- a/model/src/topology.rs
+++ b/model/src/topology.rs
@@ -1,4 +1,4 @@
-use crate::topology_checks::{Names, check_addresses, check_control, check_numbers};
+use crate::topology_checks::{Names, check_addresses, check_control, check_links, check_numbers};
 use crate::{
     Digest, Instance, InstanceId, Link, NameKind, Region, RegionId, Service, ServiceId,
     TopologyError, TopologySettings, Upstream, UpstreamId, Zone, ZoneId,
@@ -70,6 +70,7 @@
         )?;
         check_addresses(settings)?;
         check_numbers(settings)?;
+        check_links(settings)?;
         check_control(&settings.instances)?;
         Ok(Self {
             regions: settings
--- a/model/src/topology_checks.rs
+++ b/model/src/topology_checks.rs
@@ -119,3 +119,16 @@
         Err(TopologyError::ControlCount { count })
     }
 }
+
+pub(crate) fn check_links(settings: &TopologySettings) -> Result<(), TopologyError> {
+    let mut seen = HashSet::new();
+    let mut links = settings.links.iter();
+    let bad = links.find(|link| link.from == link.to || !seen.insert((&link.from, &link.to)));
+    match bad {
+        Some(link) => Err(TopologyError::BadLink {
+            from: link.from.clone(),
+            to: link.to.clone(),
+        }),
+        None => Ok(()),
+    }
+}
--- a/model/src/topology_error.rs
+++ b/model/src/topology_error.rs
@@ -65,4 +65,12 @@
         /// How many there are.
         count: usize,
     },
+    /// A link joins a region with itself, or two links join the same regions.
+    #[display("link from {from:?} to {to:?} joins a region with itself or is defined twice")]
+    BadLink {
+        /// Region that sends.
+        from: String,
+        /// Region that receives.
+        to: String,
+    },
 }
--- a/model/tests/settings.rs
+++ b/model/tests/settings.rs
@@ -78,3 +78,21 @@
     );
     assert!(Settings::parse(&text("nasr-2", "\"stop_ms\": 5000,")).is_ok());
 }
+
+#[test]
+fn build_link_defined_twice_is_named() {
+    let mut settings = embedded_topology();
+    settings.links[1] = settings.links[0].clone();
+    let error = Topology::build(&settings).unwrap_err();
+    assert!(matches!(error, TopologyError::BadLink { .. }), "{error}");
+}
+
+#[test]
+fn parse_operator_defined_twice_is_named() {
+    let mut settings = Settings::parse(&text("nasr-2", "")).unwrap();
+    let mut again = settings.operators[0].clone();
+    again.token.push('x');
+    settings.operators.push(again);
+    let message = settings.check().unwrap_err().to_string();
+    assert!(message.contains("\"nadia\" is defined twice"), "{message}");
+}
