Bring the binaries up to date before the demo starts them

Cause: the demo failed with 'nasr-1 does not get ready'. It ran a daemon that an earlier build had left, which did not know a new field of the settings and refused them: running an example does not build the binaries of other packages, and the demo built them only when they were missing.

Ruled out: the settings themselves (a build by hand made the demo pass).

--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -1,6 +1,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use laburnumdeal_model::Settings;
@@ -98,18 +99,21 @@
     }
 }
 
-/// Returns the path of a binary of this workspace, which is built when it is missing.
+/// Returns the path of a binary of this workspace. The first call brings the binaries up to date,
+/// since running a test or an example does not build those of other packages.
 ///
 /// # Errors
 ///
 /// Returns the error of building it.
 pub fn binary(name: &str) -> io::Result<PathBuf> {
+    static BUILT: OnceLock<bool> = OnceLock::new();
     let folder = target_folder()?;
-    let path = folder.join(name);
-    if !path.exists() {
-        build(&folder)?;
+    if *BUILT.get_or_init(|| build(&folder).is_ok()) {
+        return Ok(folder.join(name));
     }
-    Ok(path)
+    Err(io::Error::other(
+        "the binaries of the workspace do not build",
+    ))
 }
 
 /// Returns the folder in which cargo puts the binaries of the running profile.
@@ -139,10 +143,8 @@
         command.arg("--release");
     }
     let status = command.current_dir(env!("CARGO_MANIFEST_DIR")).status()?;
-    if status.success() {
-        return Ok(());
+    match status.success() {
+        true => Ok(()),
+        false => Err(io::Error::other(format!("cargo ended with {status}"))),
     }
-    Err(io::Error::other(
-        "the binaries of the workspace do not build",
-    ))
 }
