--- a/daemon/src/link_payment.rs
+++ b/daemon/src/link_payment.rs
@@ -1,11 +1,12 @@
-//! Answers that go back to another region spend the bytes of the link that they cross.
+//! What crosses a link between regions spends its bytes: requests before they are sent, answers
+//! before they go back.
 
 use std::time::Duration;
 
 use http::Response;
 use http_body::Body;
 use laburnumdeal_model::InstanceId;
-use laburnumdeal_policy::CapKey;
+use laburnumdeal_policy::{CapKey, OverCap};
 use tokio::time::Instant;
 
 use crate::answer_body::AnswerBody;
@@ -25,21 +26,40 @@
     let Some(link) = link_to(state, to) else {
         return answer;
     };
-    let mut bytes = HEAD_BYTES + answer.body().size_hint().exact().unwrap_or(0);
+    let bytes = HEAD_BYTES + answer.body().size_hint().exact().unwrap_or(0);
+    match spend(state, link, bytes, deadline).await {
+        Ok(()) => answer,
+        Err(over) => {
+            let reason = format!("the answer does not fit on the link: {over}");
+            Served::unknown(reason).into_response()
+        }
+    }
+}
+
+/// Spends bytes of a link piece by piece, and returns when the last one fits.
+///
+/// # Errors
+///
+/// Returns the link that is used up when the rest does not fit before the deadline.
+pub async fn spend(
+    state: &State,
+    link: CapKey,
+    mut bytes: u64,
+    deadline: Instant,
+) -> Result<(), OverCap> {
     while bytes > 0 {
         match state.shares.spend_part(link, bytes, Instant::now()) {
             Ok(spent) => bytes -= spent.min(bytes),
             Err(over) => {
                 let until = Instant::now() + Duration::from_millis(over.retry_after_ms.max(1));
                 if until >= deadline {
-                    let reason = format!("the answer does not fit on the link: {over}");
-                    return Served::unknown(reason).into_response();
+                    return Err(over);
                 }
                 tokio::time::sleep_until(until).await;
             }
         }
     }
-    answer
+    Ok(())
 }
 
 fn link_to(state: &State, to: InstanceId) -> Option<CapKey> {
--- a/daemon/src/request_path.rs
+++ b/daemon/src/request_path.rs
@@ -106,7 +106,11 @@
         self.attempts += 1;
         let name = self.state.topology.instance(peer).name.clone();
         let attempt = attempt::at_peer(self.state, self.prepared, peer, role).await;
-        self.judge(&name, attempt)
+        let may_have_run = matches!(attempt, Attempt::Unknown { .. });
+        match self.judge(&name, attempt) {
+            None if may_have_run => self.tell_crash().await,
+            served => served,
+        }
     }
 
     /// Returns the final outcome that an attempt leads to, or `None` when another may follow.
--- a/daemon/src/upstream_path.rs
+++ b/daemon/src/upstream_path.rs
@@ -16,7 +16,7 @@
 const SUSPECT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Longest time for telling other instances of a request that was in flight at a crash.
-const CRASH_TOLD: Duration = Duration::from_millis(150);
+const CRASH_TOLD: Duration = Duration::from_millis(300);
 
 impl RequestPath<'_> {
     /// Tries upstreams that this instance owns until one answers or none is left.
@@ -63,7 +63,7 @@
             .map(|_| Served::unknown("the request was in flight at two crashes of upstreams"))
     }
 
-    pub(crate) async fn slot(&mut self, queueing: Queueing) -> Option<Slot> {
+    async fn slot(&mut self, queueing: Queueing) -> Option<Slot> {
         let (pool, service) = (&self.state.pool, self.prepared.service);
         if queueing == Queueing::Refused {
             let slot = pool.try_acquire(service, &self.tried);
@@ -91,12 +91,12 @@
 
     /// Returns whether the request would most likely be cut off by its deadline: it would take a
     /// slot from others for nothing, and its outcome would be unknown.
-    pub(crate) fn would_be_cut_off(&self) -> bool {
+    fn would_be_cut_off(&self) -> bool {
         let service_time = self.state.pool.service_time(self.prepared.service);
         service_time.is_some_and(|time| time > self.prepared.remaining())
     }
 
-    pub(crate) fn may_run_here(&self, upstream: UpstreamId) -> bool {
+    fn may_run_here(&self, upstream: UpstreamId) -> bool {
         !self.is_suspect
             || self
                 .state
--- a/daemon/src/zone_path.rs
+++ b/daemon/src/zone_path.rs
@@ -7,11 +7,15 @@
 use tokio::time::Instant;
 
 use crate::configuration_view::InForce;
+use crate::link_payment;
 use crate::queueing::Queueing;
 use crate::request_path::RequestPath;
 use crate::role::Role;
 use crate::served::Served;
 
+/// Part of the time left in which a request waits for its turn on a link, as a divisor.
+const LINK_PATIENCE_PART: u32 = 4;
+
 /// Most instances of another zone that are tried for one request.
 const MAX_PEERS_PER_ZONE: usize = 2;
 
@@ -40,7 +44,7 @@
         self.in_own_zone(own, home, Queueing::Allowed).await
     }
 
-    pub(crate) fn choose(&self, in_force: &InForce) -> Vec<ZoneChoice> {
+    fn choose(&self, in_force: &InForce) -> Vec<ZoneChoice> {
         let digests = self.state.digests.read().expect("no panic while locked");
         let input = RouteInput {
             service: self.prepared.service,
@@ -54,7 +58,7 @@
         self.state.router.route(&input)
     }
 
-    pub(crate) async fn in_own_zone(
+    async fn in_own_zone(
         &mut self,
         choice: &ZoneChoice,
         home: ZoneId,
@@ -65,28 +69,33 @@
             return None;
         }
         let now = Instant::now();
-        let departed = self.state.router.depart(self.prepared.service, choice, now);
-        let admitted =
-            departed.and_then(|()| self.state.router.arrive(self.prepared.service, home, now));
-        if let Err(refusal) = admitted {
+        if let Err(refusal) = self.admit(choice, home, now) {
             let after = Duration::from_millis(refusal.retry_after_ms());
             self.note(&refusal.to_string(), Some(after));
             return self.through_own_zone().await;
         }
         let served = self.in_own_zone_admitted(queueing).await;
         if served.is_none() && !self.may_have_run {
-            self.state
-                .router
-                .cancel_arrival(self.prepared.service, home, now);
-            self.state
-                .router
-                .cancel_departure(self.prepared.service, choice, now);
+            let (router, service) = (&self.state.router, self.prepared.service);
+            router.cancel_arrival(service, home, now);
+            router.cancel_departure(service, choice, now);
         }
         served
     }
 
+    /// Spends what it takes to serve the request here, or nothing when any of it is used up.
+    fn admit(&self, choice: &ZoneChoice, home: ZoneId, now: Instant) -> Result<(), RouteRefusal> {
+        let (router, service) = (&self.state.router, self.prepared.service);
+        router.depart(service, choice, now)?;
+        let arrived = router.arrive(service, home, now);
+        if arrived.is_err() {
+            router.cancel_departure(service, choice, now);
+        }
+        arrived
+    }
+
     /// Passes the request to another instance of this zone, which has shares of its own.
-    pub(crate) async fn through_own_zone(&mut self) -> Option<Served> {
+    async fn through_own_zone(&mut self) -> Option<Served> {
         let mut live = self
             .state
             .membership
@@ -120,7 +129,7 @@
     }
 
     /// Tries own upstreams, then those of other owners in the zone.
-    pub(crate) async fn in_own_zone_admitted(&mut self, queueing: Queueing) -> Option<Served> {
+    async fn in_own_zone_admitted(&mut self, queueing: Queueing) -> Option<Served> {
         if let Some(served) = self.on_own_upstreams(Queueing::Refused).await {
             return Some(served);
         }
@@ -140,7 +149,7 @@
 
     /// Waits for a slot here, or with another owner when this instance owns no upstream of the
     /// service, as after it has handed them over.
-    pub(crate) async fn in_queues_of_own_zone(&mut self) -> Option<Served> {
+    async fn in_queues_of_own_zone(&mut self) -> Option<Served> {
         if let Some(served) = self.on_own_upstreams(Queueing::Allowed).await {
             return Some(served);
         }
@@ -155,9 +164,9 @@
         None
     }
 
-    pub(crate) async fn in_other_zone(&mut self, choice: &ZoneChoice) -> Option<Served> {
+    async fn in_other_zone(&mut self, choice: &ZoneChoice) -> Option<Served> {
         let now = Instant::now();
-        if let Err(refusal) = self.spend_departure(choice, now) {
+        if let Err(refusal) = self.pay_departure(choice, now).await {
             let after = Duration::from_millis(refusal.retry_after_ms());
             self.note(&refusal.to_string(), Some(after));
             return None;
@@ -180,25 +189,42 @@
         None
     }
 
-    /// Spends what it takes to send the request to another zone: a part of the shift cap, and the
-    /// bytes on the link.
+    /// Pays for sending the request to another zone: a part of the shift cap, and the bytes on the
+    /// link, which may have to wait for their turn.
+    async fn pay_departure(&self, choice: &ZoneChoice, now: Instant) -> Result<(), RouteRefusal> {
+        let (router, service) = (&self.state.router, self.prepared.service);
+        router.depart(service, choice, now)?;
+        let Some(link) = choice.link else {
+            return Ok(());
+        };
+        let bytes = self.prepared.request_bytes();
+        let until = now + self.prepared.remaining() / LINK_PATIENCE_PART;
+        let paid = link_payment::spend(self.state, link, bytes, until).await;
+        if paid.is_err() {
+            router.cancel_departure(service, choice, now);
+        }
+        Ok(paid?)
+    }
+
+    /// Pays like [`RequestPath::pay_departure`], but only when all of it fits at once.
     pub(crate) fn spend_departure(
         &self,
         choice: &ZoneChoice,
         now: Instant,
     ) -> Result<(), RouteRefusal> {
-        self.state
-            .router
-            .depart(self.prepared.service, choice, now)?;
-        if let Some(link) = choice.link {
-            self.state
-                .shares
-                .spend(link, self.prepared.request_bytes(), now)?;
+        let (router, service) = (&self.state.router, self.prepared.service);
+        router.depart(service, choice, now)?;
+        let bytes = self.prepared.request_bytes();
+        let spent = choice
+            .link
+            .map_or(Ok(()), |link| self.state.shares.spend(link, bytes, now));
+        if spent.is_err() {
+            router.cancel_departure(service, choice, now);
         }
-        Ok(())
+        Ok(spent?)
     }
 
-    pub(crate) fn has_room_in_own_zone(&self, queueing: Queueing) -> bool {
+    fn has_room_in_own_zone(&self, queueing: Queueing) -> bool {
         queueing == Queueing::Allowed
             || self.state.pool.room(self.prepared.service).free > 0
             || !self.owners_with_room().is_empty()
