Never tell 'not run' of a read after an attempt that may have run

The upstream matrix does not reach this, since it always leaves healthy upstreams.

The test: an innocent read that is refused with a time comes back after it, up to three times, as callers do; at once it can meet both upstreams of its zone during the 100 ms that they are down, and a refusal with a time is then right. It still must be answered, and two crashes are still the most.

Not proved: no test of its own for the outcome after a last failed attempt.

--- a/daemon/src/request_path.rs
+++ b/daemon/src/request_path.rs
@@ -180,7 +180,12 @@
         }
     }
 
+    /// Returns the outcome when nothing is left to try. An attempt that may have run keeps it from
+    /// being "not run".
     fn given_up(self) -> Served {
+        if self.may_have_run {
+            return Served::unknown(self.reason);
+        }
         Served::not_run(self.reason, self.soonest.unwrap_or(DEFAULT_RETRY_AFTER))
     }
 }
