--- a/tests/tests/zones.rs
+++ b/tests/tests/zones.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use laburnumdeal_tests::{Ask, Caller, Cluster, Got, LinkState, Plan, service, wait_until};
+use laburnumdeal_tests::{Ask, Caller, Cluster, Fault, Got, LinkState, Plan, service, wait_until};
 use tokio::time::Instant;
 
 fn two_zones() -> Plan {
@@ -240,3 +240,30 @@
         );
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn read_on_crashing_upstreams_is_never_told_not_run_after_it_ran() {
+    let cluster = Cluster::spawn(two_zones()).await;
+    cluster.wait_members().await;
+    for upstream in cluster.upstreams() {
+        upstream.set(|behavior| behavior.fault = Some(Fault::Crash));
+    }
+    let mut outcomes = Vec::new();
+    for number in 0..6 {
+        for at in ["nasr-1", "nasr-2", "smouha-1"] {
+            let operation = format!("{at}-{number}");
+            let ask = Ask::get("catalog", &format!("/units/{operation}"))
+                .header("x-operation", &operation);
+            let got = cluster.send(at, &ask).await.unwrap();
+            outcomes.push((operation, got.outcome().to_owned()));
+        }
+    }
+    let runs = cluster.runs();
+    for (operation, outcome) in outcomes {
+        let ran = runs.get(&operation).copied().unwrap_or(0);
+        assert!(
+            ran == 0 || outcome != "not-run",
+            "{operation} ran {ran} times"
+        );
+    }
+}
