--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -8,6 +8,7 @@
 //! ```
 
 mod behavior;
+mod broken;
 mod caller;
 mod cluster;
 mod fake_body;
@@ -25,6 +26,7 @@
 mod upstream_matrix;
 
 pub use behavior::{Behavior, Fault};
+pub use broken::Broken;
 pub use caller::{Ask, Caller, Got, LookupAnswer, LookupInstance};
 pub use cluster::{Cluster, PATIENCE, wait_until};
 pub use fake_link::{FakeLink, LinkState};
@@ -32,7 +34,7 @@
 pub use fake_upstream::{DOWN_FOR, FakeUpstream, Run};
 pub use host::{Host, INSTANCE_THREAD};
 pub use loopback::Loopback;
-pub use matrix::{Broken, MatrixRun, Place, RequestCell, RequestFault, request_cells};
+pub use matrix::{MatrixRun, Place, RequestCell, RequestFault, request_cells};
 pub use operator::Operator;
 pub use plan::{OPERATOR_TOKEN, Plan, service};
 pub use process::{Process, Signal, binary};
--- a/tests/src/run_cells.rs
+++ b/tests/src/run_cells.rs
@@ -2,7 +2,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use crate::matrix::Broken;
+use crate::broken::Broken;
 
 /// Cells that run at the same time, each on a thread of its own.
 const CELLS_AT_A_TIME: usize = 8;
--- a/tests/src/upstream_matrix.rs
+++ b/tests/src/upstream_matrix.rs
@@ -8,10 +8,10 @@
 use tokio::time::Instant;
 
 use crate::behavior::Fault;
+use crate::broken::Broken;
 use crate::caller::{Ask, Caller, Got};
 use crate::cluster::Cluster;
 use crate::fake_link::LinkState;
-use crate::matrix::Broken;
 use crate::plan::{Plan, service};
 
 /// Deadline of a request of the matrix, in milliseconds.
