--- a/control/src/core.rs
+++ b/control/src/core.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Duration, timeout};
 
 use crate::install::Incoming;
+use crate::joining::Candidates;
 use crate::proposals::Proposal;
 use crate::volatile::Volatile;
 use crate::{
@@ -40,6 +41,8 @@
     pub tasks: Mutex<JoinSet<()>>,
     /// Snapshot that a leader is sending.
     pub incoming: Mutex<Incoming>,
+    /// Replicas that asked to be taken in as members.
+    pub candidates: Mutex<Candidates>,
     /// Members that a task sends to, by term.
     pub peers: Mutex<BTreeSet<(Term, ReplicaIdentity)>>,
 }
@@ -188,7 +191,8 @@
         if volatile.role != Role::Leader {
             return;
         }
-        let index = volatile.majority_index();
+        let copies = self.settings.growth.map_or(0, |growth| growth.copies);
+        let index = volatile.majority_index(copies);
         if volatile.term_at(index) == Some(volatile.vote.term) {
             self.commit(volatile, index);
         }
@@ -216,7 +220,7 @@
 
     /// Returns the key of an instance of the members.
     pub fn instance(&self, name: &str) -> Option<InstanceId> {
-        self.settings.topology.instance_named(name)
+        self.settings.names.key(name)
     }
 
     /// Sends a request; a reply that takes longer than `within` counts as lost.
--- a/control/src/dispatch.rs
+++ b/control/src/dispatch.rs
@@ -16,7 +16,9 @@
             ControlRequest::Identify => ControlReply::Identity {
                 identity: self.core.identity,
                 cluster: self.core.volatile().cluster(),
+                region: self.core.settings.region.clone(),
             },
+            ControlRequest::Join(candidate) => self.core.on_join(candidate),
             ControlRequest::Vote {
                 header,
                 pre_vote,
--- a/control/src/formation.rs
+++ b/control/src/formation.rs
@@ -16,7 +16,8 @@
     /// Writes down the first members once every configured replica answers and is blank. One that
     /// lost its disk meets others that are not, and waits to be brought in as a learner.
     pub async fn run_formation(self: Arc<Self>, mut generator: ChaCha8Rng) {
-        if self.settings.replicas.iter().min() != Some(&self.settings.me) {
+        let may_form = self.settings.growth.is_none_or(|growth| growth.may_form);
+        if !may_form || self.settings.replicas.iter().min() != Some(&self.settings.me) {
             return;
         }
         while self.volatile().cluster().is_none() {
@@ -32,12 +33,13 @@
     async fn blank_replicas(&self) -> Option<Vec<Member>> {
         let mut list = Vec::new();
         for instance in &self.settings.replicas {
-            let identity = match *instance == self.settings.me {
-                true => self.identity,
+            let (identity, region) = match *instance == self.settings.me {
+                true => (self.identity, self.settings.region.clone()),
                 false => self.blank_identity(*instance).await?,
             };
             list.push(Member {
-                instance: self.settings.topology.instance(*instance).name.clone(),
+                instance: self.settings.names.name(*instance),
+                region,
                 identity,
                 role: MemberRole::Voter,
             });
@@ -48,13 +50,14 @@
     async fn blank_identity(
         &self,
         instance: laburnumdeal_model::InstanceId,
-    ) -> Option<ReplicaIdentity> {
+    ) -> Option<(ReplicaIdentity, String)> {
         let within = self.settings.election();
         match self.call(instance, ControlRequest::Identify, within).await {
             Ok(ControlReply::Identity {
                 identity,
                 cluster: None,
-            }) => Some(identity),
+                region,
+            }) => Some((identity, region)),
             _ => None,
         }
     }
--- a/control/src/members.rs
+++ b/control/src/members.rs
@@ -16,6 +16,8 @@
 pub struct Member {
     /// Name of the instance that it runs on; arena keys may differ between releases of settings.
     pub instance: String,
+    /// Region that it runs in; empty where it does not matter.
+    pub region: String,
     /// Identity of its folder.
     pub identity: ReplicaIdentity,
     /// What it may do.
@@ -27,6 +29,8 @@
 pub enum MemberRole {
     /// Counts for majorities.
     Voter,
+    /// Follows the log without a vote.
+    Observer,
     /// Follows the log without a vote, until it takes the place of a voter.
     Learner {
         /// Identity of the voter that it takes the place of.
@@ -44,7 +48,7 @@
     pub fn learner(&self) -> Option<(&Member, ReplicaIdentity)> {
         self.list.iter().find_map(|m| match m.role {
             MemberRole::Learner { replaces } => Some((m, replaces)),
-            MemberRole::Voter => None,
+            MemberRole::Voter | MemberRole::Observer => None,
         })
     }
 
@@ -57,6 +61,7 @@
     ///
     /// let voter = |number: u128| Member {
     ///     instance: format!("control-{number}"),
+    ///     region: String::new(),
     ///     identity: ReplicaIdentity(number),
     ///     role: MemberRole::Voter,
     /// };
@@ -84,30 +89,25 @@
         count >= self.majority()
     }
 
-    /// Returns the members with a learner added; an earlier learner of the instance goes.
-    pub fn with_learner(
-        &self,
-        instance: &str,
-        identity: ReplicaIdentity,
-        replaces: ReplicaIdentity,
-    ) -> Self {
-        let mut list: Vec<Member> = self
+    /// Returns the members with one added; an earlier one of its instance without a vote goes.
+    pub fn with(&self, added: Member) -> Self {
+        let kept = self
             .list
             .iter()
-            .filter(|m| m.role == MemberRole::Voter || m.instance != instance)
-            .cloned()
-            .collect();
-        list.push(Member {
-            instance: instance.to_owned(),
-            identity,
-            role: MemberRole::Learner { replaces },
-        });
+            .filter(|m| m.role == MemberRole::Voter || m.instance != added.instance);
+        let mut list: Vec<Member> = kept.cloned().collect();
+        list.push(added);
         Self {
             cluster: self.cluster,
             list,
         }
     }
 
+    /// Returns the members that follow without a vote and replace none.
+    pub fn observers(&self) -> impl Iterator<Item = &Member> + '_ {
+        self.list.iter().filter(|m| m.role == MemberRole::Observer)
+    }
+
     /// Returns the members without an identity.
     pub fn without(&self, identity: ReplicaIdentity) -> Self {
         let list = self.list.iter().filter(|m| m.identity != identity);
--- a/control/src/proposals.rs
+++ b/control/src/proposals.rs
@@ -8,8 +8,8 @@
 use crate::decider::{Decider, Decision};
 use crate::volatile::Volatile;
 use crate::{
-    Committed, Disk, Entry, Members, NotRun, Payload, PeerLink, ReplicaIdentity, StorageError,
-    SubmitError,
+    Candidate, Committed, Disk, Entry, Member, MemberRole, Members, NotRun, Payload, PeerLink,
+    ReplicaIdentity, StorageError, SubmitError,
 };
 
 /// Submissions that are stored together at most.
@@ -34,11 +34,19 @@
 pub(crate) enum MembersChange {
     AddLearner {
         instance: String,
+        region: String,
         identity: ReplicaIdentity,
         replaces: ReplicaIdentity,
     },
     RemoveVoter(ReplicaIdentity),
     Promote(ReplicaIdentity),
+    AddObserver(Candidate),
+    /// Drops a member without a vote.
+    RemoveFollower(ReplicaIdentity),
+    /// Takes the vote of one that is gone, while observers wait for its place.
+    RetireVoter(ReplicaIdentity),
+    /// Gives a vote to an observer that has caught up.
+    PromoteObserver(ReplicaIdentity),
 }
 
 /// Batch that is decided but not yet committed.
@@ -246,12 +254,21 @@
     match change {
         MembersChange::AddLearner {
             instance,
+            region,
             identity,
             replaces,
         } => {
             let free = learner.is_none_or(|(member, _)| member.instance == *instance);
             let fits = free && members.is_voter(*replaces) && members.find(*identity).is_none();
-            fits.then(|| members.with_learner(instance, *identity, *replaces))
+            let replaces = *replaces;
+            fits.then(|| {
+                members.with(Member {
+                    instance: instance.clone(),
+                    region: region.clone(),
+                    identity: *identity,
+                    role: MemberRole::Learner { replaces },
+                })
+            })
         }
         MembersChange::RemoveVoter(identity) => {
             let fits = learner.is_some_and(|(_, replaces)| replaces == *identity);
@@ -263,9 +280,40 @@
             });
             fits.then(|| members.promoted(*identity))
         }
+        MembersChange::AddObserver(candidate) => {
+            let fits = members.find(candidate.identity).is_none()
+                && members
+                    .voters()
+                    .all(|voter| voter.instance != candidate.instance);
+            fits.then(|| {
+                members.with(Member {
+                    instance: candidate.instance.clone(),
+                    region: candidate.region.clone(),
+                    identity: candidate.identity,
+                    role: MemberRole::Observer,
+                })
+            })
+        }
+        MembersChange::RemoveFollower(identity) => {
+            let fits = members.find(*identity).is_some() && !members.is_voter(*identity);
+            fits.then(|| members.without(*identity))
+        }
+        MembersChange::RetireVoter(identity) => {
+            let fits = learner.is_none() && members.is_voter(*identity);
+            fits.then(|| members.without(*identity))
+        }
+        MembersChange::PromoteObserver(identity) => {
+            is_observer(members, *identity).then(|| members.promoted(*identity))
+        }
     }
 }
 
+fn is_observer(members: &Members, identity: ReplicaIdentity) -> bool {
+    members
+        .observers()
+        .any(|observer| observer.identity == identity)
+}
+
 /// Returns the answer to a submission that may be committed or not.
 pub(crate) fn unknown(submission: &Submission, reason: &str) -> SubmitError {
     SubmitError::Unknown {
--- a/control/src/replacement.rs
+++ b/control/src/replacement.rs
@@ -37,7 +37,7 @@
         }
         match volatile.members.learner() {
             Some((learner, replaces)) => self.advance(&volatile, learner.identity, replaces),
-            None => self.find_blank(&volatile),
+            None => self.find_blank(&volatile).or_else(|| self.grow(&volatile)),
         }
     }
 
@@ -49,16 +49,17 @@
     ) -> Option<MembersChange> {
         let progress = volatile.progress.get(&learner)?;
         if let Some(identity) = progress.blank_identity {
-            let instance = volatile.members.find(learner)?.instance.clone();
+            let member = volatile.members.find(learner)?;
             return Some(MembersChange::AddLearner {
-                instance,
+                instance: member.instance.clone(),
+                region: member.region.clone(),
                 identity,
                 replaces,
             });
         }
         let lacks = volatile.commit_index.saturating_sub(progress.matched_index);
         if lacks > CAUGHT_UP_ENTRIES || !progress.answered_within(self.settings.election()) {
-            return None;
+            return self.drop_learner(volatile, learner);
         }
         if !volatile.members.is_voter(replaces) {
             return Some(MembersChange::Promote(learner));
@@ -75,6 +76,7 @@
             self.endangered(volatile, member.identity).ok()?;
             Some(MembersChange::AddLearner {
                 instance: member.instance.clone(),
+                region: member.region.clone(),
                 identity,
                 replaces: member.identity,
             })
@@ -82,7 +84,11 @@
     }
 
     /// Checks that a majority of all voters answers without `old`.
-    fn endangered(&self, volatile: &Volatile, old: ReplicaIdentity) -> Result<(), ReplaceError> {
+    pub(crate) fn endangered(
+        &self,
+        volatile: &Volatile,
+        old: ReplicaIdentity,
+    ) -> Result<(), ReplaceError> {
         let others = volatile
             .members
             .voters()
@@ -119,10 +125,11 @@
             self.hand_over().await;
             return Err(ReplaceError::NoLeader);
         }
-        let identity = self.identity_of(new).await?;
-        let instance = self.settings.topology.instance(new).name.clone();
+        let (identity, region) = self.identity_of(new).await?;
+        let instance = self.settings.names.name(new);
         let added = MembersChange::AddLearner {
             instance: instance.clone(),
+            region,
             identity,
             replaces,
         };
@@ -139,8 +146,8 @@
         old: InstanceId,
         new: InstanceId,
     ) -> Result<ReplicaIdentity, ReplaceError> {
-        let topology = &self.settings.topology;
-        let (old, new) = (&topology.instance(old).name, &topology.instance(new).name);
+        let names = &self.settings.names;
+        let (old, new) = (&names.name(old), &names.name(new));
         let volatile = self.volatile();
         if !self.has_lease(&volatile) {
             return Err(ReplaceError::NoLeader);
@@ -165,16 +172,22 @@
         Ok(voter.identity)
     }
 
-    async fn identity_of(&self, instance: InstanceId) -> Result<ReplicaIdentity, ReplaceError> {
-        let name = self.settings.topology.instance(instance).name.clone();
+    async fn identity_of(
+        &self,
+        instance: InstanceId,
+    ) -> Result<(ReplicaIdentity, String), ReplaceError> {
+        let name = self.settings.names.name(instance);
         let within = self.settings.election();
         let reply = self.call(instance, ControlRequest::Identify, within).await;
-        let Ok(ControlReply::Identity { identity, .. }) = reply else {
+        let Ok(ControlReply::Identity {
+            identity, region, ..
+        }) = reply
+        else {
             return Err(ReplaceError::Unreachable { instance: name });
         };
         match self.volatile().members.find(identity) {
             Some(_) => Err(ReplaceError::AlreadyAVoter { instance: name }),
-            None => Ok(identity),
+            None => Ok((identity, region)),
         }
     }
 
--- a/control/src/replay.rs
+++ b/control/src/replay.rs
@@ -99,6 +99,12 @@
         Change::Unsteer { block } => {
             Arc::make_mut(&mut configuration.steering).remove(*block);
         }
+        Change::Items { items } => {
+            let held = Arc::make_mut(&mut configuration.items);
+            for named in items {
+                held.merge(named);
+            }
+        }
         Change::Revert { .. } => {}
     }
 }
--- a/control/src/replica.rs
+++ b/control/src/replica.rs
@@ -70,7 +70,7 @@
     ) -> Result<Self, ControlError> {
         settings.check()?;
         let mut generator = ChaCha8Rng::seed_from_u64(settings.seed);
-        let name = settings.topology.instance(settings.me).name.clone();
+        let name = settings.names.name(settings.me);
         let (store, loaded) = open(&disk, &name, (settings.new_identity)()).await?;
         if loaded.cut_bytes > 0 {
             warn!(log, "cut off what an interrupted write left at the end of the log";
@@ -94,6 +94,7 @@
             stopped: watch::Sender::new(false),
             tasks: Mutex::new(JoinSet::new()),
             incoming: Mutex::new(Incoming::default()),
+            candidates: Mutex::default(),
             peers: Mutex::new(BTreeSet::new()),
             settings,
         });
@@ -104,6 +105,7 @@
         core.spawn(core.clone().run_elections(generator));
         core.spawn(core.clone().run_proposals(waiting));
         core.spawn(core.clone().run_replacements());
+        core.spawn(core.clone().run_joining());
         core.spawn(core.clone().run_drains());
         core.spawn(core.clone().run_snapshots());
         core.spawn(core.clone().run_backfill());
@@ -237,6 +239,28 @@
         self.core.volatile().state.changes_since(version)
     }
 
+    /// Returns whether this replica is a member that leads or heard its leader of late.
+    pub fn is_led(&self) -> bool {
+        self.core.is_led_member()
+    }
+
+    /// Returns the name of the leader, as far as this replica knows.
+    pub fn leader_name(&self) -> Option<String> {
+        Some(self.core.settings.names.name(self.leader()?))
+    }
+
+    /// Returns whether this replica leads and no other can lead at this moment.
+    pub fn leads(&self) -> bool {
+        self.core.has_lease(&self.core.volatile())
+    }
+
+    /// Returns the names of the members.
+    pub fn members(&self) -> Vec<String> {
+        let volatile = self.core.volatile();
+        let members = volatile.members.list.iter();
+        members.map(|member| member.instance.clone()).collect()
+    }
+
     /// Returns what this replica knows about itself and the others.
     pub fn status(&self) -> Status {
         let volatile = self.core.volatile();
--- a/control/src/replica_settings.rs
+++ b/control/src/replica_settings.rs
@@ -4,7 +4,7 @@
 
 use laburnumdeal_model::{InstanceId, Topology};
 
-use crate::{ControlError, Faults, ReplicaIdentity};
+use crate::{ControlError, Faults, GrowthSettings, InstanceNames, ReplicaIdentity};
 
 /// Time between two heartbeats of a leader.
 const HEARTBEAT_MS: u64 = 100;
@@ -26,6 +26,12 @@
     pub folder: PathBuf,
     /// Everything that exists, which changes are checked against.
     pub topology: Arc<Topology>,
+    /// Names of the instances that replicas run on.
+    pub names: Arc<InstanceNames>,
+    /// Region of this instance; voters are spread over regions. Empty where it does not matter.
+    pub region: String,
+    /// How the log grows; `None` keeps the first members until an operator replaces one.
+    pub growth: Option<GrowthSettings>,
     /// Time between two heartbeats of a leader.
     pub heartbeat_ms: u64,
     /// Shortest silence after which a follower stands for election.
@@ -56,6 +62,9 @@
             me,
             replicas,
             folder: folder.to_owned(),
+            names: Arc::new(InstanceNames::of(&topology)),
+            region: String::new(),
+            growth: None,
             topology,
             heartbeat_ms: HEARTBEAT_MS,
             election_ms: ELECTION_MS,
--- a/control/src/reply.rs
+++ b/control/src/reply.rs
@@ -12,6 +12,15 @@
         identity: ReplicaIdentity,
         /// Log that it belongs to; `None` while it is blank.
         cluster: Option<ClusterId>,
+        /// Region that it runs in.
+        region: String,
+    },
+    /// What a replica that asked to join needs to know.
+    Joined {
+        /// Name of the leader, as far as the receiver knows.
+        leader: Option<String>,
+        /// Names of the members, as far as the receiver knows.
+        members: Vec<String>,
     },
     /// Whether a vote was given.
     Vote {
--- a/control/src/request.rs
+++ b/control/src/request.rs
@@ -1,13 +1,15 @@
 use laburnumdeal_model::{Digest, InstanceId, Submission, Term};
 use serde::{Deserialize, Serialize};
 
-use crate::{Entry, Header};
+use crate::{Candidate, Entry, Header};
 
 /// Request from one replica to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ControlRequest {
     /// Asks for the receiver's identity.
     Identify,
+    /// Asks to be taken in as a member.
+    Join(Candidate),
     /// Asks for a vote.
     Vote {
         /// Term that the sender stands for, and the two ends.
--- a/control/src/undo.rs
+++ b/control/src/undo.rs
@@ -107,7 +107,7 @@
             parts.collect()
         }
         Change::Unsteer { block } => vec![steering_part(before, *block)],
-        Change::Revert { .. } => Vec::new(),
+        Change::Items { .. } | Change::Revert { .. } => Vec::new(),
     }
 }
 
--- a/control/src/volatile.rs
+++ b/control/src/volatile.rs
@@ -186,8 +186,9 @@
         })
     }
 
-    /// Returns the last entry that a majority has synced.
-    pub fn majority_index(&self) -> u64 {
+    /// Returns the last entry that a majority, and `copies` voters where there are so many, have
+    /// synced.
+    pub fn majority_index(&self, copies: usize) -> u64 {
         let matched = self
             .members
             .voters()
@@ -200,8 +201,8 @@
             });
         let mut matched: Vec<u64> = matched.collect();
         matched.sort_unstable_by(|a, b| b.cmp(a));
-        let majority = self.members.majority();
-        matched.get(majority - 1).copied().unwrap_or(0)
+        let needed = self.members.majority().max(copies.min(matched.len()));
+        matched.get(needed - 1).copied().unwrap_or(0)
     }
 
     /// Gives up leading or standing for election.
--- a/control/tests/cluster.rs
+++ b/control/tests/cluster.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use laburnumdeal_control::{
-    Committed, ControlError, Faults, ReplicaIdentity, ReplicaSettings, Role, SubmitError,
+    Committed, ControlError, Faults, InstanceNames, ReplicaIdentity, ReplicaSettings, Role,
+    SubmitError,
 };
 use laburnumdeal_model::{Change, InstanceId, Submission, Topology, Version, embedded_topology};
 use slog::{Discard, Logger, o};
@@ -108,6 +109,9 @@
             replicas: self.first.clone(),
             folder: PathBuf::new(),
             topology: self.topology.clone(),
+            names: Arc::new(InstanceNames::of(&self.topology)),
+            region: String::new(),
+            growth: None,
             heartbeat_ms: HEARTBEAT_MS,
             election_ms: ELECTION_MS,
             lease_ms: LEASE_MS,
--- a/daemon/src/connection_pool.rs
+++ b/daemon/src/connection_pool.rs
@@ -37,6 +37,8 @@
     Any,
     /// One that answered a short while ago, or a new one.
     ProvedLive,
+    /// One that answered less than this time ago, or a new one.
+    Within(Duration),
     /// A new one.
     New,
 }
@@ -110,6 +112,10 @@
                 idle.retain(Connection::is_open);
                 idle.pop()
             }
+            Freshness::Within(age) => {
+                idle.retain(|connection| connection.is_open() && connection.idle_for() < age);
+                idle.pop()
+            }
             Freshness::ProvedLive => {
                 let newest = idle.pop_if(|connection| connection.is_proved_live());
                 newest.filter(Connection::is_open)
--- a/daemon/src/daemon_error.rs
+++ b/daemon/src/daemon_error.rs
@@ -23,6 +23,12 @@
         /// Cause.
         source: std::io::Error,
     },
+    /// A control instance has no data folder.
+    #[display("data_folder is missing, but a control instance needs one")]
+    NoDataFolder,
+    /// An entry instance has no address for callers.
+    #[display("caller_address is missing, but an entry instance needs one")]
+    NoCallerAddress,
     /// The stored configuration cannot be read.
     #[display("stored configuration {}: {reason}", path.display())]
     #[from(skip)]
--- a/daemon/src/get_json.rs
+++ b/daemon/src/get_json.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use derive_more::{Display, Error};
 use http::{Method, Request};
 use http_body_util::{BodyExt, Limited};
 use serde::de::DeserializeOwned;
@@ -15,31 +17,70 @@
 /// Longest document that is read.
 const MAX_DOCUMENT_BYTES: usize = 4 * 1024 * 1024;
 
+/// Reports why there is no document.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum GetJsonError {
+    /// There is no answer, or none that can be read.
+    #[display("{reason}")]
+    Unreadable {
+        /// What went wrong.
+        reason: String,
+    },
+    /// The answer has a status other than success.
+    #[display("answered with status {status}")]
+    Status {
+        /// Status code.
+        status: u16,
+    },
+}
+
 /// Returns the document at a path, or why there is none.
 pub async fn get_json<T: DeserializeOwned>(
     pool: &ConnectionPool,
-    path: &'static str,
+    path: &str,
     timeout: Duration,
-) -> Result<T, String> {
+) -> Result<T, GetJsonError> {
+    let body = get_document(pool, path, timeout).await?;
+    serde_json::from_slice(&body).map_err(|error| unreadable(&error.to_string()))
+}
+
+/// Returns the bytes of the document at a path.
+///
+/// # Errors
+///
+/// Returns why there is none.
+pub async fn get_document(
+    pool: &ConnectionPool,
+    path: &str,
+    timeout: Duration,
+) -> Result<Bytes, GetJsonError> {
     let deadline = Instant::now() + timeout;
-    let mut request = Request::new(RequestBody::whole(bytes::Bytes::new()));
+    let mut request = Request::new(RequestBody::whole(Bytes::new()));
     *request.method_mut() = Method::GET;
-    *request.uri_mut() = http::Uri::from_static(path);
+    *request.uri_mut() = path.parse().map_err(|_| unreadable("the path is no URI"))?;
     let host = header::value(&pool.address().to_string());
     request.headers_mut().insert(http::header::HOST, host);
     let (response, guard) = exchange::send(pool, Freshness::Any, request, deadline, None)
         .await
-        .map_err(|error| error.to_string())?;
+        .map_err(|error| unreadable(&error.to_string()))?;
     let status = response.status();
     let limited = Limited::new(response.into_body(), MAX_DOCUMENT_BYTES);
     let body = tokio::time::timeout_at(deadline, limited.collect())
         .await
-        .map_err(|_| "no answer before the timeout".to_owned())?
-        .map_err(|error| error.to_string())?
+        .map_err(|_| unreadable("no answer before the timeout"))?
+        .map_err(|error| unreadable(&error.to_string()))?
         .to_bytes();
     guard.complete();
     if !status.is_success() {
-        return Err(format!("answered with status {}", status.as_u16()));
+        return Err(GetJsonError::Status {
+            status: status.as_u16(),
+        });
+    }
+    Ok(body)
+}
+
+fn unreadable(reason: &str) -> GetJsonError {
+    GetJsonError::Unreadable {
+        reason: reason.to_owned(),
     }
-    serde_json::from_slice(&body).map_err(|error| error.to_string())
 }
--- a/daemon/src/logger.rs
+++ b/daemon/src/logger.rs
@@ -8,8 +8,17 @@
 
 /// Returns a logger that writes JSON lines to standard error, and the guard that flushes it.
 pub fn open(level: &str, instance: &str) -> (Logger, slog_async::AsyncGuard) {
+    open_to(io::stderr(), level, instance)
+}
+
+/// Returns a logger that writes JSON lines, and the guard that flushes it.
+pub fn open_to(
+    writer: impl io::Write + Send + 'static,
+    level: &str,
+    instance: &str,
+) -> (Logger, slog_async::AsyncGuard) {
     let level = Level::from_str(level).unwrap_or(Level::Info);
-    let json = slog_json::Json::new(io::stderr())
+    let json = slog_json::Json::new(writer)
         .add_default_keys()
         .build()
         .fuse();
--- a/daemon/src/platform_poller.rs
+++ b/daemon/src/platform_poller.rs
@@ -56,7 +56,7 @@
             Ok(list) => take(&state, &list, &leaving),
             Err(reason) => {
                 warn!(state.log, "platform list is missing";
-                    "address" => address.to_string(), "reason" => reason);
+                    "address" => address.to_string(), "reason" => reason.to_string());
             }
         }
     }
--- a/daemon/src/request_body.rs
+++ b/daemon/src/request_body.rs
@@ -1,3 +1,4 @@
+use std::collections::VecDeque;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
@@ -19,6 +20,15 @@
         /// Bytes that may still follow.
         remaining_bytes: u64,
     },
+    /// Begins with frames that were read before, and is passed on from there.
+    Resumed {
+        /// Frames that were read before.
+        held: VecDeque<Bytes>,
+        /// Rest of the body.
+        inner: Incoming,
+        /// Bytes that may still follow.
+        remaining_bytes: u64,
+    },
 }
 
 impl RequestBody {
@@ -51,6 +61,17 @@
                 let frame = std::task::ready!(Pin::new(inner).poll_frame(cx));
                 Poll::Ready(frame.map(|frame| limit(frame?, remaining_bytes)))
             }
+            Self::Resumed {
+                held,
+                inner,
+                remaining_bytes,
+            } => {
+                if let Some(bytes) = held.pop_front() {
+                    return Poll::Ready(Some(Ok(Frame::data(bytes))));
+                }
+                let frame = std::task::ready!(Pin::new(inner).poll_frame(cx));
+                Poll::Ready(frame.map(|frame| limit(frame?, remaining_bytes)))
+            }
         }
     }
 
@@ -58,6 +79,7 @@
         match self {
             Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
             Self::Stream { inner, .. } => inner.is_end_stream(),
+            Self::Resumed { held, inner, .. } => held.is_empty() && inner.is_end_stream(),
         }
     }
 
@@ -65,6 +87,7 @@
         match self {
             Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
             Self::Stream { inner, .. } => inner.size_hint(),
+            Self::Resumed { .. } => SizeHint::default(),
         }
     }
 }
--- /dev/null
+++ b/daemon/src/roles/follow_message.rs
@@ -0,0 +1,74 @@
+use laburnumdeal_control::{ControlReply, ControlRequest};
+use laburnumdeal_model::{Applied, Configuration, Version};
+use laburnumdeal_policy::steer::UpstreamRecord;
+use serde::{Deserialize, Serialize};
+
+use crate::roles::crash_marks::CrashMark;
+
+/// Message to a control instance.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Call {
+    /// Request of another replica of the change log.
+    Control {
+        /// Name of the sender.
+        from: String,
+        /// The request.
+        request: ControlRequest,
+    },
+    /// Asks for whatever is newer than what the sender knows.
+    Follow(FollowRequest),
+}
+
+/// Reply to a [`Call`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Reply {
+    /// Reply of a replica.
+    Control(ControlReply),
+    /// What is newer.
+    Follow(Box<FollowReply>),
+}
+
+/// What an instance knows already.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct FollowRequest {
+    /// Version of the configuration in force; `None` for a sender that needs none.
+    pub version: Option<Version>,
+    /// Mark of the list of upstreams.
+    pub list_mark: u64,
+    /// Mark of the list of entry instances.
+    pub roster_mark: u64,
+    /// Crashes that the receiver may not know.
+    pub crashes: Vec<CrashMark>,
+    /// Time to wait when there is nothing new.
+    pub wait_ms: u64,
+}
+
+/// What is newer than what the sender of a [`FollowRequest`] knows.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct FollowReply {
+    /// Whether the replica hears a leader; otherwise it may be cut off.
+    pub is_led: bool,
+    /// Newer configuration.
+    pub configuration: ConfigurationUpdate,
+    /// Age of the list of upstreams; `None` when it was never read.
+    pub list_age_ms: Option<u64>,
+    /// List of upstreams, unless its mark was known.
+    pub list: Option<Vec<UpstreamRecord>>,
+    /// Mark and names of the entry instances, unless the mark was known.
+    pub roster: Option<(u64, Vec<String>)>,
+    /// Addresses of the control instances for other instances.
+    pub controls: Vec<String>,
+    /// Crashes of late.
+    pub crashes: Vec<CrashMark>,
+}
+
+/// Newer configuration.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ConfigurationUpdate {
+    /// There is none.
+    Same,
+    /// Changes since the version that was known.
+    Changes(Vec<Applied>),
+    /// All of it.
+    Whole(Box<Configuration>),
+}
--- /dev/null
+++ b/daemon/src/roles/list_keeper.rs
@@ -0,0 +1,127 @@
+//! Keeps the list of upstreams of a control instance: the leader reads it, the others follow the
+//! leader and read it themselves only when the leader's word grows old.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{info, warn};
+use tokio::time::{Instant, sleep};
+
+use crate::roles::control_node::ControlState;
+use crate::roles::follow_message::{Call, FollowRequest, Reply};
+use crate::roles::{ListError, ListedUpstreams, UpstreamSource};
+
+/// Time between two reads of the list by the leader.
+const READ_EVERY: Duration = Duration::from_millis(400);
+
+/// Time between two reads by an instance that has no fresh word of the leader.
+const READ_ALONE_EVERY: Duration = Duration::from_millis(1_200);
+
+/// Part of the allowed calls that one reader makes.
+const CALLS_USED: f64 = 0.5;
+
+/// Age at which the leader's word counts as old.
+const OLD_AFTER: Duration = Duration::from_millis(2_000);
+
+/// Time that the leader waits for something new before it answers.
+const FOLLOW_WAIT: Duration = Duration::from_millis(800);
+
+/// Time after which the leader counts as silent.
+const FOLLOW_TIMEOUT: Duration = Duration::from_millis(1_600);
+
+/// Reads or follows the list for as long as the process runs.
+pub async fn run<S: UpstreamSource>(state: Arc<ControlState>, source: S) {
+    let mut available = true;
+    loop {
+        let me = state.settings.peer_address(state.settings.address);
+        let leader = state.replica.leader_name();
+        let leader: Option<SocketAddr> = leader.and_then(|name| name.parse().ok());
+        let followed = match leader {
+            Some(leader) if leader != me => follow(&state, leader).await,
+            _ => false,
+        };
+        let age = state.list.borrow().age(Instant::now());
+        let leads = state.replica.leads();
+        if leads || (!followed && age.is_none_or(|age| age > OLD_AFTER)) {
+            let calls = read(&state, &source, &mut available).await;
+            let pause = calls as f64 / (state.settings.list_calls_per_s * CALLS_USED);
+            let least = if leads { READ_EVERY } else { READ_ALONE_EVERY };
+            sleep(least.max(Duration::from_secs_f64(pause))).await;
+        } else if !followed {
+            sleep(READ_EVERY).await;
+        }
+    }
+}
+
+/// Reads the list; returns the calls that it took.
+async fn read<S: UpstreamSource>(state: &ControlState, source: &S, available: &mut bool) -> usize {
+    let asked_at = Instant::now();
+    state.metrics.list_read();
+    match source.read().await {
+        Ok(read) => {
+            if !*available {
+                info!(state.log, "list of upstreams is available again");
+            }
+            *available = true;
+            take(state, ListedUpstreams::new(read.records, asked_at));
+            read.calls
+        }
+        Err(error) => {
+            if *available || error == ListError::TooOften {
+                warn!(state.log, "list of upstreams is not available"; "error" => %error);
+            }
+            *available = false;
+            1
+        }
+    }
+}
+
+/// Waits for the leader's word; returns whether it came.
+async fn follow(state: &ControlState, leader: SocketAddr) -> bool {
+    let held = state.list.borrow().clone();
+    let request = FollowRequest {
+        version: None,
+        list_mark: held.mark,
+        roster_mark: 0,
+        crashes: state.crashes.lock().expect("no holder panics").list(),
+        wait_ms: FOLLOW_WAIT.as_millis() as u64,
+    };
+    let call = Call::Follow(request);
+    let Ok(Reply::Follow(reply)) = state.client.call(leader, &call, FOLLOW_TIMEOUT).await else {
+        return false;
+    };
+    let now = Instant::now();
+    let mut crashes = state.crashes.lock().expect("no holder panics");
+    crashes.add(&reply.crashes, now);
+    drop(crashes);
+    let Some(age_ms) = reply.list_age_ms else {
+        return false;
+    };
+    let age = Duration::from_millis(age_ms);
+    let read_at = now.checked_sub(age).unwrap_or(now);
+    let list = match reply.list {
+        Some(records) => ListedUpstreams::new(records, read_at),
+        None => ListedUpstreams {
+            read_at: Some(read_at),
+            ..(*held).clone()
+        },
+    };
+    take(state, list);
+    age < OLD_AFTER
+}
+
+fn take(state: &ControlState, list: ListedUpstreams) {
+    state.list.send_if_modified(|held| {
+        if !list.is_newer_than(held) {
+            return false;
+        }
+        let differs = list.mark != held.mark;
+        if differs {
+            info!(state.log, "list of upstreams changed"; "upstreams" => list.records.len(),
+                "mark" => format!("{:016x}", list.mark));
+        }
+        *held = Arc::new(list);
+        differs
+    });
+}
--- /dev/null
+++ b/daemon/src/roles/mod.rs
@@ -0,0 +1,31 @@
+//! Roles of instances that come and go: entry instances forward requests, control instances keep
+//! the configuration, the list of upstreams and the list of entry instances.
+
+mod caller_dialect;
+mod control_node;
+mod crash_marks;
+mod entry_node;
+mod entry_state;
+mod event_log;
+mod follow_message;
+mod follower;
+mod forward_handler;
+mod forwarding;
+mod held_body;
+mod list_keeper;
+mod node_metrics;
+mod node_settings;
+mod page_handler;
+mod presence;
+mod registry;
+mod rpc_client;
+mod rpc_handler;
+mod upstream_attempt;
+mod upstream_list;
+
+pub use caller_dialect::CallerDialect;
+pub use control_node::{ControlHandle, ControlNode, Submitted};
+pub use entry_node::EntryNode;
+pub use node_settings::NodeSettings;
+pub use presence::{Presence, PresenceState};
+pub use upstream_list::{ListError, ListRead, ListedUpstreams, UpstreamSource};
--- /dev/null
+++ b/daemon/src/roles/node_metrics.rs
@@ -0,0 +1,173 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+use crate::roles::Submitted;
+
+/// Smallest bucket of the latency histograms, in seconds.
+const FIRST_BUCKET_SECONDS: f64 = 0.004;
+
+/// Number of buckets of the latency histograms; each is twice the one before.
+const BUCKETS: u16 = 12;
+
+/// Counts and times of one instance. Cheap to clone.
+#[derive(Clone)]
+pub(super) struct NodeMetrics {
+    registry: Arc<Registry>,
+    requests: Family<OutcomeLabels, Counter>,
+    attempts: Family<OutcomeLabels, Counter>,
+    latency: Family<ServiceLabels, Histogram>,
+    retries: Family<ServiceLabels, Counter>,
+    changes: Family<ChangeLabels, Counter>,
+    list_reads: Counter,
+    led: Gauge,
+    version: Gauge,
+    list_age_ms: Gauge,
+    left_out: Counter,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct OutcomeLabels {
+    service: String,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ChangeLabels {
+    outcome: &'static str,
+}
+
+impl NodeMetrics {
+    /// Registers every metric.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("laburnum");
+        let requests = Family::default();
+        let attempts = Family::default();
+        let latency = Family::new_with_constructor(new_histogram as fn() -> Histogram);
+        let (retries, changes) = (Family::default(), Family::default());
+        let (list_reads, left_out) = (Counter::default(), Counter::default());
+        let (led, version, list_age_ms) = (Gauge::default(), Gauge::default(), Gauge::default());
+        let help = "Requests of callers by outcome";
+        registry.register("requests", help, Family::clone(&requests));
+        let help = "Attempts at upstreams by outcome";
+        registry.register("attempts", help, Family::clone(&attempts));
+        let help = "Time until the answer";
+        registry.register_with_unit("request_latency", help, Unit::Seconds, latency.clone());
+        let help = "Attempts that arrived after the first one of a request";
+        registry.register("retries", help, Family::clone(&retries));
+        let help = "Changes of operators by outcome";
+        registry.register("changes", help, Family::clone(&changes));
+        registry.register(
+            "list_reads",
+            "Reads of the list of upstreams",
+            list_reads.clone(),
+        );
+        registry.register("led", "1 while the change log has a leader", led.clone());
+        registry.register(
+            "configuration_version",
+            "Version of the configuration in force",
+            version.clone(),
+        );
+        registry.register(
+            "list_age_milliseconds",
+            "Age of the list of upstreams",
+            list_age_ms.clone(),
+        );
+        registry.register("log_lines_left_out", "Log lines left out", left_out.clone());
+        Self {
+            registry: Arc::new(registry),
+            requests,
+            attempts,
+            latency,
+            retries,
+            changes,
+            list_reads,
+            led,
+            version,
+            list_age_ms,
+            left_out,
+        }
+    }
+
+    /// Counts a request that ended.
+    pub fn request(&self, service: &str, outcome: &'static str, took: Duration) {
+        let service = service.to_owned();
+        let labels = OutcomeLabels { service, outcome };
+        self.requests.get_or_create(&labels).inc();
+        let labels = ServiceLabels {
+            service: labels.service,
+        };
+        let latency = self.latency.get_or_create(&labels);
+        latency.observe(took.as_secs_f64());
+    }
+
+    /// Counts an attempt that ended.
+    pub fn attempt(&self, service: &str, outcome: &'static str) {
+        let service = service.to_owned();
+        let labels = OutcomeLabels { service, outcome };
+        self.attempts.get_or_create(&labels).inc();
+    }
+
+    /// Counts an attempt after the first of a request.
+    pub fn retried(&self, service: &str) {
+        let service = service.to_owned();
+        self.retries.get_or_create(&ServiceLabels { service }).inc();
+    }
+
+    /// Counts a change.
+    pub fn change(&self, outcome: &Submitted) {
+        let outcome = match outcome {
+            Submitted::Accepted => "accepted",
+            Submitted::Refused(_) => "refused",
+            Submitted::Unknown { .. } => "unknown",
+        };
+        self.changes.get_or_create(&ChangeLabels { outcome }).inc();
+    }
+
+    /// Counts a read of the list of upstreams.
+    pub fn list_read(&self) {
+        self.list_reads.inc();
+    }
+
+    /// Shows whether the change log has a leader.
+    pub fn led(&self, led: bool) {
+        self.led.set(i64::from(led));
+    }
+
+    /// Shows the version in force.
+    pub fn version(&self, version: u64) {
+        self.version.set(version as i64);
+    }
+
+    /// Shows the age of the list of upstreams.
+    pub fn list_age(&self, age: Duration) {
+        self.list_age_ms.set(age.as_millis() as i64);
+    }
+
+    /// Counts log lines that were left out.
+    pub fn left_out(&self, lines: u64) {
+        self.left_out.inc_by(lines);
+    }
+
+    /// Returns every metric in the OpenMetrics text format.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        text::encode(&mut text, &self.registry).expect("writing to a string succeeds");
+        text
+    }
+}
+
+fn new_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKETS))
+}
--- /dev/null
+++ b/daemon/src/roles/page_handler.rs
@@ -0,0 +1,47 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use crate::answer_body::AnswerBody;
+use crate::daemon_error::DaemonError;
+use crate::http_server::{Handle, HttpServer};
+use crate::roles::node_metrics::NodeMetrics;
+
+/// Serves one page whatever the path.
+pub(super) struct PageHandler<F> {
+    page: F,
+}
+
+impl<F> PageHandler<F>
+where
+    F: Fn() -> (StatusCode, String) + Send + Sync + 'static,
+{
+    /// Serves a page on an address.
+    pub async fn bind(address: SocketAddr, page: F) -> Result<HttpServer, DaemonError> {
+        HttpServer::bind(address, Arc::new(PageHandler { page })).await
+    }
+}
+
+impl PageHandler<fn() -> (StatusCode, String)> {
+    /// Serves metrics on an address.
+    pub async fn metrics(
+        address: SocketAddr,
+        metrics: NodeMetrics,
+    ) -> Result<HttpServer, DaemonError> {
+        PageHandler::bind(address, move || (StatusCode::OK, metrics.render())).await
+    }
+}
+
+impl<F> Handle for PageHandler<F>
+where
+    F: Fn() -> (StatusCode, String) + Send + Sync + 'static,
+{
+    async fn handle(&self, _request: Request<Incoming>, _peer: SocketAddr) -> Response<AnswerBody> {
+        let (status, text) = (self.page)();
+        let mut response = Response::new(AnswerBody::whole(text));
+        *response.status_mut() = status;
+        response
+    }
+}
--- /dev/null
+++ b/daemon/src/roles/rpc_handler.rs
@@ -0,0 +1,139 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use laburnumdeal_control::ControlReply;
+use laburnumdeal_model::Version;
+use slog::warn;
+use tokio::time::{Instant, sleep_until};
+
+use crate::answer_body::AnswerBody;
+use crate::http_server::Handle;
+use crate::roles::control_node::ControlState;
+use crate::roles::follow_message::{Call, ConfigurationUpdate, FollowReply, FollowRequest, Reply};
+
+/// Longest message.
+const MAX_CALL_BYTES: usize = 32 * 1024 * 1024;
+
+/// Longest time that a follower is kept waiting.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+
+/// Time between two looks at what is not announced.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+
+/// Answers messages of other instances.
+pub(super) struct RpcHandler {
+    state: Arc<ControlState>,
+}
+
+impl RpcHandler {
+    pub fn new(state: Arc<ControlState>) -> Self {
+        Self { state }
+    }
+
+    async fn answer(&self, call: Call) -> Reply {
+        match call {
+            Call::Control { from, request } => match self.state.names.key(&from) {
+                Some(from) => Reply::Control(self.state.replica.handle(from, request).await),
+                None => Reply::Control(ControlReply::Failed),
+            },
+            Call::Follow(request) => Reply::Follow(Box::new(self.follow(request).await)),
+        }
+    }
+
+    /// Answers as soon as something is newer than what the sender knows, or when it waited.
+    async fn follow(&self, request: FollowRequest) -> FollowReply {
+        let now = Instant::now();
+        let wait = Duration::from_millis(request.wait_ms).min(MAX_WAIT);
+        let mut configuration = self.state.replica.watch();
+        let mut list = self.state.list.subscribe();
+        self.take_crashes(&request, now);
+        loop {
+            let is_due = now.elapsed() >= wait;
+            if is_due || self.has_news(&request) {
+                return self.reply(&request);
+            }
+            let look_at = (Instant::now() + LOOK_EVERY).min(now + wait);
+            tokio::select! {
+                _ = configuration.changed() => {}
+                _ = list.changed() => {}
+                () = sleep_until(look_at) => {}
+            }
+        }
+    }
+
+    fn take_crashes(&self, request: &FollowRequest, now: Instant) {
+        let mut crashes = self.state.crashes.lock().expect("no holder panics");
+        if crashes.add(&request.crashes, now) {
+            warn!(self.state.log, "a request crashed an upstream";
+                "marks" => request.crashes.len());
+        }
+    }
+
+    fn has_news(&self, request: &FollowRequest) -> bool {
+        let version = self.state.replica.watch().borrow().version;
+        let newer = request.version.is_some_and(|known| version > known);
+        let list = self.state.list.borrow();
+        let roster = self.state.registry.roster(Instant::now()).0;
+        let crashes = self.state.crashes.lock().expect("no holder panics").list();
+        newer
+            || (list.read_at.is_some() && list.mark != request.list_mark)
+            || (request.roster_mark != 0 && roster != request.roster_mark)
+            || crashes.iter().any(|mark| !request.crashes.contains(mark))
+    }
+
+    fn reply(&self, request: &FollowRequest) -> FollowReply {
+        let now = Instant::now();
+        let list = self.state.list.borrow().clone();
+        let (roster_mark, roster) = self.state.registry.roster(now);
+        let age = list.age(now);
+        FollowReply {
+            is_led: self.state.replica.is_led(),
+            configuration: self.update(request.version),
+            list_age_ms: age.map(|age| age.as_millis() as u64),
+            list: (age.is_some() && list.mark != request.list_mark).then(|| list.records.to_vec()),
+            roster: (roster_mark != request.roster_mark).then_some((roster_mark, roster)),
+            controls: self.state.replica.members(),
+            crashes: self.state.crashes.lock().expect("no holder panics").list(),
+        }
+    }
+
+    fn update(&self, known: Option<Version>) -> ConfigurationUpdate {
+        let Some(known) = known else {
+            return ConfigurationUpdate::Same;
+        };
+        let newest = self.state.replica.watch().borrow().clone();
+        if newest.version <= known {
+            return ConfigurationUpdate::Same;
+        }
+        match self.state.replica.changes_since(known) {
+            Some(changes) if known > Version(0) => ConfigurationUpdate::Changes(changes),
+            _ => ConfigurationUpdate::Whole(Box::new((*newest).clone())),
+        }
+    }
+}
+
+impl Handle for RpcHandler {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<AnswerBody> {
+        let body = Limited::new(request.into_body(), MAX_CALL_BYTES);
+        let Ok(body) = body.collect().await else {
+            return refused("the message broke off");
+        };
+        let call = match rmp_serde::from_slice(&body.to_bytes()) {
+            Ok(call) => call,
+            Err(error) => return refused(&error.to_string()),
+        };
+        let reply = self.answer(call).await;
+        let bytes = rmp_serde::to_vec(&reply).expect("replies are plain data");
+        Response::new(AnswerBody::whole(bytes))
+    }
+}
+
+fn refused(reason: &str) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(reason.to_owned()));
+    *response.status_mut() = StatusCode::BAD_REQUEST;
+    response
+}
--- a/language/src/change_text.rs
+++ b/language/src/change_text.rs
@@ -58,7 +58,10 @@
                 target,
                 moved_permille,
             } => write!(f, "step {target} to {}", Share(*moved_permille)),
-            Change::Undrain { .. } | Change::Unsteer { .. } | Change::Revert { .. } => {
+            Change::Undrain { .. }
+            | Change::Unsteer { .. }
+            | Change::Items { .. }
+            | Change::Revert { .. } => {
                 write!(f, "{}", self.0)
             }
         }
--- a/daemon/src/main.rs
+++ b/launcher/src/main.rs
@@ -8,6 +8,9 @@
 use laburnumdeal_model::Settings;
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Threads that wait for the disk.
+const BLOCKING_THREADS: usize = 2;
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     match run(&arguments) {
@@ -20,6 +23,11 @@
 }
 
 fn run(arguments: &[String]) -> Result<()> {
+    if arguments.is_empty()
+        && let Some(path) = laburnumdeal_platform::settings_path()
+    {
+        return serve_on_platform(&path);
+    }
     match Options::parse(arguments)? {
         Options::Help => print!("{}", Options::usage()),
         Options::Version => println!("laburnumdeald {}", env!("CARGO_PKG_VERSION")),
@@ -32,6 +40,16 @@
     Ok(())
 }
 
+/// Runs an instance on the users' platform. One thread serves everything, as an instance has a
+/// part of one core.
+fn serve_on_platform(path: &Path) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .max_blocking_threads(BLOCKING_THREADS)
+        .build()?;
+    runtime.block_on(laburnumdeal_platform::run(path))
+}
+
 #[tokio::main]
 async fn serve(path: &Path) -> Result<()> {
     let settings = Settings::open(path)?;
--- a/model/src/change.rs
+++ b/model/src/change.rs
@@ -2,7 +2,7 @@
 use ipnet::IpNet;
 use serde::{Deserialize, Serialize};
 
-use crate::{Target, Version};
+use crate::{NamedItem, Target, Version};
 
 /// One change of the configuration. Names refer to the topology, so that a record
 /// keeps its meaning when arenas are ordered differently.
@@ -86,6 +86,12 @@
         /// Block of caller addresses.
         block: IpNet,
     },
+    /// Sets or removes items that carry versions of their own, all or none.
+    #[display("set {}", names(items))]
+    Items {
+        /// Items with their versions.
+        items: Vec<NamedItem>,
+    },
     /// Restores the contents of an earlier version as a new version.
     #[display("revert to {to}")]
     Revert {
@@ -94,6 +100,11 @@
     },
 }
 
+fn names(items: &[NamedItem]) -> String {
+    let texts: Vec<String> = items.iter().map(|named| named.key.to_string()).collect();
+    texts.join(", ")
+}
+
 fn join(blocks: &[IpNet]) -> String {
     let texts: Vec<String> = blocks.iter().map(IpNet::to_string).collect();
     texts.join(", ")
--- a/model/src/configuration.rs
+++ b/model/src/configuration.rs
@@ -4,7 +4,7 @@
 use ipnet::IpNet;
 use serde::{Deserialize, Serialize};
 
-use crate::{Change, Digest, NameKind, Refusal, Steering, Target, Topology, Version};
+use crate::{Change, Digest, Items, NameKind, Refusal, Steering, Target, Topology, Version};
 
 /// Thousandths that make a whole.
 pub const WHOLE_PERMILLE: u16 = 1000;
@@ -41,6 +41,8 @@
     pub link_caps: BTreeMap<(String, String), u64>,
     /// Zones that blocks of callers are steered to; shared between versions that leave it alone.
     pub steering: Arc<Steering>,
+    /// Routes, services and limits; shared between versions that leave them alone.
+    pub items: Arc<Items>,
 }
 
 /// One drain and how far it has come.
@@ -89,6 +91,7 @@
     pub fn restore(&self, earlier: &Self) -> Self {
         Self {
             version: self.version.next(),
+            items: self.items.clone(),
             ..earlier.clone()
         }
     }
@@ -102,6 +105,7 @@
             &self.shift_caps,
             &self.region_caps,
             &self.link_caps,
+            &*self.items,
         );
         let bytes = rmp_serde::to_vec(&small).expect("plain data encodes");
         Digest::of(&[&bytes, &self.steering.digest().0])
@@ -186,6 +190,10 @@
                     block: block.to_string(),
                 }),
             },
+            Change::Items { items } => {
+                self.items = Arc::new(self.items.merged(items)?);
+                Ok(())
+            }
             Change::Revert { to } => Err(Refusal::VersionNotKept {
                 to: *to,
                 oldest: self.version,
--- /dev/null
+++ b/model/src/items.rs
@@ -0,0 +1,133 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Item, ItemKey, ItemValue, LimitsItem, NamedItem, Refusal, RouteItem, ServiceItem};
+
+/// Items of the configuration, each with a version of its own. The highest version of a name is
+/// in force, whether it sets or removes the item.
+///
+/// # Examples
+///
+/// ```
+/// use laburnumdeal_model::{Item, ItemKey, Items, LimitsItem, NamedItem};
+///
+/// let limits = LimitsItem::default();
+/// let item = Item { version: 7, value: Some(limits.into()), original: String::new() };
+/// let items = Items::default().merged(&[NamedItem { key: ItemKey::Limits, item }]).unwrap();
+/// assert_eq!(items.limits(), Some(&limits));
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Items {
+    map: BTreeMap<ItemKey, Arc<Item>>,
+}
+
+impl Items {
+    /// Returns the items after a change, or why all of it is refused.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal::InvalidItem`] with the first item that is wrong, and
+    /// [`Refusal::ItemConflict`] for other contents under a version that is taken.
+    pub fn merged(&self, changes: &[NamedItem]) -> Result<Self, Refusal> {
+        let mut next = self.clone();
+        for named in changes {
+            self.check(named)?;
+            next.merge(named);
+        }
+        for (key, item) in &next.map {
+            if let Some(ItemValue::Route(route)) = &item.value {
+                next.check_services(key, route)?;
+            }
+        }
+        Ok(next)
+    }
+
+    /// Takes an item over when its version is higher than the one held.
+    pub fn merge(&mut self, named: &NamedItem) {
+        let held = self.map.get(&named.key).map_or(0, |item| item.version);
+        if named.item.version > held {
+            let item = Arc::new(named.item.clone());
+            self.map.insert(named.key.clone(), item);
+        }
+    }
+
+    /// Returns the routes that stand, by name.
+    pub fn routes(&self) -> impl Iterator<Item = (&str, u64, &RouteItem)> {
+        self.map
+            .iter()
+            .filter_map(|(key, item)| match (key, &item.value) {
+                (ItemKey::Route(name), Some(ItemValue::Route(route))) => {
+                    Some((name.as_str(), item.version, route))
+                }
+                _ => None,
+            })
+    }
+
+    /// Returns the services that stand, by name.
+    pub fn services(&self) -> impl Iterator<Item = (&str, &ServiceItem)> {
+        self.map
+            .iter()
+            .filter_map(|(key, item)| match (key, &item.value) {
+                (ItemKey::Service(name), Some(ItemValue::Service(service))) => {
+                    Some((name.as_str(), service))
+                }
+                _ => None,
+            })
+    }
+
+    /// Returns the limits on callers, if they are set.
+    pub fn limits(&self) -> Option<&LimitsItem> {
+        match &self.map.get(&ItemKey::Limits)?.value {
+            Some(ItemValue::Limits(limits)) => Some(limits),
+            _ => None,
+        }
+    }
+
+    /// Returns every item that stands.
+    pub fn standing(&self) -> impl Iterator<Item = (&ItemKey, &Item)> {
+        let items = self.map.iter().map(|(key, item)| (key, &**item));
+        items.filter(|(_, item)| item.value.is_some())
+    }
+
+    /// Returns whether no item was ever set.
+    pub fn is_empty(&self) -> bool {
+        self.map.is_empty()
+    }
+
+    fn check(&self, named: &NamedItem) -> Result<(), Refusal> {
+        if let Some(ItemValue::Route(route)) = &named.item.value
+            && let Some(reason) = route.fault()
+        {
+            return Err(invalid(&named.key, reason));
+        }
+        match self.map.get(&named.key) {
+            Some(held) if held.version == named.item.version && **held != named.item => {
+                Err(Refusal::ItemConflict {
+                    item: named.key.to_string(),
+                    version: held.version,
+                })
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn check_services(&self, key: &ItemKey, route: &RouteItem) -> Result<(), Refusal> {
+        let stands = |name: &str| {
+            let service = self.map.get(&ItemKey::Service(name.to_owned()));
+            service.is_some_and(|item| item.value.is_some())
+        };
+        match route.services.iter().find(|(name, _)| !stands(name)) {
+            Some((name, _)) => Err(invalid(key, &format!("service {name:?} does not exist"))),
+            None => Ok(()),
+        }
+    }
+}
+
+fn invalid(key: &ItemKey, reason: &str) -> Refusal {
+    Refusal::InvalidItem {
+        item: key.to_string(),
+        reason: reason.to_owned(),
+    }
+}
--- a/model/src/refusal.rs
+++ b/model/src/refusal.rs
@@ -26,6 +26,22 @@
         /// Name as given.
         name: String,
     },
+    /// An item of the configuration is wrong.
+    #[display("{item} is invalid: {reason}")]
+    InvalidItem {
+        /// Item as given.
+        item: String,
+        /// What is wrong with it.
+        reason: String,
+    },
+    /// An item has other contents under a version that is taken.
+    #[display("version {version} of {item} is taken by other contents")]
+    ItemConflict {
+        /// Item as given.
+        item: String,
+        /// Version that is taken.
+        version: u64,
+    },
     /// An upstream is listed for a service that it does not serve.
     #[display("upstream {upstream:?} does not serve service {service:?}")]
     WrongService {
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -110,6 +110,7 @@
 mod slot_grant;
 mod slow_start;
 mod standing;
+pub mod steer;
 mod stored_answer;
 mod take_over;
 mod ticket;
--- /dev/null
+++ b/policy/src/steer/decision.rs
@@ -0,0 +1,55 @@
+use std::time::Duration;
+
+use crate::steer::UpstreamKey;
+
+/// Request for which an upstream is chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Service that it goes to.
+    pub service: &'a str,
+    /// Hash of the object that it concerns.
+    pub object: u64,
+    /// Regions that may serve it; empty for all.
+    pub regions: &'a [String],
+    /// Upstreams that it was sent to before.
+    pub tried: &'a [UpstreamKey],
+    /// Time that is left.
+    pub left: Duration,
+    /// Time since the request began.
+    pub elapsed: Duration,
+    /// Time within which an answer is worth its full benefit.
+    pub target_latency: Duration,
+    /// Rank when room is short; 0 is the most urgent.
+    pub priority: u32,
+}
+
+/// Upstream for a request with the estimates behind it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Decision {
+    /// Upstream.
+    pub upstream: UpstreamKey,
+    /// Expected time until the answer.
+    pub expected_ms: f64,
+    /// Part of the expected time spent in the upstream's queue.
+    pub wait_ms: f64,
+    /// Whether the upstream is likely to know the object.
+    pub warm: bool,
+    /// Place of the upstream among those for the object.
+    pub rank: usize,
+}
+
+/// What is done with a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    /// It is sent.
+    Send(Decision),
+    /// No upstream can answer in time, or the queues are better kept short.
+    Busy {
+        /// Time after which there should be room.
+        retry_after: Duration,
+        /// Shortest expected time.
+        expected_ms: f64,
+    },
+    /// No upstream of the service takes work.
+    NoUpstream,
+}
--- /dev/null
+++ b/policy/src/steer/load_estimate.rs
@@ -0,0 +1,79 @@
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Age at which half of what others had at an upstream is taken to be gone.
+const HALF_LIFE: Duration = Duration::from_millis(1_500);
+
+/// Weight of a new report against the ones before.
+const REPORT_WEIGHT: f64 = 0.6;
+
+/// Load that an upstream tells in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UpstreamLoad {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Requests that it can run at a time.
+    pub slots: u32,
+}
+
+/// Requests at one upstream: this instance's own, counted exactly, and those of others as the
+/// upstream told them last.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoadEstimate {
+    own: u32,
+    others: f64,
+    told_at: Option<Instant>,
+}
+
+impl LoadEstimate {
+    /// Counts a request that is sent.
+    pub fn sent(&mut self) {
+        self.own += 1;
+    }
+
+    /// Counts a request that ended.
+    pub fn ended(&mut self) {
+        self.own = self.own.saturating_sub(1);
+    }
+
+    /// Returns this instance's own requests in progress.
+    pub fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Takes in what the upstream told; the request that was just answered no longer counts.
+    pub fn told(&mut self, load: UpstreamLoad, now: Instant) {
+        let total = f64::from(load.running + load.waiting);
+        let others = (total - f64::from(self.own)).max(0.0);
+        let earlier = self.others(now);
+        let weight = if self.told_at.is_some() {
+            REPORT_WEIGHT
+        } else {
+            1.0
+        };
+        self.others = weight * others + (1.0 - weight) * earlier;
+        self.told_at = Some(now);
+    }
+
+    /// Returns the requests expected at the upstream now.
+    pub fn expected(&self, now: Instant) -> f64 {
+        f64::from(self.own) + self.others(now)
+    }
+
+    /// Forgets what the upstream told.
+    pub fn forget(&mut self) {
+        self.others = 0.0;
+        self.told_at = None;
+    }
+
+    fn others(&self, now: Instant) -> f64 {
+        let Some(told_at) = self.told_at else {
+            return 0.0;
+        };
+        let age = (now - told_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.others * 0.5_f64.powf(age)
+    }
+}
--- /dev/null
+++ b/policy/src/steer/mod.rs
@@ -0,0 +1,25 @@
+//! Choice of upstreams while upstreams, services and routes come and go: route table, expected
+//! time by load and warmth, cold starts, and the shares of sums over all instances.
+
+mod cold_share;
+mod decision;
+mod load_estimate;
+mod object_memory;
+mod retry_share;
+mod route_table;
+mod service_times;
+mod upstream_book;
+mod upstream_entry;
+mod upstream_record;
+
+pub use cold_share::ColdShare;
+pub use decision::{Ask, Decision, Verdict};
+pub use load_estimate::{LoadEstimate, UpstreamLoad};
+pub use object_memory::ObjectMemory;
+pub use retry_share::RetryShare;
+pub use route_table::{Route, RouteTable};
+pub use service_times::ServiceTimes;
+pub use upstream_book::{
+    BookSettings, Outcome as AttemptOutcome, UpstreamBook, UpstreamKey, hash_of,
+};
+pub use upstream_record::UpstreamRecord;
