--- a/control/src/formation.rs
+++ b/control/src/formation.rs
@@ -17,7 +17,10 @@
     /// lost its disk meets others that are not, and waits to be brought in as a learner.
     pub async fn run_formation(self: Arc<Self>, mut generator: ChaCha8Rng) {
         let may_form = self.settings.growth.is_none_or(|growth| growth.may_form);
-        if !may_form || self.settings.replicas.iter().min() != Some(&self.settings.me) {
+        // Keys may differ between processes, names do not.
+        let names = self.settings.replicas.iter();
+        let first = names.map(|key| self.settings.names.name(*key)).min();
+        if !may_form || first.as_ref() != Some(&self.name) {
             return;
         }
         while self.volatile().cluster().is_none() {
