Send an object to three upstreams at most, and keep queues within the target latency

Cause: the objects of a region belong to it alone, and an upstream remembers some dozens; a busy upstream's objects were spread over all others, which then ran them in three times the time and forgot their own.

--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -22,6 +22,16 @@
 /// Part of the allowed slack of retries that instances spend.
 const RETRY_SLACK_USED: f64 = 0.6;
 
+/// Retries that an instance holds of each service until it knows the number of instances.
+const FIRST_RETRIES: f64 = 1.0;
+
+/// Retries that this instance may spend, by service.
+#[derive(Debug)]
+struct Retries {
+    by_service: HashMap<String, RetryShare>,
+    held_at_most: f64,
+}
+
 /// Routes of one version of the configuration.
 #[derive(Clone, Debug, Default)]
 pub(super) struct InForce {
@@ -38,7 +48,7 @@
     pub metrics: NodeMetrics,
     book: Mutex<UpstreamBook>,
     pools: Mutex<HashMap<UpstreamKey, ConnectionPool>>,
-    retries: Mutex<RetryShare>,
+    retries: Mutex<Retries>,
     in_force: RwLock<InForce>,
     pub crashes: Mutex<CrashMarks>,
     list: Mutex<ListedUpstreams>,
@@ -48,7 +58,10 @@
 
 impl EntryState {
     pub fn new(settings: NodeSettings, log: Logger, metrics: NodeMetrics) -> Self {
-        let retries = RetryShare::new(settings.retry_ratio * RETRY_RATIO_USED, 2.0);
+        let retries = Retries {
+            by_service: HashMap::new(),
+            held_at_most: FIRST_RETRIES,
+        };
         Self {
             book: Mutex::new(UpstreamBook::new(settings.book())),
             pools: Mutex::default(),
@@ -69,9 +82,27 @@
         self.book.lock().expect("no holder panics")
     }
 
-    /// Returns the retries that may be spent, locked.
-    pub fn retries(&self) -> MutexGuard<'_, RetryShare> {
-        self.retries.lock().expect("no holder panics")
+    /// Counts a request for the retries of its service.
+    pub fn earn_retry(&self, service: &str) {
+        self.with_retries(service, RetryShare::earn);
+    }
+
+    /// Takes one retry of a service, if there is one.
+    pub fn spend_retry(&self, service: &str) -> bool {
+        self.with_retries(service, RetryShare::spend)
+    }
+
+    fn with_retries<T>(&self, service: &str, act: impl FnOnce(&mut RetryShare) -> T) -> T {
+        let mut retries = self.retries.lock().expect("no holder panics");
+        let (ratio, most) = (
+            self.settings.retry_ratio * RETRY_RATIO_USED,
+            retries.held_at_most,
+        );
+        let shares = &mut retries.by_service;
+        if !shares.contains_key(service) {
+            shares.insert(service.to_owned(), RetryShare::new(ratio, most));
+        }
+        act(shares.get_mut(service).expect("it was just added"))
     }
 
     /// Returns the connections to an upstream.
@@ -187,7 +218,11 @@
         let instances = book.instances() as f64;
         drop(book);
         let most = self.settings.retry_slack * RETRY_SLACK_USED / instances;
-        self.retries().resize(most);
+        let mut retries = self.retries.lock().expect("no holder panics");
+        retries.held_at_most = most;
+        let shares = retries.by_service.values_mut();
+        shares.for_each(|share| share.resize(most));
+        drop(retries);
         info!(self.events.rare(), "entry instances counted"; "instances" => instances,
             "retries_held_at_most" => most);
     }
--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -96,7 +96,7 @@
 
     /// Sends the request until an upstream answers, or nothing more can be done for it.
     pub async fn run<D: CallerDialect>(&mut self) -> Forwarded {
-        self.state.retries().earn();
+        self.state.earn_retry(self.service);
         loop {
             let decision = match self.choose() {
                 Verdict::Send(decision) => decision,
@@ -107,7 +107,7 @@
                     return self.give_up("no upstream takes work", NO_UPSTREAM_PAUSE);
                 }
             };
-            if self.arrivals > 0 && !self.state.retries().spend() {
+            if self.arrivals > 0 && !self.state.spend_retry(self.service) {
                 return self.give_up("no retry is left to spend", NO_UPSTREAM_PAUSE);
             }
             self.last = Some(decision);
--- a/policy/src/steer/decision.rs
+++ b/policy/src/steer/decision.rs
@@ -32,6 +32,10 @@
     pub expected_ms: f64,
     /// Part of the expected time spent in the upstream's queue.
     pub wait_ms: f64,
+    /// Requests expected at the upstream.
+    pub load: f64,
+    /// Age of what the upstream told of its load; `None` when it told nothing.
+    pub told_age: Option<Duration>,
     /// Whether the upstream is likely to know the object.
     pub warm: bool,
     /// Place of the upstream among those for the object.
--- a/policy/src/steer/load_estimate.rs
+++ b/policy/src/steer/load_estimate.rs
@@ -3,7 +3,7 @@
 use tokio::time::Instant;
 
 /// Age at which half of what others had at an upstream is taken to be gone.
-const HALF_LIFE: Duration = Duration::from_millis(1_500);
+const HALF_LIFE: Duration = Duration::from_millis(4_000);
 
 /// Weight of a new report against the ones before.
 const REPORT_WEIGHT: f64 = 0.6;
@@ -63,6 +63,11 @@
         f64::from(self.own) + self.others(now)
     }
 
+    /// Returns the age of what the upstream told.
+    pub fn told_age(&self, now: Instant) -> Option<Duration> {
+        self.told_at.map(|at| now - at)
+    }
+
     /// Forgets what the upstream told.
     pub fn forget(&mut self) {
         self.others = 0.0;
--- a/policy/src/steer/upstream_book.rs
+++ b/policy/src/steer/upstream_book.rs
@@ -8,8 +8,8 @@
 use crate::steer::upstream_entry::UpstreamEntry;
 use crate::steer::{Ask, ColdShare, Decision, ServiceTimes, UpstreamLoad, UpstreamRecord, Verdict};
 
-/// Upstreams of an object that are weighed before all others are.
-const RANKS_WEIGHED: usize = 4;
+/// Upstreams that an object is sent to. More would know more objects than they remember.
+const RANKS: usize = 3;
 
 /// How much more likely an upstream of the own region is the first for an object.
 const NEAR_WEIGHT: f64 = 3.0;
@@ -20,8 +20,14 @@
 /// Part of the extra time of an unknown object that counts against teaching one more upstream.
 const TEACHING_SHARE: f64 = 0.5;
 
-/// Queues, as part of the target latency, that are accepted for the ranks of priority.
-const QUEUE_BY_PRIORITY: [f64; 3] = [1.0, 0.8, 0.6];
+/// Expected times, as part of the target latency, that are accepted for the ranks of priority.
+const EXPECTED_BY_PRIORITY: [f64; 3] = [1.0, 0.95, 0.9];
+
+/// Queue, as part of the target latency, that is accepted whatever the expected time.
+const LEAST_QUEUE: f64 = 0.15;
+
+/// Part of its slots up to which an upstream is taught objects that it does not know.
+const TAUGHT_UP_TO: f64 = 0.7;
 
 /// Shortest and longest time that a caller is told to stay away.
 const RETRY_AFTER_MS: (f64, f64) = (60.0, 1_500.0);
@@ -214,12 +220,8 @@
         let ranked = || candidates.iter().enumerate().map(decide);
         let cost = |decision: &(Decision, f64)| decision.1;
         let best = ranked()
-            .take(RANKS_WEIGHED)
+            .take(RANKS)
             .min_by(|a, b| cost(a).total_cmp(&cost(b)));
-        let best = match best {
-            Some((decision, _)) if self.is_good(ask, &decision) => Some((decision, 0.0)),
-            _ => ranked().min_by(|a, b| cost(a).total_cmp(&cost(b))),
-        };
         match best {
             Some((decision, _)) if self.is_good(ask, &decision) => Verdict::Send(decision),
             Some((decision, _)) => self.busy(ask, &decision),
@@ -355,10 +357,11 @@
         let near = self.region_of(&entry.record.zone) == self.settings.region;
         let far_ms = if near { 0.0 } else { FAR_MS };
         let teaching_ms = times.expected_ms(false) - times.expected_ms(true);
-        let discount_ms = if warm {
-            0.0
-        } else {
-            teaching_ms * (1.0 - TEACHING_SHARE)
+        let has_room =
+            entry.load.expected(now) + 1.0 <= f64::from(entry.record.slots) * TAUGHT_UP_TO;
+        let discount_ms = match !warm && has_room {
+            true => teaching_ms * (1.0 - TEACHING_SHARE),
+            false => 0.0,
         };
         let target_ms = ask.target_latency.as_secs_f64() * 1_000.0;
         let expected_ms = wait_ms + service_ms + far_ms;
@@ -367,6 +370,8 @@
             upstream: key,
             expected_ms,
             wait_ms,
+            load: entry.load.expected(now),
+            told_age: entry.load.told_age(now),
             warm,
             rank,
         };
@@ -375,12 +380,12 @@
 
     fn is_good(&self, ask: &Ask<'_>, decision: &Decision) -> bool {
         let left_ms = ask.left.as_secs_f64() * 1_000.0;
-        decision.wait_ms <= queue_limit_ms(ask) && decision.expected_ms <= left_ms
+        decision.wait_ms <= queue_limit_ms(ask, decision) && decision.expected_ms <= left_ms
     }
 
     fn busy(&self, ask: &Ask<'_>, decision: &Decision) -> Verdict {
         let (least, most) = RETRY_AFTER_MS;
-        let over_ms = decision.wait_ms - queue_limit_ms(ask) * 0.5;
+        let over_ms = decision.wait_ms - queue_limit_ms(ask, decision) * 0.5;
         Verdict::Busy {
             retry_after: Duration::from_secs_f64(over_ms.clamp(least, most) / 1_000.0),
             expected_ms: decision.expected_ms,
@@ -388,10 +393,14 @@
     }
 }
 
-fn queue_limit_ms(ask: &Ask<'_>) -> f64 {
-    let last = QUEUE_BY_PRIORITY.len() - 1;
-    let share = QUEUE_BY_PRIORITY[(ask.priority as usize).min(last)];
-    ask.target_latency.as_secs_f64() * 1_000.0 * share
+/// Returns the longest wait with which an answer still comes within the target latency.
+fn queue_limit_ms(ask: &Ask<'_>, decision: &Decision) -> f64 {
+    let last = EXPECTED_BY_PRIORITY.len() - 1;
+    let share = EXPECTED_BY_PRIORITY[(ask.priority as usize).min(last)];
+    let target_ms = ask.target_latency.as_secs_f64() * 1_000.0;
+    let elapsed_ms = ask.elapsed.as_secs_f64() * 1_000.0;
+    let beside_ms = decision.expected_ms - decision.wait_ms + elapsed_ms;
+    (target_ms * share - beside_ms).max(target_ms * LEAST_QUEUE)
 }
 
 /// Returns a hash of several texts that is equal on all instances.
