--- a/control/tests/control.rs
+++ b/control/tests/control.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod drains;
 mod fake_disk;
+mod growth;
 mod histories;
 mod membership;
 mod network;
--- a/daemon/src/roles/follower.rs
+++ b/daemon/src/roles/follower.rs
@@ -139,11 +139,11 @@
     }
     if let Some(age_ms) = reply.list_age_ms {
         let age = Duration::from_millis(age_ms);
-        let read_at = Some(now.checked_sub(age).unwrap_or(now));
+        let read_at = now.checked_sub(age).unwrap_or(now);
         let list = match reply.list {
-            Some(records) => ListedUpstreams::new(records, read_at.unwrap_or(now)),
+            Some(records) => ListedUpstreams::new(records, read_at),
             None => ListedUpstreams {
-                read_at,
+                read_at: Some(read_at),
                 ..state.list()
             },
         };
--- /dev/null
+++ b/model/tests/items.rs
@@ -0,0 +1,123 @@
+//! Items of the configuration, each with a version of its own.
+
+use laburnumdeal_model::{
+    Item, ItemKey, ItemValue, Items, NamedItem, Refusal, RouteItem, ServiceItem,
+};
+
+fn service(name: &str, version: u64) -> NamedItem {
+    let value = ServiceItem {
+        health_path: "/health".into(),
+        connections: 330,
+        warm_up_ms: 3_000,
+        warm_up_milli_per_s: 15_000,
+    };
+    named(ItemKey::Service(name.into()), version, Some(value.into()))
+}
+
+fn route_item(service: &str) -> RouteItem {
+    RouteItem {
+        host: "shop.example".into(),
+        path_prefix: "/cart/".into(),
+        idempotent: true,
+        timeout_ms: 800,
+        target_latency_ms: 400,
+        max_attempts: 2,
+        priority: 1,
+        services: vec![(service.into(), 1_000)],
+        regions: Vec::new(),
+        affinity: true,
+    }
+}
+
+fn route(version: u64, item: RouteItem) -> NamedItem {
+    named(ItemKey::Route("cart".into()), version, Some(item.into()))
+}
+
+fn named(key: ItemKey, version: u64, value: Option<ItemValue>) -> NamedItem {
+    let original = format!("{value:?}");
+    let item = Item {
+        version,
+        value,
+        original,
+    };
+    NamedItem { key, item }
+}
+
+fn first() -> Items {
+    let changes = [service("catalog", 7), route(7, route_item("catalog"))];
+    Items::default().merged(&changes).unwrap()
+}
+
+#[test]
+fn merged_higher_version_wins_lower_changes_nothing() {
+    let items = first().merged(&[service("billing", 3)]).unwrap();
+    let newer = items.merged(&[route(9, route_item("billing"))]).unwrap();
+    let older = newer.merged(&[route(8, route_item("catalog"))]).unwrap();
+    assert_eq!(older, newer);
+    assert_eq!(older.routes().next().unwrap().2, &route_item("billing"));
+}
+
+#[test]
+fn merged_same_version_again_is_accepted() {
+    let items = first();
+    let again = items.merged(&[route(7, route_item("catalog"))]).unwrap();
+    assert_eq!(again, items);
+}
+
+#[test]
+fn merged_same_version_with_other_contents_is_refused() {
+    let items = first().merged(&[service("billing", 3)]).unwrap();
+    let refusal = items.merged(&[route(7, route_item("billing"))]);
+    assert!(matches!(refusal, Err(Refusal::ItemConflict { .. })));
+}
+
+#[test]
+fn merged_removal_keeps_older_versions_out() {
+    let key = ItemKey::Route("cart".into());
+    let removed = first().merged(&[named(key, 9, None)]).unwrap();
+    assert_eq!(removed.routes().count(), 0);
+    let late = removed.merged(&[route(8, route_item("catalog"))]).unwrap();
+    assert_eq!(late.routes().count(), 0);
+    let back = late.merged(&[route(10, route_item("catalog"))]).unwrap();
+    assert_eq!(back.routes().count(), 1);
+}
+
+#[test]
+fn merged_invalid_item_refuses_the_whole_change() {
+    let good = route_item("catalog");
+    let cases = [
+        RouteItem {
+            services: vec![("nowhere".into(), 1_000)],
+            ..good.clone()
+        },
+        RouteItem {
+            services: vec![("catalog".into(), 0)],
+            ..good.clone()
+        },
+        RouteItem {
+            services: vec![("catalog".into(), 2_000), ("catalog".into(), -1)],
+            ..good.clone()
+        },
+        RouteItem {
+            timeout_ms: 0,
+            ..good.clone()
+        },
+        RouteItem {
+            max_attempts: 0,
+            ..good
+        },
+    ];
+    for case in cases {
+        let refusal = first().merged(&[service("extra", 1), route(9, case.clone())]);
+        assert!(
+            matches!(refusal, Err(Refusal::InvalidItem { .. })),
+            "{case:?}"
+        );
+    }
+}
+
+#[test]
+fn merged_service_that_a_route_needs_cannot_be_removed() {
+    let key = ItemKey::Service("catalog".into());
+    assert!(first().merged(&[named(key, 9, None)]).is_err());
+}
--- /dev/null
+++ b/policy/tests/steer/choose.rs
@@ -0,0 +1,137 @@
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use laburnumdeal_policy::steer::{AttemptOutcome, UpstreamLoad, Verdict};
+use tokio::time::Instant;
+
+use crate::setup::{ask, book, chosen, upstream};
+
+fn four() -> Vec<laburnumdeal_policy::steer::UpstreamRecord> {
+    ["a1", "a2", "b1", "c1"]
+        .iter()
+        .enumerate()
+        .map(|(number, zone)| upstream(number, zone, 9))
+        .collect()
+}
+
+#[test]
+fn choose_same_object_on_two_instances_is_the_same_upstream() {
+    let now = Instant::now();
+    let one = book("e-1", "a", &four(), now);
+    let mut reversed = four();
+    reversed.reverse();
+    let other = book("e-2", "a", &reversed, now);
+    for object in 0..200 {
+        let first = chosen(&one, object, now).map(|key| one.target(key).0.to_owned());
+        let second = chosen(&other, object, now).map(|key| other.target(key).0.to_owned());
+        assert_eq!(first, second);
+    }
+}
+
+#[test]
+fn choose_full_queues_reach_three_upstreams_of_an_object_at_most() {
+    let now = Instant::now();
+    let records: Vec<_> = (0..9).map(|number| upstream(number, "a1", 4)).collect();
+    let mut book = book("e-1", "a", &records, now);
+    let mut used = BTreeSet::new();
+    for _ in 0..400 {
+        if let Verdict::Send(decision) = book.choose(&ask(7), now) {
+            book.begin(&decision, now);
+            used.insert(decision.upstream);
+        }
+    }
+    assert_eq!(
+        used.len(),
+        3,
+        "more upstreams would learn and forget objects"
+    );
+}
+
+#[test]
+fn choose_leaving_missing_and_evacuated_get_nothing() {
+    let now = Instant::now();
+    let mut records = four();
+    records[0].leaving = true;
+    let mut book = book("e-1", "a", &records, now);
+    book.take_evacuated(BTreeSet::from(["b1".to_owned()]), now);
+    records.remove(3);
+    book.take_list(&records, now);
+    for object in 0..200 {
+        let key = chosen(&book, object, now).unwrap();
+        assert_eq!(book.target(key).0, "u-1");
+    }
+}
+
+#[test]
+fn choose_bound_regions_are_kept() {
+    let now = Instant::now();
+    let book = book("e-1", "a", &four(), now);
+    let regions = ["c".to_owned()];
+    for object in 0..100 {
+        let bound = laburnumdeal_policy::steer::Ask {
+            regions: &regions,
+            ..ask(object)
+        };
+        let Verdict::Send(decision) = book.choose(&bound, now) else {
+            panic!("an upstream of the region takes work");
+        };
+        assert_eq!(book.target(decision.upstream).0, "u-3");
+    }
+}
+
+#[test]
+fn choose_address_taken_over_by_another_upstream_is_a_new_key() {
+    let now = Instant::now();
+    let mut records = vec![upstream(0, "a1", 9)];
+    let mut book = book("e-1", "a", &records, now);
+    let before = chosen(&book, 1, now).unwrap();
+    records[0].id = "u-new".into();
+    book.take_list(&records, now);
+    let after = chosen(&book, 1, now).unwrap();
+    assert_ne!(before, after);
+    assert_eq!(
+        book.target(before).0,
+        "u-0",
+        "a request in flight keeps its own"
+    );
+    assert_eq!(book.target(after).0, "u-new");
+}
+
+#[test]
+fn choose_queue_beyond_the_target_is_refused_with_a_time_to_return() {
+    let now = Instant::now();
+    let mut book = book("e-1", "a", &[upstream(0, "a1", 2)], now);
+    let key = chosen(&book, 1, now).unwrap();
+    let load = UpstreamLoad {
+        running: 2,
+        waiting: 12,
+        slots: 2,
+    };
+    book.told(key, load, now);
+    match book.choose(&ask(1), now) {
+        Verdict::Busy { retry_after, .. } => assert!(retry_after > Duration::ZERO),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn choose_unreached_upstream_rests_and_comes_back_cold() {
+    let now = Instant::now();
+    let mut book = book("e-1", "a", &[upstream(0, "a1", 9)], now);
+    let Verdict::Send(decision) = book.choose(&ask(1), now) else {
+        panic!("it takes work");
+    };
+    book.begin(&decision, now);
+    book.end(&decision, 1, AttemptOutcome::Unreached, now);
+    assert_eq!(book.choose(&ask(1), now), Verdict::NoUpstream);
+    let later = now + Duration::from_secs(3);
+    book.take_instances((0..9).map(|number| format!("e-{number}")).collect());
+    let mut sent = 0;
+    while let Verdict::Send(decision) = book.choose(&ask(1), later) {
+        book.begin(&decision, later);
+        book.end(&decision, 1, AttemptOutcome::Cancelled, later);
+        sent += 1;
+        assert!(sent < 10, "a cold upstream is sent its share only");
+    }
+    assert!(sent > 0, "it is tried again");
+}
--- /dev/null
+++ b/policy/tests/steer/cold.rs
@@ -0,0 +1,70 @@
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use laburnumdeal_policy::steer::{AttemptOutcome, ColdShare, UpstreamBook, Verdict};
+use tokio::time::Instant;
+
+use crate::setup::{ask, book, upstream};
+
+/// Requests a second that a cold upstream may get: 15 x 1.5 + 5.
+const BOUND: usize = 27;
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("e-{number}")).collect()
+}
+
+/// Requests after which an upstream counts as unbounded.
+const UNBOUNDED: usize = 100;
+
+/// Sends as much as the book lets through at a moment.
+fn fill(book: &mut UpstreamBook, now: Instant) -> usize {
+    let mut sent = 0;
+    while let Verdict::Send(decision) = book.choose(&ask(1), now) {
+        book.begin(&decision, now);
+        book.end(&decision, 1, AttemptOutcome::Cancelled, now);
+        sent += 1;
+        if sent == UNBOUNDED {
+            break;
+        }
+    }
+    sent
+}
+
+#[test]
+fn allowed_shares_add_up_to_the_bound() {
+    for instances in 1..80 {
+        let sum: usize = (0..instances)
+            .map(|rank| ColdShare::allowed(27.0, instances, rank))
+            .sum();
+        assert_eq!(sum, 27, "{instances} instances");
+    }
+}
+
+#[test]
+fn choose_cold_upstream_gets_its_bound_from_all_instances_together() {
+    for count in [1, 2, 9, 15, 60] {
+        let now = Instant::now();
+        let mut record = upstream(0, "a1", 9);
+        record.cold_ms = 3_000;
+        let mut sum = 0;
+        for name in names(count) {
+            let mut book = book(&name, "a", std::slice::from_ref(&record), now);
+            book.take_instances(names(count));
+            sum += fill(&mut book, now);
+        }
+        assert!((1..=BOUND).contains(&sum), "{count} instances sent {sum}");
+    }
+}
+
+#[test]
+fn take_evacuated_zone_that_comes_back_is_cold() {
+    let start = Instant::now();
+    let mut book = book("e-0", "a", &[upstream(0, "a1", 9)], start);
+    book.take_instances(names(9));
+    book.take_evacuated(BTreeSet::from(["a1".to_owned()]), start);
+    let back = start + Duration::from_secs(8);
+    book.take_evacuated(BTreeSet::new(), back);
+    assert!(fill(&mut book, back) <= 3);
+    let warm = back + Duration::from_secs(5);
+    assert_eq!(fill(&mut book, warm), UNBOUNDED);
+}
--- /dev/null
+++ b/policy/tests/steer/load.rs
@@ -0,0 +1,51 @@
+//! Load that is heavy for upstreams which do not know their objects, and light for those which do.
+
+use crate::setup::upstream;
+use crate::world::World;
+
+const UPSTREAMS: usize = 14;
+const SLOTS: u32 = 9;
+const OBJECTS: u64 = 252;
+const REMEMBERED: usize = 75;
+const ENTRIES: usize = 9;
+
+fn world() -> World {
+    let records: Vec<_> = (0..UPSTREAMS)
+        .map(|number| upstream(number, "a1", SLOTS))
+        .collect();
+    World::new(&records, ENTRIES, OBJECTS, REMEMBERED)
+}
+
+/// Twice what the upstreams could run without known objects, from the first moment on.
+#[test]
+fn choose_cold_start_under_full_load_learns_objects_and_serves() {
+    let mut world = world();
+    world.play(20_000, 8_000, |_| 460.0);
+    let share = world.tally.share_in_target();
+    assert!(share >= 0.85, "{share:.3} in target: {:?}", world.tally);
+}
+
+/// A wave that swings by half around a load which fits.
+#[test]
+fn choose_wave_keeps_answers_in_target() {
+    let mut world = world();
+    world.play(40_000, 8_000, |now_ms| {
+        let turn = now_ms as f64 / 36_000.0 * std::f64::consts::TAU;
+        336.0 * (1.0 + 0.55 * turn.sin())
+    });
+    let share = world.tally.share_in_target();
+    assert!(share >= 0.85, "{share:.3} in target: {:?}", world.tally);
+}
+
+/// A burst far above the room: the rest is refused at once, what is served comes in time.
+#[test]
+fn choose_burst_refuses_at_once_and_recovers() {
+    let mut world = world();
+    world.play(12_000, 8_000, |now_ms| match now_ms {
+        8_000.. => 1_600.0,
+        _ => 336.0,
+    });
+    let tally = world.tally;
+    assert!(tally.failed * 10 <= tally.asked, "{tally:?}");
+    assert!(tally.in_target * 4 >= tally.asked, "{tally:?}");
+}
--- /dev/null
+++ b/policy/tests/steer/routes.rs
@@ -0,0 +1,75 @@
+use laburnumdeal_model::{Items, RouteItem};
+use laburnumdeal_policy::steer::{RetryShare, RouteTable};
+
+use crate::setup::{items, named};
+
+fn route(prefix: &str) -> RouteItem {
+    let items = items();
+    RouteItem {
+        path_prefix: prefix.into(),
+        ..items.routes().next().unwrap().2.clone()
+    }
+}
+
+fn table() -> RouteTable {
+    let mut items: Items = items();
+    for prefix in ["/shop/", "/shop/cart/"] {
+        let key = laburnumdeal_model::ItemKey::Route(prefix.into());
+        items = items.merged(&[named(key, route(prefix).into())]).unwrap();
+    }
+    RouteTable::new(&items)
+}
+
+#[test]
+fn find_longest_prefix_wins() {
+    let table = table();
+    let prefix = |path: &str| {
+        let route = table.find("shop.example", path);
+        route.map(|route| route.item.path_prefix.clone())
+    };
+    assert_eq!(prefix("/shop/cart/3").as_deref(), Some("/shop/cart/"));
+    assert_eq!(prefix("/shop/cartoon").as_deref(), Some("/shop/"));
+    assert_eq!(prefix("/shop").as_deref(), Some("/"));
+}
+
+#[test]
+fn find_other_host_has_no_route() {
+    assert!(table().find("other.example", "/shop/").is_none());
+    assert!(table().find("SHOP.example", "/shop/").is_some());
+}
+
+#[test]
+fn service_draws_follow_the_weights() {
+    let item = RouteItem {
+        services: vec![
+            ("one".into(), 90_000),
+            ("two".into(), 10_000),
+            ("no".into(), 0),
+        ],
+        ..route("/")
+    };
+    let route = laburnumdeal_policy::steer::Route {
+        name: "split".into(),
+        version: 1,
+        item,
+    };
+    let draws = (0..1_000).map(|draw| route.service(f64::from(draw) / 1_000.0));
+    let ones = draws.filter(|service| *service == "one").count();
+    assert_eq!(ones, 900);
+    assert_eq!(route.service(0.999_999_999_999), "two");
+}
+
+#[test]
+fn spend_sum_over_all_instances_stays_within_the_bound() {
+    let (ratio, slack, instances) = (0.2, 58.0, 15);
+    let mut spent = 0;
+    let requests = 4_000;
+    for _ in 0..instances {
+        let mut share = RetryShare::new(ratio * 0.75, slack * 0.6 / f64::from(instances));
+        for _ in 0..requests / instances {
+            share.earn();
+            spent += u32::from(share.spend()) + u32::from(share.spend());
+        }
+    }
+    assert!(f64::from(spent) <= ratio * f64::from(requests) + slack);
+}
--- /dev/null
+++ b/policy/tests/steer/setup.rs
@@ -0,0 +1,102 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use laburnumdeal_model::{Item, ItemKey, ItemValue, Items, NamedItem, RouteItem, ServiceItem};
+use laburnumdeal_policy::steer::{
+    Ask, BookSettings, UpstreamBook, UpstreamKey, UpstreamRecord, Verdict,
+};
+use tokio::time::Instant;
+
+pub const TARGET: Duration = Duration::from_millis(400);
+
+pub fn settings(instance: &str, region: &str) -> BookSettings {
+    let zones = [("a1", "a"), ("a2", "a"), ("b1", "b"), ("c1", "c")];
+    let zones = zones.map(|(zone, region)| (zone.to_owned(), region.to_owned()));
+    BookSettings {
+        instance: instance.to_owned(),
+        region: region.to_owned(),
+        zone_regions: HashMap::from(zones),
+        cold_overshoot: 1.5,
+        cold_slack: 5.0,
+    }
+}
+
+pub fn upstream(number: usize, zone: &str, slots: u32) -> UpstreamRecord {
+    UpstreamRecord {
+        id: format!("u-{number}"),
+        service: "catalog".into(),
+        address: format!("127.0.0.1:{}", 9_000 + number).parse().unwrap(),
+        zone: zone.into(),
+        slots,
+        leaving: false,
+        cold_ms: 0,
+    }
+}
+
+pub fn items() -> Items {
+    let route = RouteItem {
+        host: "shop.example".into(),
+        path_prefix: "/".into(),
+        idempotent: true,
+        timeout_ms: 800,
+        target_latency_ms: 400,
+        max_attempts: 2,
+        priority: 2,
+        services: vec![("catalog".into(), 1_000)],
+        regions: Vec::new(),
+        affinity: true,
+    };
+    let service = ServiceItem {
+        health_path: "/health".into(),
+        connections: 330,
+        warm_up_ms: 3_000,
+        warm_up_milli_per_s: 15_000,
+    };
+    Items::default()
+        .merged(&[
+            named(ItemKey::Service("catalog".into()), service.into()),
+            named(ItemKey::Route("all".into()), route.into()),
+        ])
+        .unwrap()
+}
+
+pub fn named(key: ItemKey, value: ItemValue) -> NamedItem {
+    let item = Item {
+        version: 1,
+        value: Some(value),
+        original: String::new(),
+    };
+    NamedItem { key, item }
+}
+
+pub fn book(
+    instance: &str,
+    region: &str,
+    records: &[UpstreamRecord],
+    now: Instant,
+) -> UpstreamBook {
+    let mut book = UpstreamBook::new(settings(instance, region));
+    book.take_items(&items());
+    book.take_list(records, now);
+    book
+}
+
+pub fn ask(object: u64) -> Ask<'static> {
+    Ask {
+        service: "catalog",
+        object,
+        regions: &[],
+        tried: &[],
+        left: Duration::from_millis(800),
+        elapsed: Duration::ZERO,
+        target_latency: TARGET,
+        priority: 2,
+    }
+}
+
+pub fn chosen(book: &UpstreamBook, object: u64, now: Instant) -> Option<UpstreamKey> {
+    match book.choose(&ask(object), now) {
+        Verdict::Send(decision) => Some(decision.upstream),
+        Verdict::Busy { .. } | Verdict::NoUpstream => None,
+    }
+}
