--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -44,6 +44,22 @@
         Ok(Self { child })
     }
 
+    /// Starts a daemon that finds its settings file by an environment variable.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of starting the process.
+    pub fn spawn_by_variable(variable: &str, file: &Path) -> io::Result<Self> {
+        let log = std::fs::File::create(file.with_extension("log"))?;
+        let child = Command::new(binary("laburnumdeald")?)
+            .env(variable, file)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(Stdio::inherit())
+            .spawn()?;
+        Ok(Self { child })
+    }
+
     /// Sends a signal.
     ///
     /// # Errors
@@ -135,7 +151,7 @@
     command.args(["build", "--quiet", "--locked", "--bins"]);
     command.args([
         "--package",
-        "laburnumdeal-daemon",
+        "laburnumdeald",
         "--package",
         "laburnumdeal-cli",
     ]);
