--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -120,6 +120,7 @@
     fn choose(&self) -> Verdict {
         let now = Instant::now();
         let ask = Ask {
+            route: &self.route.name,
             service: self.service,
             object: self.request.object,
             regions: &self.route.item.regions,
@@ -137,7 +138,9 @@
         let body = self.body.take(self.max_body_bytes);
         let repeatable = self.body.can_repeat();
         let is_retry = self.arrivals > 0;
-        let result = upstream_attempt::run::<D>(self.state, decision, &self.request, body).await;
+        let result =
+            upstream_attempt::run::<D>(self.state, decision, &self.route.name, &self.request, body)
+                .await;
         self.tried.push(decision.upstream);
         let outcome = match &result {
             AttemptResult::Answer(_) => "answer",
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -74,18 +74,20 @@
 struct Counted {
     state: Arc<EntryState>,
     decision: Decision,
+    route: String,
     object: u64,
     started_at: Instant,
     outcome: AttemptOutcome,
 }
 
 impl Counted {
-    fn begin(state: &Arc<EntryState>, decision: Decision, object: u64) -> Self {
+    fn begin(state: &Arc<EntryState>, decision: Decision, route: &str, object: u64) -> Self {
         let now = Instant::now();
         state.book().begin(&decision, now);
         Self {
             state: state.clone(),
             decision,
+            route: route.to_owned(),
             object,
             started_at: now,
             outcome: AttemptOutcome::Cancelled,
@@ -96,7 +98,8 @@
 impl Drop for Counted {
     fn drop(&mut self) {
         let mut book = self.state.book();
-        book.end(&self.decision, self.object, self.outcome, Instant::now());
+        let now = Instant::now();
+        book.end(&self.decision, &self.route, self.object, self.outcome, now);
     }
 }
 
@@ -104,6 +107,7 @@
 pub async fn run<D: CallerDialect>(
     state: &Arc<EntryState>,
     decision: Decision,
+    route: &str,
     request: &AttemptRequest,
     body: RequestBody,
 ) -> AttemptResult {
@@ -112,7 +116,7 @@
         let (id, address) = book.target(decision.upstream);
         (id.to_owned(), address)
     };
-    let mut counted = Counted::begin(state, decision, request.object);
+    let mut counted = Counted::begin(state, decision, route, request.object);
     let pool = state.pool(decision.upstream, address);
     let guard = match connect(&pool, request).await {
         Ok(guard) => guard,
--- a/policy/src/steer/decision.rs
+++ b/policy/src/steer/decision.rs
@@ -5,6 +5,8 @@
 /// Request for which an upstream is chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct Ask<'a> {
+    /// Route that it came by.
+    pub route: &'a str,
     /// Service that it goes to.
     pub service: &'a str,
     /// Hash of the object that it concerns.
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -7,6 +7,7 @@
 mod object_memory;
 mod retry_share;
 mod route_table;
+mod route_time;
 mod service_times;
 mod upstream_book;
 mod upstream_entry;
@@ -18,6 +19,7 @@
 pub use object_memory::ObjectMemory;
 pub use retry_share::RetryShare;
 pub use route_table::{Route, RouteTable};
+pub use route_time::RouteTime;
 pub use service_times::ServiceTimes;
 pub use upstream_book::{
     BookSettings, Outcome as AttemptOutcome, UpstreamBook, UpstreamKey, hash_of,
--- a/policy/src/steer/upstream_book.rs
+++ b/policy/src/steer/upstream_book.rs
@@ -6,7 +6,9 @@
 use tokio::time::Instant;
 
 use crate::steer::upstream_entry::UpstreamEntry;
-use crate::steer::{Ask, ColdShare, Decision, ServiceTimes, UpstreamLoad, UpstreamRecord, Verdict};
+use crate::steer::{
+    Ask, ColdShare, Decision, RouteTime, ServiceTimes, UpstreamLoad, UpstreamRecord, Verdict,
+};
 
 /// Upstreams that an object is sent to. More would know more objects than they remember.
 const RANKS: usize = 3;
@@ -97,6 +99,7 @@
     by_id: HashMap<String, UpstreamKey>,
     by_service: HashMap<String, Vec<UpstreamKey>>,
     times: HashMap<String, ServiceTimes>,
+    route_times: HashMap<String, RouteTime>,
     warm_up: HashMap<String, (Duration, f64)>,
     evacuated: BTreeSet<String>,
     instances: Vec<String>,
@@ -112,6 +115,7 @@
             by_id: HashMap::new(),
             by_service: HashMap::new(),
             times: HashMap::new(),
+            route_times: HashMap::new(),
             warm_up: HashMap::new(),
             evacuated: BTreeSet::new(),
             instances,
@@ -244,23 +248,40 @@
         self.entry_mut(key).load.told(load, now);
     }
 
-    /// Counts the end of a request.
-    pub fn end(&mut self, decision: &Decision, object: u64, outcome: Outcome, now: Instant) {
+    /// Counts the end of a request that came by a route.
+    pub fn end(
+        &mut self,
+        decision: &Decision,
+        route: &str,
+        object: u64,
+        outcome: Outcome,
+        now: Instant,
+    ) {
         let key = decision.upstream;
         let warm_up = self.warm_up_of(&self.entry(key).record.service).0 + WARM_UP_SLACK;
         let entry = self.entry_mut(key);
         entry.end(object, decision, outcome, warm_up, now);
-        if let Outcome::Answered {
+        let service = entry.record.service.clone();
+        let Outcome::Answered {
             took_ms,
             failed: false,
         } = outcome
-            && decision.wait_ms <= 0.0
-        {
-            let service = entry.record.service.clone();
-            if let Some(times) = self.times.get_mut(&service) {
-                times.measured(decision.warm, took_ms);
+        else {
+            return;
+        };
+        match self.route_times.get_mut(route) {
+            Some(time) => time.measured(took_ms),
+            None => {
+                let mut time = RouteTime::default();
+                time.measured(took_ms);
+                self.route_times.insert(route.to_owned(), time);
             }
         }
+        if decision.wait_ms <= 0.0
+            && let Some(times) = self.times.get_mut(&service)
+        {
+            times.measured(decision.warm, took_ms);
+        }
     }
 
     fn add(&mut self, record: &UpstreamRecord) -> UpstreamKey {
@@ -380,7 +401,11 @@
 
     fn is_good(&self, ask: &Ask<'_>, decision: &Decision) -> bool {
         let left_ms = ask.left.as_secs_f64() * 1_000.0;
-        decision.wait_ms <= queue_limit_ms(ask, decision) && decision.expected_ms <= left_ms
+        let time = self.route_times.get(ask.route);
+        let route_ms = time.and_then(RouteTime::known_ms).unwrap_or(0.0);
+        let least_ms = decision.wait_ms + route_ms;
+        decision.wait_ms <= queue_limit_ms(ask, decision)
+            && decision.expected_ms.min(least_ms) <= left_ms
     }
 
     fn busy(&self, ask: &Ask<'_>, decision: &Decision) -> Verdict {
--- a/policy/tests/steer/choose.rs
+++ b/policy/tests/steer/choose.rs
@@ -122,16 +122,43 @@
         panic!("it takes work");
     };
     book.begin(&decision, now);
-    book.end(&decision, 1, AttemptOutcome::Unreached, now);
+    book.end(&decision, "all", 1, AttemptOutcome::Unreached, now);
     assert_eq!(book.choose(&ask(1), now), Verdict::NoUpstream);
     let later = now + Duration::from_secs(3);
     book.take_instances((0..9).map(|number| format!("e-{number}")).collect());
     let mut sent = 0;
     while let Verdict::Send(decision) = book.choose(&ask(1), later) {
         book.begin(&decision, later);
-        book.end(&decision, 1, AttemptOutcome::Cancelled, later);
+        book.end(&decision, "all", 1, AttemptOutcome::Cancelled, later);
         sent += 1;
         assert!(sent < 10, "a cold upstream is sent its share only");
     }
     assert!(sent > 0, "it is tried again");
 }
+
+/// The requests of one route take long, those of another that was added later are quick.
+#[test]
+fn choose_route_with_a_short_time_is_not_judged_by_the_long_ones_of_its_service() {
+    let mut now = Instant::now();
+    let mut book = book("e-1", "a", &[upstream(0, "a1", 9)], now);
+    for _ in 0..200 {
+        now += Duration::from_millis(500);
+        let Verdict::Send(decision) = book.choose(&ask(1), now) else {
+            panic!("it takes work");
+        };
+        book.begin(&decision, now);
+        let answered = AttemptOutcome::Answered {
+            took_ms: 700.0,
+            failed: false,
+        };
+        book.end(&decision, "all", 1, answered, now);
+    }
+    let quick = laburnumdeal_policy::steer::Ask {
+        route: "added later",
+        left: Duration::from_millis(300),
+        target_latency: Duration::from_millis(200),
+        ..ask(1)
+    };
+    let later = now + Duration::from_secs(20);
+    assert!(matches!(book.choose(&quick, later), Verdict::Send(_)));
+}
--- a/policy/tests/steer/cold.rs
+++ b/policy/tests/steer/cold.rs
@@ -21,7 +21,7 @@
     let mut sent = 0;
     while let Verdict::Send(decision) = book.choose(&ask(1), now) {
         book.begin(&decision, now);
-        book.end(&decision, 1, AttemptOutcome::Cancelled, now);
+        book.end(&decision, "all", 1, AttemptOutcome::Cancelled, now);
         sent += 1;
         if sent == UNBOUNDED {
             break;
--- a/policy/tests/steer/setup.rs
+++ b/policy/tests/steer/setup.rs
@@ -83,6 +83,7 @@
 
 pub fn ask(object: u64) -> Ask<'static> {
     Ask {
+        route: "all",
         service: "catalog",
         object,
         regions: &[],
--- a/policy/tests/steer/world.rs
+++ b/policy/tests/steer/world.rs
@@ -221,6 +221,6 @@
         if outcome != AttemptOutcome::Silent {
             book.told(request.decision.upstream, load, now);
         }
-        book.end(&request.decision, request.object, outcome, now);
+        book.end(&request.decision, "all", request.object, outcome, now);
     }
 }
