--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -100,7 +100,11 @@
         loop {
             let decision = match self.choose() {
                 Verdict::Send(decision) => decision,
-                Verdict::Busy { retry_after, .. } => {
+                Verdict::Busy {
+                    retry_after,
+                    decision,
+                } => {
+                    self.last = Some(decision);
                     return self.give_up("every upstream is busy", retry_after);
                 }
                 Verdict::NoUpstream => {
--- a/policy/src/steer/decision.rs
+++ b/policy/src/steer/decision.rs
@@ -53,8 +53,8 @@
     Busy {
         /// Time after which there should be room.
         retry_after: Duration,
-        /// Shortest expected time.
-        expected_ms: f64,
+        /// Best choice that there was.
+        decision: Decision,
     },
     /// No upstream of the service takes work.
     NoUpstream,
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -1,6 +1,7 @@
 //! Choice of upstreams while upstreams, services and routes come and go: route table, expected
 //! time by load and warmth, cold starts, and the shares of sums over all instances.
 
+mod choosing;
 mod cold_share;
 mod decision;
 mod load_estimate;
--- a/policy/src/steer/upstream_book.rs
+++ b/policy/src/steer/upstream_book.rs
@@ -6,37 +6,7 @@
 use tokio::time::Instant;
 
 use crate::steer::upstream_entry::UpstreamEntry;
-use crate::steer::{
-    Ask, ColdShare, Decision, RouteTime, ServiceTimes, UpstreamLoad, UpstreamRecord, Verdict,
-};
-
-/// Upstreams that an object is sent to. More would know more objects than they remember.
-const RANKS: usize = 3;
-
-/// How much more likely an upstream of the own region is the first for an object.
-const NEAR_WEIGHT: f64 = 3.0;
-
-/// Time that an answer from another region takes longer, in milliseconds.
-const FAR_MS: f64 = 60.0;
-
-/// Part of the extra time of an unknown object that counts against teaching one more upstream.
-const TEACHING_SHARE: f64 = 0.5;
-
-/// Expected times, as part of the target latency, that are accepted for the ranks of priority.
-const EXPECTED_BY_PRIORITY: [f64; 3] = [1.0, 0.95, 0.9];
-
-/// Queue, as part of the target latency, that is accepted whatever the expected time.
-const LEAST_QUEUE: f64 = 0.15;
-
-/// Part of its slots up to which an upstream is taught objects that it does not know.
-const TAUGHT_UP_TO: f64 = 0.7;
-
-/// Shortest and longest time that a caller is told to stay away.
-const RETRY_AFTER_MS: (f64, f64) = (60.0, 1_500.0);
-
-/// Part of the bound on requests to a cold upstream that is handed out, because instances learn
-/// of each other late.
-const COLD_BOUND_USED: f64 = 0.8;
+use crate::steer::{Decision, RouteTime, ServiceTimes, UpstreamLoad, UpstreamRecord};
 
 /// Bound on requests to a cold upstream whose service is not known, per second.
 const COLD_PER_S: f64 = 10.0;
@@ -94,15 +64,15 @@
 /// request holds stay valid.
 #[derive(Debug)]
 pub struct UpstreamBook {
-    settings: BookSettings,
+    pub(super) settings: BookSettings,
     entries: Vec<UpstreamEntry>,
     by_id: HashMap<String, UpstreamKey>,
-    by_service: HashMap<String, Vec<UpstreamKey>>,
-    times: HashMap<String, ServiceTimes>,
-    route_times: HashMap<String, RouteTime>,
+    pub(super) by_service: HashMap<String, Vec<UpstreamKey>>,
+    pub(super) times: HashMap<String, ServiceTimes>,
+    pub(super) route_times: HashMap<String, RouteTime>,
     warm_up: HashMap<String, (Duration, f64)>,
-    evacuated: BTreeSet<String>,
-    instances: Vec<String>,
+    pub(super) evacuated: BTreeSet<String>,
+    pub(super) instances: Vec<String>,
 }
 
 impl UpstreamBook {
@@ -212,27 +182,6 @@
         gone.map(|(index, _)| UpstreamKey(index as u32))
     }
 
-    /// Chooses the upstream with the shortest expected time, or refuses the request.
-    pub fn choose(&self, ask: &Ask<'_>, now: Instant) -> Verdict {
-        let mut candidates = self.candidates(ask, now);
-        if candidates.is_empty() {
-            return Verdict::NoUpstream;
-        }
-        candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let decide =
-            |(rank, (_, key)): (usize, &(f64, UpstreamKey))| self.expect(ask, *key, rank, now);
-        let ranked = || candidates.iter().enumerate().map(decide);
-        let cost = |decision: &(Decision, f64)| decision.1;
-        let best = ranked()
-            .take(RANKS)
-            .min_by(|a, b| cost(a).total_cmp(&cost(b)));
-        match best {
-            Some((decision, _)) if self.is_good(ask, &decision) => Verdict::Send(decision),
-            Some((decision, _)) => self.busy(ask, &decision),
-            None => Verdict::NoUpstream,
-        }
-    }
-
     /// Counts a request that is about to be sent.
     pub fn begin(&mut self, decision: &Decision, now: Instant) {
         let is_cold = self.entry(decision.upstream).is_cold(now);
@@ -291,7 +240,7 @@
         key
     }
 
-    fn entry(&self, key: UpstreamKey) -> &UpstreamEntry {
+    pub(super) fn entry(&self, key: UpstreamKey) -> &UpstreamEntry {
         &self.entries[key.0 as usize]
     }
 
@@ -299,133 +248,17 @@
         &mut self.entries[key.0 as usize]
     }
 
-    fn region_of(&self, zone: &str) -> &str {
+    pub(super) fn region_of(&self, zone: &str) -> &str {
         self.settings
             .zone_regions
             .get(zone)
             .map_or("", String::as_str)
     }
 
-    fn warm_up_of(&self, service: &str) -> (Duration, f64) {
+    pub(super) fn warm_up_of(&self, service: &str) -> (Duration, f64) {
         let told = self.warm_up.get(service).copied();
         told.unwrap_or((WARM_UP, COLD_PER_S))
     }
-
-    /// Returns the upstreams that may take the request, with their score for its object.
-    fn candidates(&self, ask: &Ask<'_>, now: Instant) -> Vec<(f64, UpstreamKey)> {
-        let Some(keys) = self.by_service.get(ask.service) else {
-            return Vec::new();
-        };
-        let eligible = keys.iter().filter(|key| self.is_eligible(ask, **key, now));
-        eligible
-            .map(|key| (self.score(ask.object, *key), *key))
-            .collect()
-    }
-
-    fn is_eligible(&self, ask: &Ask<'_>, key: UpstreamKey, now: Instant) -> bool {
-        let entry = self.entry(key);
-        let zone = &entry.record.zone;
-        let bound = |regions: &[String]| {
-            regions.is_empty() || regions.iter().any(|region| region == self.region_of(zone))
-        };
-        entry.takes_work(now)
-            && !ask.tried.contains(&key)
-            && !self.evacuated.contains(zone)
-            && bound(ask.regions)
-            && (!entry.is_cold(now) || entry.cold_share.fits(self.cold_allowed(entry), now))
-    }
-
-    fn cold_allowed(&self, entry: &UpstreamEntry) -> usize {
-        let per_s = self.warm_up_of(&entry.record.service).1;
-        let bound = per_s * self.settings.cold_overshoot + self.settings.cold_slack;
-        let rank_of = |name: &str| hash_of(&[name.as_bytes(), entry.record.id.as_bytes()]);
-        let mine = rank_of(&self.settings.instance);
-        let before = self.instances.iter().filter(|name| rank_of(name) < mine);
-        ColdShare::allowed(
-            bound * COLD_BOUND_USED,
-            self.instances.len(),
-            before.count(),
-        )
-    }
-
-    /// Returns the weighted rendezvous score; the lowest is the first for an object.
-    fn score(&self, object: u64, key: UpstreamKey) -> f64 {
-        let entry = self.entry(key);
-        let near = self.region_of(&entry.record.zone) == self.settings.region;
-        let weight = f64::from(entry.record.slots.max(1)) * if near { NEAR_WEIGHT } else { 1.0 };
-        let hash = mix(entry.id_hash ^ object.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-        let uniform = ((hash >> 11) as f64 + 1.0) / (1_u64 << 53) as f64;
-        -uniform.ln() / weight
-    }
-
-    /// Returns the expected times at an upstream, and the cost by which it is weighed.
-    fn expect(
-        &self,
-        ask: &Ask<'_>,
-        key: UpstreamKey,
-        rank: usize,
-        now: Instant,
-    ) -> (Decision, f64) {
-        let entry = self.entry(key);
-        let times = self.times.get(ask.service).copied();
-        let times = times.unwrap_or_else(|| ServiceTimes::new(ask.target_latency));
-        let is_cold = entry.is_cold(now);
-        let warm = entry.objects.knows(ask.object, now) || (rank == 0 && !is_cold);
-        let slow = entry.slowness(now) * if is_cold { 2.0 } else { 1.0 };
-        let service_ms = times.expected_ms(warm) * slow;
-        let queue = entry.queue(now);
-        let wait_ms = queue * times.expected_ms(true) * slow;
-        let near = self.region_of(&entry.record.zone) == self.settings.region;
-        let far_ms = if near { 0.0 } else { FAR_MS };
-        let teaching_ms = times.expected_ms(false) - times.expected_ms(true);
-        let has_room =
-            entry.load.expected(now) + 1.0 <= f64::from(entry.record.slots) * TAUGHT_UP_TO;
-        let discount_ms = match !warm && has_room {
-            true => teaching_ms * (1.0 - TEACHING_SHARE),
-            false => 0.0,
-        };
-        let target_ms = ask.target_latency.as_secs_f64() * 1_000.0;
-        let expected_ms = wait_ms + service_ms + far_ms;
-        let risk_ms = entry.failures(now) * 1.5 * target_ms + entry.silence_ms(now);
-        let decision = Decision {
-            upstream: key,
-            expected_ms,
-            wait_ms,
-            load: entry.load.expected(now),
-            told_age: entry.load.told_age(now),
-            warm,
-            rank,
-        };
-        (decision, expected_ms + risk_ms - discount_ms)
-    }
-
-    fn is_good(&self, ask: &Ask<'_>, decision: &Decision) -> bool {
-        let left_ms = ask.left.as_secs_f64() * 1_000.0;
-        let time = self.route_times.get(ask.route);
-        let route_ms = time.and_then(RouteTime::known_ms).unwrap_or(0.0);
-        let least_ms = decision.wait_ms + route_ms;
-        decision.wait_ms <= queue_limit_ms(ask, decision)
-            && decision.expected_ms.min(least_ms) <= left_ms
-    }
-
-    fn busy(&self, ask: &Ask<'_>, decision: &Decision) -> Verdict {
-        let (least, most) = RETRY_AFTER_MS;
-        let over_ms = decision.wait_ms - queue_limit_ms(ask, decision) * 0.5;
-        Verdict::Busy {
-            retry_after: Duration::from_secs_f64(over_ms.clamp(least, most) / 1_000.0),
-            expected_ms: decision.expected_ms,
-        }
-    }
-}
-
-/// Returns the longest wait with which an answer still comes within the target latency.
-fn queue_limit_ms(ask: &Ask<'_>, decision: &Decision) -> f64 {
-    let last = EXPECTED_BY_PRIORITY.len() - 1;
-    let share = EXPECTED_BY_PRIORITY[(ask.priority as usize).min(last)];
-    let target_ms = ask.target_latency.as_secs_f64() * 1_000.0;
-    let elapsed_ms = ask.elapsed.as_secs_f64() * 1_000.0;
-    let beside_ms = decision.expected_ms - decision.wait_ms + elapsed_ms;
-    (target_ms * share - beside_ms).max(target_ms * LEAST_QUEUE)
 }
 
 /// Returns a hash of several texts that is equal on all instances.
@@ -438,12 +271,3 @@
     }
     hasher.finish()
 }
-
-/// Spreads the bits of a key over the whole word.
-fn mix(mut word: u64) -> u64 {
-    word ^= word >> 33;
-    word = word.wrapping_mul(0xff51_afd7_ed55_8ccd);
-    word ^= word >> 33;
-    word = word.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
-    word ^ (word >> 33)
-}
--- a/tests/tests/pages.rs
+++ b/tests/tests/pages.rs
@@ -18,13 +18,15 @@
 ];
 
 /// Folders of the packages.
-const PACKAGES: [&str; 7] = [
+const PACKAGES: [&str; 9] = [
     "model/",
     "policy/",
     "control/",
     "language/",
     "daemon/",
     "cli/",
+    "platform/",
+    "launcher/",
     "tests/",
 ];
 
