--- a/daemon/src/connection_pool.rs
+++ b/daemon/src/connection_pool.rs
@@ -66,7 +66,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ExchangeError::Refused`] or [`ExchangeError::NotSent`]; nothing was sent.
+    /// Returns that the connection was refused or did not open in time; nothing was sent.
     pub async fn take(
         &self,
         freshness: Freshness,
--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -14,7 +14,7 @@
 use crate::http_server::Handle;
 use crate::roles::CallerDialect;
 use crate::roles::entry_state::EntryState;
-use crate::roles::forwarding::{Forwarded, Forwarding};
+use crate::roles::forwarding::{Forwarded, Forwarding, Progress};
 use crate::roles::held_body::{HeldBody, HeldBodyError};
 use crate::roles::upstream_attempt::AttemptRequest;
 
@@ -101,16 +101,17 @@
         }
         let attempt = attempt_request::<D>(&parts, accepted, path);
         let id = attempt.id.clone();
-        let mut forwarding = Forwarding::new(
-            &self.state,
-            accepted.route,
-            accepted.service,
-            attempt,
+        let mut forwarding = Forwarding {
+            state: &self.state,
+            route: accepted.route,
+            service: accepted.service,
+            request: attempt,
             body,
-            accepted.max_body_bytes,
+            max_body_bytes: accepted.max_body_bytes,
             fingerprint,
-            accepted.began_at,
-        );
+            began_at: accepted.began_at,
+            progress: Progress::default(),
+        };
         let forwarded = forwarding.run::<D>().await;
         self.log(&id, accepted, &forwarding, &forwarded);
         respond::<D>(forwarded)
@@ -135,7 +136,7 @@
             return;
         };
         let list_age = self.state.list().age(Instant::now()).unwrap_or_default();
-        let last = forwarding.last;
+        let last = forwarding.progress.last();
         let upstream = last.map_or_else(String::new, |decision| {
             self.state.book().target(decision.upstream).0.to_owned()
         });
@@ -150,7 +151,7 @@
                 .and_then(|decision| decision.told_age)
                 .map_or(-1, |age| age.as_millis() as i64),
             "warm" => last.is_some_and(|decision| decision.warm),
-            "arrivals" => forwarding.arrivals(), "list_age_ms" => list_age.as_millis() as u64,
+            "arrivals" => forwarding.progress.arrivals(), "list_age_ms" => list_age.as_millis() as u64,
             "took_ms" => took.as_millis() as u64, "outcome" => outcome,
             "status" => status, "reason" => reason);
     }
--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -51,49 +51,33 @@
     pub max_body_bytes: u64,
     pub fingerprint: u64,
     pub began_at: Instant,
+    /// What has become of it so far.
+    pub progress: Progress,
+}
+
+/// What has become of a request so far.
+#[derive(Default)]
+pub(super) struct Progress {
     tried: Vec<UpstreamKey>,
     arrivals: u32,
     ran_maybe: Option<(&'static str, bool)>,
     failure: Option<Response<AnswerBody>>,
-    /// Estimates behind the last choice, for the log.
-    pub last: Option<Decision>,
+    last: Option<Decision>,
 }
 
-impl<'a> Forwarding<'a> {
-    /// Returns a request that was sent to none yet.
-    #[expect(clippy::too_many_arguments, reason = "one call site fills every field")]
-    pub fn new(
-        state: &'a Arc<EntryState>,
-        route: &'a Route,
-        service: &'a str,
-        request: AttemptRequest,
-        body: HeldBody,
-        max_body_bytes: u64,
-        fingerprint: u64,
-        began_at: Instant,
-    ) -> Self {
-        Self {
-            state,
-            route,
-            service,
-            request,
-            body,
-            max_body_bytes,
-            fingerprint,
-            began_at,
-            tried: Vec::new(),
-            arrivals: 0,
-            ran_maybe: None,
-            failure: None,
-            last: None,
-        }
-    }
-
+impl Progress {
     /// Returns how many upstreams the request was sent to.
     pub fn arrivals(&self) -> u32 {
         self.arrivals
     }
 
+    /// Returns the estimates behind the last choice.
+    pub fn last(&self) -> Option<Decision> {
+        self.last
+    }
+}
+
+impl Forwarding<'_> {
     /// Sends the request until an upstream answers, or nothing more can be done for it.
     pub async fn run<D: CallerDialect>(&mut self) -> Forwarded {
         self.state.earn_retry(self.service);
@@ -104,17 +88,17 @@
                     retry_after,
                     decision,
                 } => {
-                    self.last = Some(decision);
+                    self.progress.last = Some(decision);
                     return self.give_up("every upstream is busy", retry_after);
                 }
                 Verdict::NoUpstream => {
                     return self.give_up("no upstream takes work", NO_UPSTREAM_PAUSE);
                 }
             };
-            if self.arrivals > 0 && !self.state.spend_retry(self.service) {
+            if self.progress.arrivals > 0 && !self.state.spend_retry(self.service) {
                 return self.give_up("no retry is left to spend", NO_UPSTREAM_PAUSE);
             }
-            self.last = Some(decision);
+            self.progress.last = Some(decision);
             if let Some(forwarded) = self.attempt::<D>(decision).await {
                 return forwarded;
             }
@@ -128,7 +112,7 @@
             service: self.service,
             object: self.request.object,
             regions: &self.route.item.regions,
-            tried: &self.tried,
+            tried: &self.progress.tried,
             left: self.request.deadline.saturating_duration_since(now),
             elapsed: now.saturating_duration_since(self.began_at),
             target_latency: Duration::from_millis(self.route.item.target_latency_ms),
@@ -141,11 +125,11 @@
     async fn attempt<D: CallerDialect>(&mut self, decision: Decision) -> Option<Forwarded> {
         let body = self.body.take(self.max_body_bytes);
         let repeatable = self.body.can_repeat();
-        let is_retry = self.arrivals > 0;
+        let is_retry = self.progress.arrivals > 0;
         let result =
             upstream_attempt::run::<D>(self.state, decision, &self.route.name, &self.request, body)
                 .await;
-        self.tried.push(decision.upstream);
+        self.progress.tried.push(decision.upstream);
         let outcome = match &result {
             AttemptResult::Answer(_) => "answer",
             AttemptResult::NotRun { .. } => "not-run",
@@ -173,21 +157,21 @@
     }
 
     fn answered(&mut self, response: Response<AnswerBody>, repeatable: bool) -> Option<Forwarded> {
-        let is_retry = self.arrivals > 0;
+        let is_retry = self.progress.arrivals > 0;
         self.count_arrival(true, is_retry);
         let failed = response.status() == StatusCode::INTERNAL_SERVER_ERROR;
         if failed && self.may_repeat(repeatable) {
-            self.failure = Some(response);
+            self.progress.failure = Some(response);
             return None;
         }
         Some(Forwarded::Answer(response))
     }
 
     fn not_run(&self, reason: &'static str, repeatable: bool) -> Option<Forwarded> {
-        let unreached = self.tried.len() - self.arrivals as usize;
+        let unreached = self.progress.tried.len() - self.progress.arrivals as usize;
         if !repeatable
             || unreached >= UNREACHED_ATTEMPTS
-            || self.arrivals >= self.route.item.max_attempts
+            || self.progress.arrivals >= self.route.item.max_attempts
         {
             return Some(self.refused(reason));
         }
@@ -200,7 +184,7 @@
         timed_out: bool,
         repeatable: bool,
     ) -> Option<Forwarded> {
-        self.ran_maybe = Some((reason, timed_out));
+        self.progress.ran_maybe = Some((reason, timed_out));
         if timed_out || !self.may_repeat(repeatable) {
             return Some(Forwarded::Unknown { reason, timed_out });
         }
@@ -208,14 +192,16 @@
     }
 
     fn may_repeat(&self, repeatable: bool) -> bool {
-        repeatable && self.request.idempotent && self.arrivals < self.route.item.max_attempts
+        repeatable
+            && self.request.idempotent
+            && self.progress.arrivals < self.route.item.max_attempts
     }
 
     fn count_arrival(&mut self, arrived: bool, is_retry: bool) {
         if !arrived {
             return;
         }
-        self.arrivals += 1;
+        self.progress.arrivals += 1;
         if is_retry {
             self.state.metrics.retried(self.service);
         }
@@ -223,10 +209,10 @@
 
     /// Returns the outcome when no further attempt is made.
     fn give_up(&mut self, reason: &'static str, retry_after: Duration) -> Forwarded {
-        if let Some(response) = self.failure.take() {
+        if let Some(response) = self.progress.failure.take() {
             return Forwarded::Answer(response);
         }
-        match self.ran_maybe {
+        match self.progress.ran_maybe {
             Some((reason, timed_out)) => Forwarded::Unknown { reason, timed_out },
             None => Forwarded::NotRun {
                 reason,
@@ -236,7 +222,7 @@
     }
 
     fn refused(&self, reason: &'static str) -> Forwarded {
-        match self.ran_maybe {
+        match self.progress.ran_maybe {
             Some((reason, timed_out)) => Forwarded::Unknown { reason, timed_out },
             None => Forwarded::NotRun {
                 reason,
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -1,4 +1,3 @@
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -128,7 +127,7 @@
             };
         }
     };
-    let message = message::<D>(request, &id, address, body);
+    let message = message::<D>(request, &id, body);
     exchange::<D>(&mut counted, guard, request, message).await
 }
 
@@ -151,7 +150,6 @@
 fn message<D: CallerDialect>(
     request: &AttemptRequest,
     upstream: &str,
-    _address: SocketAddr,
     body: RequestBody,
 ) -> Request<RequestBody> {
     let mut message = Request::new(body);
