Deliver the answer of a failure when the next upstream sheds

Cause: a request that may be repeated, ran and failed at one upstream and was shed by the next, was answered 'not run' (503), though it had run; the answer that was held was dropped. The path after a proof of not run had an ending of its own beside give_up, which knows of both. Test: forward_answer_of_a_failure_is_delivered_when_the_next_upstream_sheds, 503 before, 500 after. Conclusion: one ending for both paths.

--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -167,13 +167,13 @@
         Some(Forwarded::Answer(response))
     }
 
-    fn not_run(&self, reason: &'static str, repeatable: bool) -> Option<Forwarded> {
+    fn not_run(&mut self, reason: &'static str, repeatable: bool) -> Option<Forwarded> {
         let unreached = self.progress.tried.len() - self.progress.arrivals as usize;
         if !repeatable
             || unreached >= UNREACHED_ATTEMPTS
             || self.progress.arrivals >= self.route.item.max_attempts
         {
-            return Some(self.refused(reason));
+            return Some(self.give_up(reason, NO_UPSTREAM_PAUSE));
         }
         None
     }
@@ -220,16 +220,6 @@
             },
         }
     }
-
-    fn refused(&self, reason: &'static str) -> Forwarded {
-        match self.progress.ran_maybe {
-            Some((reason, timed_out)) => Forwarded::Unknown { reason, timed_out },
-            None => Forwarded::NotRun {
-                reason,
-                retry_after: NO_UPSTREAM_PAUSE,
-            },
-        }
-    }
 }
 
 /// Marks a request when the upstream that it ran on no longer listens.
