Keep a slot for a moment when its request is cut off

When this side closes an exchange (deadline, hedge that lost, caller gone), the slot was free at once, and the next request reached the upstream before it noticed the closed connection.

--- a/daemon/src/exchange.rs
+++ b/daemon/src/exchange.rs
@@ -42,7 +42,7 @@
         Err(error) => {
             match error {
                 ExchangeError::Silent => guard.silent(),
-                ExchangeError::NotSent => drop(guard),
+                ExchangeError::NotSent => guard.not_sent(),
                 ExchangeError::Broken(_) | ExchangeError::Refused(_) => guard.fail(),
             }
             Err(error)
--- a/daemon/src/exchange_guard.rs
+++ b/daemon/src/exchange_guard.rs
@@ -6,7 +6,8 @@
 use crate::flights::Flight;
 
 /// What an exchange holds until its answer has arrived whole: a connection, and the place on an
-/// upstream when the other side is one. Dropping it closes the connection and frees the place.
+/// upstream when the other side is one. Dropping it closes the connection and cuts
+/// the exchange off.
 #[derive(Debug)]
 pub struct ExchangeGuard {
     connection: Connection,
@@ -34,7 +35,10 @@
 
 impl ExchangeGuard {
     /// Returns a guard for an exchange that starts now.
-    pub fn new(connection: Connection, pool: ConnectionPool, place: Option<Place>) -> Self {
+    pub fn new(connection: Connection, pool: ConnectionPool, mut place: Option<Place>) -> Self {
+        if let Some(place) = &mut place {
+            place.slot.sending();
+        }
         let was_live = connection.is_proved_live();
         Self {
             connection,
@@ -61,6 +65,13 @@
         self.pool.put(self.connection);
     }
 
+    /// Ends the exchange because no byte of the request left.
+    pub fn not_sent(self) {
+        if let Some(place) = self.place {
+            place.end(Ending::Cancelled);
+        }
+    }
+
     /// Ends the exchange because the other side shed the request.
     pub fn shed(self) {
         if let Some(place) = self.place {
--- a/daemon/src/upstream_path.rs
+++ b/daemon/src/upstream_path.rs
@@ -89,11 +89,11 @@
         }
     }
 
-    /// Returns whether the request would most likely be cut off by its deadline: it would take a
+    /// Returns whether the request is likely to be cut off by its deadline: it would take a
     /// slot from others for nothing, and its outcome would be unknown.
     fn would_be_cut_off(&self) -> bool {
-        let service_time = self.state.pool.service_time(self.prepared.service);
-        service_time.is_some_and(|time| time > self.prepared.remaining())
+        let usual_time = self.state.pool.usual_time(self.prepared.service);
+        usual_time.is_some_and(|time| time > self.prepared.remaining())
     }
 
     fn may_run_here(&self, upstream: UpstreamId) -> bool {
--- a/policy/src/ending.rs
+++ b/policy/src/ending.rs
@@ -16,6 +16,9 @@
     Failed,
     /// The deadline passed without an answer.
     Silent,
-    /// The caller gave up; nothing is known about the upstream.
+    /// This side cut the exchange off after the request had left; the upstream may go on with it
+    /// for a moment.
+    CutOff,
+    /// Nothing was sent; nothing is known about the upstream.
     Cancelled,
 }
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -61,6 +61,7 @@
 mod key_id;
 mod latency;
 mod latency_window;
+mod lingering_slots;
 mod load_report;
 mod lookup_table;
 mod member_state;
--- a/policy/src/pool.rs
+++ b/policy/src/pool.rs
@@ -241,9 +241,10 @@
         self.with(|inner| inner.core.drained(upstream, Instant::now()))
     }
 
-    /// Returns how long a request of a service takes on the mean; `None` before any has ended.
-    pub fn service_time(&self, service: ServiceId) -> Option<Duration> {
-        self.with(|inner| inner.core.service_time(service))
+    /// Returns the time within which nearly every request of a service ends once it runs; `None`
+    /// before any has ended.
+    pub fn usual_time(&self, service: ServiceId) -> Option<Duration> {
+        self.with(|inner| inner.core.usual_time(service))
     }
 
     /// Returns how long to wait for an answer before sending a hedge.
--- a/policy/src/pool_core.rs
+++ b/policy/src/pool_core.rs
@@ -88,11 +88,11 @@
         self.dispatch_all(now);
     }
 
-    /// Returns how long a request of a service takes on the mean; `None` before any has ended.
-    pub fn service_time(&self, service: ServiceId) -> Option<Duration> {
+    /// Returns the time within which nearly every request of a service ends once it runs; `None`
+    /// before any has ended.
+    pub fn usual_time(&self, service: ServiceId) -> Option<Duration> {
         let entry = self.services.get(service.index())?;
-        let is_measured = entry.time.is_measured();
-        is_measured.then(|| Duration::from_secs_f64(entry.time.mean_s()))
+        entry.time.is_measured().then(|| entry.usual_time())
     }
 
     /// Returns whether this instance owns an upstream.
--- a/policy/src/pool_settings.rs
+++ b/policy/src/pool_settings.rs
@@ -32,6 +32,8 @@
     pub eject_ms: u64,
     /// Longest ejection.
     pub eject_max_ms: u64,
+    /// Time for which an upstream may go on with a request after its connection was closed.
+    pub cut_off_ms: u64,
     /// Time in which a measured latency loses two thirds of its weight.
     pub latency_decay_ms: u64,
     /// Service time that is assumed before any is measured.
@@ -56,6 +58,7 @@
             shed_pause_max_ms: 2_000,
             eject_ms: 250,
             eject_max_ms: 30_000,
+            cut_off_ms: 50,
             latency_decay_ms: 5_000,
             service_time_ms: 50,
             hedge_ms: 200,
--- a/policy/src/queueing.rs
+++ b/policy/src/queueing.rs
@@ -146,15 +146,15 @@
         if slots == 0 {
             return Err(NoSlotReason::NoUpstream);
         }
-        let service_time = entry.time.mean();
+        let usual_time = entry.usual_time();
         let wait = self.expected_wait(service, now);
-        if now + wait + service_time > deadline {
+        if now + wait + usual_time > deadline {
             return Err(NoSlotReason::Deadline);
         }
         if entry.queue.len() as u64 >= u64::from(slots) * u64::from(self.settings.queue_per_slot) {
             return Err(NoSlotReason::QueueFull);
         }
-        Ok(deadline - service_time)
+        Ok(deadline - usual_time)
     }
 
     /// Returns the time that a request would wait behind those that wait already.
--- a/policy/src/service_entry.rs
+++ b/policy/src/service_entry.rs
@@ -7,6 +7,9 @@
 use crate::service_time::ServiceTime;
 use crate::waiter::Waiter;
 
+/// Share of answers that come within the usual time; one request in twenty may be cut off.
+const USUAL_QUANTILE: f64 = 0.95;
+
 /// Everything that is known about one service.
 #[derive(Clone, Debug)]
 pub(crate) struct ServiceEntry {
@@ -26,4 +29,10 @@
             window: LatencyWindow::new(),
         }
     }
+
+    /// Returns the time within which nearly every request ends once it runs.
+    pub fn usual_time(&self) -> Duration {
+        let usual = self.window.quantile(USUAL_QUANTILE).unwrap_or_default();
+        usual.max(self.time.mean())
+    }
 }
--- a/policy/src/slot.rs
+++ b/policy/src/slot.rs
@@ -2,7 +2,8 @@
 
 use crate::{Ending, Pool, SlotGrant};
 
-/// One slot of an upstream. Dropping it frees the slot for the next request in the queue.
+/// One slot of an upstream. Dropping it frees the slot for the next request in the queue, at once if
+/// nothing was sent on it.
 ///
 /// # Examples
 ///
@@ -26,6 +27,7 @@
     pool: Pool,
     grant: Option<SlotGrant>,
     upstream: UpstreamId,
+    on_drop: Ending,
 }
 
 impl Slot {
@@ -34,9 +36,15 @@
             pool,
             grant: Some(grant),
             upstream: grant.upstream,
+            on_drop: Ending::Cancelled,
         }
     }
 
+    /// Notes that the request leaves now: dropping the slot from here on is a cut-off exchange.
+    pub fn sending(&mut self) {
+        self.on_drop = Ending::CutOff;
+    }
+
     /// Returns the upstream whose slot it is.
     pub fn upstream(&self) -> UpstreamId {
         self.upstream
@@ -62,6 +70,6 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.free(Ending::Cancelled);
+        self.free(self.on_drop);
     }
 }
--- a/policy/src/upstream_entry.rs
+++ b/policy/src/upstream_entry.rs
@@ -7,6 +7,7 @@
 use crate::assumed_slots::AssumedSlots;
 use crate::ejection::Ejection;
 use crate::latency::Latency;
+use crate::lingering_slots::LingeringSlots;
 use crate::reported_load::ReportedLoad;
 use crate::shed_limit::ShedLimit;
 use crate::slow_start::SlowStart;
@@ -27,6 +28,7 @@
     pub ejection: Ejection,
     pub reports: ReportedLoad,
     pub assumed: AssumedSlots,
+    lingering: LingeringSlots,
     quiet_since: Option<Instant>,
 }
 
@@ -42,6 +44,7 @@
             ejection: Ejection::default(),
             reports: ReportedLoad::default(),
             assumed: AssumedSlots::default(),
+            lingering: LingeringSlots::default(),
             quiet_since: None,
         }
     }
@@ -66,7 +69,7 @@
             return self.probing(owned, now);
         }
         let (open, reason) = self.open_slots(owned, settings, now);
-        let assumed = self.assumed.taken(now);
+        let assumed = self.uncounted(now);
         let in_flight = self.own();
         let free = open
             .saturating_sub(in_flight)
@@ -103,7 +106,7 @@
             return false;
         };
         let bound = (capacity(owned) / LAST_RESORT_DIVISOR).max(1);
-        let taken = self.own() + self.assumed.taken(now);
+        let taken = self.own() + self.uncounted(now);
         self.ejection.is_suspect() && !self.takes_nothing(owned, settings, now) && taken < bound
     }
 
@@ -128,7 +131,7 @@
 
     /// Returns whether the upstream takes no new work and all that it had has ended.
     pub fn is_drained(&self, settings: &PoolSettings, now: Instant) -> bool {
-        self.in_flight == 0 && self.assumed.taken(now) == 0 && self.is_closed(settings, now)
+        self.in_flight == 0 && self.uncounted(now) == 0 && self.is_closed(settings, now)
     }
 
     /// Takes a slot.
@@ -166,7 +169,11 @@
             Ending::Refused | Ending::Failed | Ending::Silent => {
                 self.ejection.failed(ending, grant.at, settings, now);
             }
-            Ending::Cancelled => {}
+            Ending::CutOff | Ending::Cancelled => {}
+        }
+        if matches!(ending, Ending::Silent | Ending::CutOff) {
+            let period = Duration::from_millis(settings.cut_off_ms);
+            self.lingering.add(period, now);
         }
     }
 
@@ -213,12 +220,20 @@
             self.shed.grows_at(),
             self.ejection.until(),
             self.assumed.until(),
+            self.lingering.next_free(now),
             self.reports.probe_at(),
             ramp,
         ];
         times.into_iter().flatten().filter(|at| *at > now).min()
     }
 
+    /// Returns the slots that may be taken beside those of own requests in flight.
+    fn uncounted(&self, now: Instant) -> u16 {
+        self.assumed
+            .taken(now)
+            .saturating_add(self.lingering.taken(now))
+    }
+
     fn own(&self) -> u16 {
         u16::try_from(self.in_flight).unwrap_or(u16::MAX)
     }
@@ -249,7 +264,7 @@
     }
 
     fn probing(&self, owned: &OwnedUpstream, now: Instant) -> Standing {
-        let taken = self.own() + self.assumed.taken(now);
+        let taken = self.own() + self.uncounted(now);
         let is_free = !self.ejection.has_probe() && taken < capacity(owned);
         Standing {
             free: u16::from(is_free),
--- a/policy/tests/choice_health.rs
+++ b/policy/tests/choice_health.rs
@@ -35,7 +35,8 @@
 
 #[tokio::test(start_paused = true)]
 async fn finish_silent_thrice_ejects() {
-    let pool = warm(&several(2, 2)).await;
+    // A silent request keeps its slot for a moment.
+    let pool = warm(&several(2, 4)).await;
     for _ in 0..2 {
         end_on_bad(&pool, Ending::Silent);
         assert_eq!(reason(&pool, 0), CandidateReason::HasRoom);
--- a/policy/tests/choice_queue.rs
+++ b/policy/tests/choice_queue.rs
@@ -178,3 +178,19 @@
     assert_ne!(first.index(), second.index());
     assert_eq!(core.granted()[0].0, first);
 }
+
+/// Half of the answers take longer than the mean: who is left with just the mean is cut off
+/// every other time, which costs a slot and leaves the outcome unknown.
+#[tokio::test(start_paused = true)]
+async fn acquire_with_time_for_the_mean_only_is_refused_at_once() {
+    let pool = warm(&[owned(0, 2)]).await;
+    for number in 0..40 {
+        take(&pool).finish(answered(190 + 20 * (number % 2)));
+    }
+    let slots = take_all(&pool);
+    let before = in_ms(0);
+    let deadline = in_ms(100 + 205);
+    assert_eq!(refusal(&pool, deadline, &[]).await, NoSlotReason::Deadline);
+    assert_eq!(in_ms(0), before);
+    assert_eq!(slots.len(), 2);
+}
--- a/policy/tests/choice_slots.rs
+++ b/policy/tests/choice_slots.rs
@@ -4,7 +4,8 @@
 
 use choice_setup::*;
 use laburnumdeal_model::UpstreamId;
-use laburnumdeal_policy::CandidateReason;
+use laburnumdeal_policy::{CandidateReason, Ending, PoolSettings};
+use tokio::time::Instant;
 
 #[tokio::test(start_paused = true)]
 async fn try_acquire_stops_at_slots() {
@@ -60,3 +61,41 @@
     advance_ms(400).await;
     assert_eq!(take_all(&pool).len(), 5);
 }
+
+#[tokio::test(start_paused = true)]
+async fn drop_sent_keeps_slot_until_upstream_noticed() {
+    let pool = warm(&[owned(0, 3)]).await;
+    let mut slots = take_all(&pool);
+    let mut cut_off = slots.pop().unwrap();
+    cut_off.sending();
+    drop(cut_off);
+    assert!(pool.try_acquire(SERVICE, &[]).is_none());
+    assert_eq!(reason(&pool, 0), CandidateReason::Assumed);
+    advance_ms(PoolSettings::default().cut_off_ms).await;
+    assert_eq!(take_all(&pool).len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn finish_silent_keeps_slot_until_upstream_noticed() {
+    let pool = warm(&several(2, 2)).await;
+    let mut slots = take_all(&pool);
+    slots.pop().unwrap().finish(Ending::Silent);
+    assert_eq!(take_all(&pool).len(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn acquire_waits_for_slot_of_cut_off_request() {
+    let pool = warm(&[owned(0, 1)]).await;
+    let mut cut_off = take(&pool);
+    cut_off.sending();
+    drop(cut_off);
+    let asked_at = Instant::now();
+    let slot = pool.acquire(SERVICE, in_ms(5_000), &[]).await;
+    assert!(slot.is_ok());
+    let waited = asked_at.elapsed().as_millis() as u64;
+    let cut_off_ms = PoolSettings::default().cut_off_ms;
+    assert!(
+        (cut_off_ms..cut_off_ms + 10).contains(&waited),
+        "{waited} ms"
+    );
+}
