--- a/daemon/src/http_server.rs
+++ b/daemon/src/http_server.rs
@@ -39,6 +39,7 @@
 
 /// Serves HTTP/1.1 on one address, a task for each connection. Dropping it breaks every
 /// connection at once, as a crash does.
+#[derive(Debug)]
 pub struct HttpServer {
     stopping: watch::Sender<bool>,
     task: JoinHandle<()>,
