Share what upstreams tell, and keep objects where they are remembered

Loads were 1 to 3 s old, so full queues were taken for short ones (expected 1,000 ms, took 1,700); objects that others had taught an upstream were taken for unknown (expected 1,200 ms, took 550). And three upstreams an object are more than small upstreams remember (17 objects each of 24 in calm, over 30 of 24 once half of the upstreams are gone), so that all work on unknown objects.

Entry instances of a region now exchange loads and handled objects through the board of one control instance every 0.25 to 1 s. An object goes to two upstreams, to three while answers show that objects are remembered; it goes back when more than 15 in 100 were forgotten.

Leaning of instances away from upstreams was tried and taken back (docs/design).

--- a/daemon/src/roles/control_node.rs
+++ b/daemon/src/roles/control_node.rs
@@ -16,6 +16,7 @@
 use crate::http_server::HttpServer;
 use crate::roles::crash_marks::CrashMarks;
 use crate::roles::list_keeper;
+use crate::roles::news_board::NewsBoard;
 use crate::roles::node_metrics::NodeMetrics;
 use crate::roles::page_handler::PageHandler;
 use crate::roles::registry::Registry;
@@ -68,6 +69,7 @@
     pub registry: Registry,
     pub list: watch::Sender<Arc<ListedUpstreams>>,
     pub crashes: Mutex<CrashMarks>,
+    pub news: Mutex<NewsBoard>,
     pub metrics: NodeMetrics,
 }
 
@@ -107,6 +109,7 @@
             registry: Registry::new(now),
             list: watch::Sender::default(),
             crashes: Mutex::default(),
+            news: Mutex::default(),
             metrics: NodeMetrics::new(),
             settings,
             log,
--- a/daemon/src/roles/entry_node.rs
+++ b/daemon/src/roles/entry_node.rs
@@ -13,6 +13,7 @@
 use crate::roles::entry_state::EntryState;
 use crate::roles::follower::{self, Controls};
 use crate::roles::forward_handler::ForwardHandler;
+use crate::roles::news_exchange;
 use crate::roles::node_metrics::NodeMetrics;
 use crate::roles::page_handler::PageHandler;
 use crate::roles::rpc_client::RpcClient;
@@ -83,6 +84,7 @@
                 FOLLOWED,
             ));
         }
+        tasks.spawn(news_exchange::run(state.clone(), controls.clone(), client));
         let told = presence.clone();
         tasks.spawn(async move { told.run().await });
         info!(state.events.rare(), "entry instance started"; "address" => address.to_string());
--- a/daemon/src/roles/follow_message.rs
+++ b/daemon/src/roles/follow_message.rs
@@ -1,6 +1,6 @@
 use laburnumdeal_control::{ControlReply, ControlRequest};
 use laburnumdeal_model::{Applied, Configuration, Version};
-use laburnumdeal_policy::steer::UpstreamRecord;
+use laburnumdeal_policy::steer::{SharedNews, UpstreamRecord};
 use serde::{Deserialize, Serialize};
 
 use crate::roles::crash_marks::CrashMark;
@@ -17,6 +17,8 @@
     },
     /// Asks for whatever is newer than what the sender knows.
     Follow(FollowRequest),
+    /// Exchanges what entry instances hear of upstreams.
+    News(NewsRequest),
 }
 
 /// Reply to a [`Call`].
@@ -26,6 +28,17 @@
     Control(ControlReply),
     /// What is newer.
     Follow(Box<FollowReply>),
+    /// What other instances heard of upstreams.
+    News(SharedNews),
+}
+
+/// What an entry instance heard of upstreams, and what it asks for.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct NewsRequest {
+    /// What the sender heard since its last message.
+    pub news: SharedNews,
+    /// How far back the news of others is asked for.
+    pub window_ms: u64,
 }
 
 /// What an instance knows already.
--- a/daemon/src/roles/follower.rs
+++ b/daemon/src/roles/follower.rs
@@ -124,7 +124,7 @@
     };
     match client.call(target, &Call::Follow(request), TIMEOUT).await {
         Ok(Reply::Follow(reply)) => Some(*reply),
-        Ok(Reply::Control(_)) | Err(_) => None,
+        Ok(Reply::Control(_) | Reply::News(_)) | Err(_) => None,
     }
 }
 
--- a/daemon/src/roles/mod.rs
+++ b/daemon/src/roles/mod.rs
@@ -13,6 +13,8 @@
 mod forwarding;
 mod held_body;
 mod list_keeper;
+mod news_board;
+mod news_exchange;
 mod node_metrics;
 mod node_settings;
 mod page_handler;
--- a/daemon/src/roles/rpc_client.rs
+++ b/daemon/src/roles/rpc_client.rs
@@ -138,7 +138,7 @@
         };
         match self.client.call(address, &call, REPLICA_TIMEOUT).await? {
             Reply::Control(reply) => Ok(reply),
-            Reply::Follow(_) => Err(RpcError::WrongKind),
+            Reply::Follow(_) | Reply::News(_) => Err(RpcError::WrongKind),
         }
     }
 }
--- a/daemon/src/roles/rpc_handler.rs
+++ b/daemon/src/roles/rpc_handler.rs
@@ -7,13 +7,16 @@
 use hyper::body::Incoming;
 use laburnumdeal_control::ControlReply;
 use laburnumdeal_model::Version;
+use laburnumdeal_policy::steer::SharedNews;
 use slog::warn;
 use tokio::time::{Instant, sleep_until};
 
 use crate::answer_body::AnswerBody;
 use crate::http_server::Handle;
 use crate::roles::control_node::ControlState;
-use crate::roles::follow_message::{Call, ConfigurationUpdate, FollowReply, FollowRequest, Reply};
+use crate::roles::follow_message::{
+    Call, ConfigurationUpdate, FollowReply, FollowRequest, NewsRequest, Reply,
+};
 
 /// Longest message.
 const MAX_CALL_BYTES: usize = 32 * 1024 * 1024;
@@ -41,9 +44,18 @@
                 None => Reply::Control(ControlReply::Failed),
             },
             Call::Follow(request) => Reply::Follow(Box::new(self.follow(request).await)),
+            Call::News(request) => Reply::News(self.exchange_news(&request)),
         }
     }
 
+    fn exchange_news(&self, request: &NewsRequest) -> SharedNews {
+        let now = Instant::now();
+        let mut board = self.state.news.lock().expect("no holder panics");
+        let others = board.heard_within(Duration::from_millis(request.window_ms), now);
+        board.take(&request.news, now);
+        others
+    }
+
     /// Answers as soon as something is newer than what the sender knows, or when it waited.
     async fn follow(&self, request: FollowRequest) -> FollowReply {
         let now = Instant::now();
--- a/policy/src/steer/choosing.rs
+++ b/policy/src/steer/choosing.rs
@@ -8,9 +8,6 @@
     Ask, ColdShare, Decision, RouteTime, ServiceTimes, UpstreamBook, UpstreamKey, Verdict,
 };
 
-/// Upstreams that an object is sent to. More would know more objects than they remember.
-const RANKS: usize = 3;
-
 /// How much more likely an upstream of the own region is the first for an object.
 const NEAR_WEIGHT: f64 = 3.0;
 
@@ -49,7 +46,7 @@
         let ranked = || candidates.iter().enumerate().map(decide);
         let cost = |decision: &(Decision, f64)| decision.1;
         let best = ranked()
-            .take(RANKS)
+            .take(self.reach_of(ask.service))
             .min_by(|a, b| cost(a).total_cmp(&cost(b)));
         match best {
             Some((decision, _)) if self.is_good(ask, &decision) => Verdict::Send(decision),
@@ -117,7 +114,8 @@
         let times = self.times.get(ask.service).copied();
         let times = times.unwrap_or_else(|| ServiceTimes::new(ask.target_latency));
         let is_cold = entry.is_cold(now);
-        let warm = entry.objects.knows(ask.object, now) || (rank == 0 && !is_cold);
+        let known = entry.objects.knows(ask.object, now);
+        let warm = known || (rank == 0 && !is_cold);
         let slow = entry.slowness(now) * if is_cold { 2.0 } else { 1.0 };
         let service_ms = times.expected_ms(warm) * slow;
         let queue = entry.queue(now);
@@ -140,6 +138,7 @@
             wait_ms,
             load: entry.load.expected(now),
             told_age: entry.load.told_age(now),
+            known,
             warm,
             rank,
         };
--- a/policy/src/steer/load_estimate.rs
+++ b/policy/src/steer/load_estimate.rs
@@ -26,6 +26,7 @@
     own: u32,
     others: f64,
     told_at: Option<Instant>,
+    heard: Option<(u32, Instant)>,
 }
 
 impl LoadEstimate {
@@ -46,7 +47,25 @@
 
     /// Takes in what the upstream told; the request that was just answered no longer counts.
     pub fn told(&mut self, load: UpstreamLoad, now: Instant) {
-        let total = f64::from(load.running + load.waiting);
+        let requests = load.running + load.waiting;
+        self.heard = Some((requests, now));
+        self.take(requests, now, now);
+    }
+
+    /// Takes in what the upstream told another instance at a time, unless newer is known.
+    pub fn told_another(&mut self, requests: u32, at: Instant, now: Instant) {
+        if self.told_at.is_none_or(|held| held < at) {
+            self.take(requests, at, now);
+        }
+    }
+
+    /// Returns what the upstream told this instance last, and when.
+    pub fn heard(&self) -> Option<(u32, Instant)> {
+        self.heard
+    }
+
+    fn take(&mut self, requests: u32, at: Instant, now: Instant) {
+        let total = f64::from(requests);
         let others = (total - f64::from(self.own)).max(0.0);
         let earlier = self.others(now);
         let weight = if self.told_at.is_some() {
@@ -55,7 +74,7 @@
             1.0
         };
         self.others = weight * others + (1.0 - weight) * earlier;
-        self.told_at = Some(now);
+        self.told_at = Some(at);
     }
 
     /// Returns the requests expected at the upstream now.
@@ -72,6 +91,7 @@
     pub fn forget(&mut self) {
         self.others = 0.0;
         self.told_at = None;
+        self.heard = None;
     }
 
     fn others(&self, now: Instant) -> f64 {
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -6,10 +6,12 @@
 mod decision;
 mod load_estimate;
 mod object_memory;
+mod object_reach;
 mod retry_share;
 mod route_table;
 mod route_time;
 mod service_times;
+mod shared_news;
 mod upstream_book;
 mod upstream_entry;
 mod upstream_record;
@@ -18,10 +20,12 @@
 pub use decision::{Ask, Decision, Verdict};
 pub use load_estimate::{LoadEstimate, UpstreamLoad};
 pub use object_memory::ObjectMemory;
+pub use object_reach::ObjectReach;
 pub use retry_share::RetryShare;
 pub use route_table::{Route, RouteTable};
 pub use route_time::RouteTime;
 pub use service_times::ServiceTimes;
+pub use shared_news::{SharedLoad, SharedNews, SharedObject};
 pub use upstream_book::{
     BookSettings, Outcome as AttemptOutcome, UpstreamBook, UpstreamKey, hash_of,
 };
--- a/policy/src/steer/upstream_book.rs
+++ b/policy/src/steer/upstream_book.rs
@@ -6,7 +6,10 @@
 use tokio::time::Instant;
 
 use crate::steer::upstream_entry::UpstreamEntry;
-use crate::steer::{Decision, RouteTime, ServiceTimes, UpstreamLoad, UpstreamRecord};
+use crate::steer::{
+    Decision, ObjectReach, RouteTime, ServiceTimes, SharedLoad, SharedNews, SharedObject,
+    UpstreamLoad, UpstreamRecord,
+};
 
 /// Bound on requests to a cold upstream whose service is not known, per second.
 const COLD_PER_S: f64 = 10.0;
@@ -17,6 +20,12 @@
 /// Extra time for which an upstream counts as cold, because its start is learnt late.
 const WARM_UP_SLACK: Duration = Duration::from_millis(700);
 
+/// Upstreams that an object is sent to before anything is known of a service.
+const FIRST_REACH: usize = 2;
+
+/// Objects that are kept for other instances at most; those beyond are told the next time.
+const MAX_NEWS: usize = 1_024;
+
 /// Key of an upstream in an [`UpstreamBook`]; it stays valid when the upstream goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct UpstreamKey(pub u32);
@@ -67,12 +76,15 @@
     pub(super) settings: BookSettings,
     entries: Vec<UpstreamEntry>,
     by_id: HashMap<String, UpstreamKey>,
+    by_hash: HashMap<u64, UpstreamKey>,
     pub(super) by_service: HashMap<String, Vec<UpstreamKey>>,
     pub(super) times: HashMap<String, ServiceTimes>,
     pub(super) route_times: HashMap<String, RouteTime>,
     warm_up: HashMap<String, (Duration, f64)>,
     pub(super) evacuated: BTreeSet<String>,
     pub(super) instances: Vec<String>,
+    handled: Vec<SharedObject>,
+    reach: HashMap<String, ObjectReach>,
 }
 
 impl UpstreamBook {
@@ -83,12 +95,15 @@
             settings,
             entries: Vec::new(),
             by_id: HashMap::new(),
+            by_hash: HashMap::new(),
             by_service: HashMap::new(),
             times: HashMap::new(),
             route_times: HashMap::new(),
             warm_up: HashMap::new(),
             evacuated: BTreeSet::new(),
             instances,
+            handled: Vec::new(),
+            reach: HashMap::new(),
         }
     }
 
@@ -197,6 +212,41 @@
         self.entry_mut(key).load.told(load, now);
     }
 
+    /// Returns what upstreams told this instance since a time, and the objects that they handled
+    /// since the last call, for other instances.
+    pub fn take_news(&mut self, since: Instant, now: Instant) -> SharedNews {
+        let told = self.entries.iter().filter(|entry| entry.present);
+        let load = |entry: &UpstreamEntry| {
+            let (requests, at) = entry.load.heard()?;
+            (at >= since).then(|| SharedLoad {
+                upstream: entry.id_hash,
+                requests,
+                age_ms: (now - at).as_millis() as u32,
+            })
+        };
+        SharedNews {
+            loads: told.filter_map(load).collect(),
+            objects: std::mem::take(&mut self.handled),
+        }
+    }
+
+    /// Takes in what upstreams told other instances.
+    pub fn hear(&mut self, news: &SharedNews, now: Instant) {
+        for load in &news.loads {
+            let age = Duration::from_millis(u64::from(load.age_ms));
+            let known = self.by_hash.get(&load.upstream).copied();
+            if let (Some(key), Some(at)) = (known, now.checked_sub(age)) {
+                let entry = self.entry_mut(key);
+                entry.load.told_another(load.requests, at, now);
+            }
+        }
+        for shared in &news.objects {
+            if let Some(key) = self.by_hash.get(&shared.upstream).copied() {
+                self.entry_mut(key).objects.told(shared.object, now);
+            }
+        }
+    }
+
     /// Counts the end of a request that came by a route.
     pub fn end(
         &mut self,
@@ -209,8 +259,12 @@
         let key = decision.upstream;
         let warm_up = self.warm_up_of(&self.entry(key).record.service).0 + WARM_UP_SLACK;
         let entry = self.entry_mut(key);
-        entry.end(object, decision, outcome, warm_up, now);
+        let is_news = entry.end(object, decision, outcome, warm_up, now);
+        let upstream = entry.id_hash;
         let service = entry.record.service.clone();
+        if is_news && self.handled.len() < MAX_NEWS {
+            self.handled.push(SharedObject { upstream, object });
+        }
         let Outcome::Answered {
             took_ms,
             failed: false,
@@ -229,13 +283,20 @@
         if decision.wait_ms <= 0.0
             && let Some(times) = self.times.get_mut(&service)
         {
+            if decision.known {
+                let reach = self.reach.entry(service);
+                let reach = reach.or_insert_with(|| ObjectReach::new(now));
+                reach.measured(took_ms, times.expected_ms(true), now);
+            }
             times.measured(decision.warm, took_ms);
         }
     }
 
     fn add(&mut self, record: &UpstreamRecord) -> UpstreamKey {
         let key = UpstreamKey(self.entries.len() as u32);
-        self.entries.push(UpstreamEntry::new(record.clone()));
+        let entry = UpstreamEntry::new(record.clone());
+        self.by_hash.insert(entry.id_hash, key);
+        self.entries.push(entry);
         self.by_id.insert(record.id.clone(), key);
         key
     }
@@ -255,6 +316,12 @@
             .map_or("", String::as_str)
     }
 
+    /// Returns the number of upstreams that an object of a service is sent to.
+    pub(super) fn reach_of(&self, service: &str) -> usize {
+        let reach = self.reach.get(service);
+        reach.map_or(FIRST_REACH, ObjectReach::upstreams)
+    }
+
     pub(super) fn warm_up_of(&self, service: &str) -> (Duration, f64) {
         let told = self.warm_up.get(service).copied();
         told.unwrap_or((WARM_UP, COLD_PER_S))
--- a/policy/src/steer/upstream_entry.rs
+++ b/policy/src/steer/upstream_entry.rs
@@ -132,6 +132,7 @@
         self.quiet_since.get_or_insert(now);
     }
 
+    /// Counts the end of a request; returns whether others should be told of its object.
     pub fn end(
         &mut self,
         object: u64,
@@ -139,7 +140,8 @@
         outcome: Outcome,
         warm_up: Duration,
         now: Instant,
-    ) {
+    ) -> bool {
+        let mut is_news = false;
         self.load.ended();
         let heard = matches!(
             outcome,
@@ -159,7 +161,7 @@
                 }
                 self.note_failure(f64::from(u8::from(failed)), now);
                 if !failed {
-                    self.objects.handled(object, now);
+                    is_news = self.objects.handled(object, now);
                     self.note_slowness(took_ms / decision.expected_ms.max(1.0), now);
                 }
             }
@@ -178,6 +180,7 @@
             Outcome::Cancelled => {}
             Outcome::Replaced => self.pause(REPLACED_PAUSE, now),
         }
+        is_news
     }
 
     fn pause(&mut self, pause: Duration, now: Instant) {
--- a/policy/tests/steer/load.rs
+++ b/policy/tests/steer/load.rs
@@ -1,7 +1,7 @@
 //! Load that is heavy for upstreams which do not know their objects, and light for those which do.
 
 use crate::setup::upstream;
-use crate::world::World;
+use crate::world::{Tally, World};
 
 const UPSTREAMS: usize = 14;
 const SLOTS: u32 = 9;
@@ -49,3 +49,43 @@
     assert!(tally.failed * 10 <= tally.asked, "{tally:?}");
     assert!(tally.in_target * 4 >= tally.asked, "{tally:?}");
 }
+
+/// Many instances before many upstreams, so that each pair seldom meets: a surge on upstreams that
+/// know few of its objects. Who hears only for itself sends to full queues.
+#[test]
+fn choose_surge_with_many_instances_shares_what_upstreams_tell() {
+    let surge = |share_every_ms| {
+        let records: Vec<_> = (0..56)
+            .map(|number| upstream(number, "a1", SLOTS))
+            .collect();
+        let mut world = World::new(&records, 60, 4 * OBJECTS, REMEMBERED);
+        world.share_every_ms = share_every_ms;
+        world.play(14_000, 8_000, |now_ms| match now_ms {
+            8_000.. => 4_200.0,
+            _ => 1_300.0,
+        });
+        world.tally
+    };
+    let (shared, alone) = (surge(Some(250)), surge(None));
+    let wasted = |tally: &Tally| tally.late + tally.failed;
+    assert!(
+        shared.in_target * 2 >= shared.asked
+            && shared.in_target > alone.in_target
+            && wasted(&shared) < wasted(&alone),
+        "shared {shared:?}, alone {alone:?}"
+    );
+}
+
+/// Upstreams that cannot remember the objects of a reach of three: what fits their slots as known
+/// work is answered in target when each object goes to two of them.
+#[test]
+fn choose_upstreams_that_remember_little_keeps_their_objects_known() {
+    let records: Vec<_> = (0..28)
+        .map(|number| upstream(number, "a1", SLOTS))
+        .collect();
+    let mut world = World::new(&records, 20, 3 * OBJECTS, 58);
+    world.share_every_ms = Some(250);
+    world.play(20_000, 10_000, |_| 1_250.0);
+    let share = world.tally.share_in_target();
+    assert!(share >= 0.95, "{share:.3} in target: {:?}", world.tally);
+}
