--- a/daemon/src/exchange_guard.rs
+++ b/daemon/src/exchange_guard.rs
@@ -6,8 +6,7 @@
 use crate::flights::Flight;
 
 /// What an exchange holds until its answer has arrived whole: a connection, and the place on an
-/// upstream when the other side is one. Dropping it closes the connection and cuts
-/// the exchange off.
+/// upstream when the other side is one. Dropping it closes the connection and cuts the exchange off.
 #[derive(Debug)]
 pub struct ExchangeGuard {
     connection: Connection,
--- a/policy/src/steer/load_estimate.rs
+++ b/policy/src/steer/load_estimate.rs
@@ -20,7 +20,7 @@
 }
 
 /// Requests at one upstream: this instance's own, counted exactly, and those of others as the
-/// upstream told them last.
+/// upstream told this instance or another last.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoadEstimate {
     own: u32,
--- a/policy/src/steer/object_reach.rs
+++ b/policy/src/steer/object_reach.rs
@@ -24,6 +24,22 @@
 const STAYS: (Duration, Duration) = (Duration::from_secs(4), Duration::from_secs(64));
 
 /// Number of upstreams that each object of a service is sent to, by how well upstreams remember.
+///
+/// # Examples
+///
+/// ```
+/// use laburnumdeal_policy::steer::ObjectReach;
+/// use tokio::time::{Duration, Instant};
+///
+/// let start = Instant::now();
+/// let mut reach = ObjectReach::new(start);
+/// assert_eq!(reach.upstreams(), 2);
+/// // Answers come as fast as from upstreams that know the object.
+/// for second in 0..30 {
+///     reach.measured(150.0, 144.0, start + Duration::from_secs(second));
+/// }
+/// assert_eq!(reach.upstreams(), 3);
+/// ```
 #[derive(Clone, Copy, Debug)]
 pub struct ObjectReach {
     upstreams: usize,
--- a/policy/src/steer/upstream_book.rs
+++ b/policy/src/steer/upstream_book.rs
@@ -23,7 +23,7 @@
 /// Upstreams that an object is sent to before anything is known of a service.
 const FIRST_REACH: usize = 2;
 
-/// Objects that are kept for other instances at most; those beyond are told the next time.
+/// Objects that wait to be told at most; one beyond is told when it is handled again later.
 const MAX_NEWS: usize = 1_024;
 
 /// Key of an upstream in an [`UpstreamBook`]; it stays valid when the upstream goes.
