--- a/daemon/src/roles/news_exchange.rs
+++ b/daemon/src/roles/news_exchange.rs
@@ -62,7 +62,10 @@
         };
         match client.call(chosen, &Call::News(request), TIMEOUT).await {
             Ok(Reply::News(news)) => state.book().hear(&news, Instant::now()),
-            Ok(Reply::Control(_) | Reply::Follow(_)) => {}
+            Ok(Reply::Control(_) | Reply::Follow(_)) => {
+                warn!(state.events.rare(), "news of upstreams not shared";
+                    "control" => chosen.to_string(), "error" => "reply of another kind");
+            }
             Err(error) => {
                 warn!(state.events.rare(), "news of upstreams not shared";
                     "control" => chosen.to_string(), "error" => error.to_string());
