Send entry instances what changed, once, in short messages

The links of entry instances are 2 Mbit/s. Each of two followed control instances sent every change with the operator's texts (988 routes at once) and the whole list of 519 upstreams whenever one of them changed.

Now a change leaves out the texts, the list goes as changes since the list that is held, long messages are deflated (flate2), the second control instance only names what is newer unless the first does not bring it, control instances of the own region are followed first, and a list that was read earlier is no news. The board of news is one of the own region.

Tests: daemon/tests/updates.rs; the bounds come from the link.

--- a/control/src/replica.rs
+++ b/control/src/replica.rs
@@ -254,11 +254,9 @@
         self.core.has_lease(&self.core.volatile())
     }
 
-    /// Returns the names of the members.
-    pub fn members(&self) -> Vec<String> {
-        let volatile = self.core.volatile();
-        let members = volatile.members.list.iter();
-        members.map(|member| member.instance.clone()).collect()
+    /// Returns the members.
+    pub fn members(&self) -> Vec<crate::Member> {
+        self.core.volatile().members.list.clone()
     }
 
     /// Returns what this replica knows about itself and the others.
--- a/daemon/src/roles/control_node.rs
+++ b/daemon/src/roles/control_node.rs
@@ -15,6 +15,7 @@
 use crate::daemon_error::DaemonError;
 use crate::http_server::HttpServer;
 use crate::roles::crash_marks::CrashMarks;
+use crate::roles::list_history::ListHistory;
 use crate::roles::list_keeper;
 use crate::roles::news_board::NewsBoard;
 use crate::roles::node_metrics::NodeMetrics;
@@ -68,6 +69,7 @@
     pub client: RpcClient,
     pub registry: Registry,
     pub list: watch::Sender<Arc<ListedUpstreams>>,
+    pub lists: ListHistory,
     pub crashes: Mutex<CrashMarks>,
     pub news: Mutex<NewsBoard>,
     pub metrics: NodeMetrics,
@@ -108,6 +110,7 @@
         let state = Arc::new(ControlState {
             registry: Registry::new(now),
             list: watch::Sender::default(),
+            lists: ListHistory::default(),
             crashes: Mutex::default(),
             news: Mutex::default(),
             metrics: NodeMetrics::new(),
--- a/daemon/src/roles/entry_node.rs
+++ b/daemon/src/roles/entry_node.rs
@@ -10,8 +10,9 @@
 
 use crate::daemon_error::DaemonError;
 use crate::http_server::HttpServer;
+use crate::roles::controls::Controls;
 use crate::roles::entry_state::EntryState;
-use crate::roles::follower::{self, Controls};
+use crate::roles::follower;
 use crate::roles::forward_handler::ForwardHandler;
 use crate::roles::news_exchange;
 use crate::roles::node_metrics::NodeMetrics;
@@ -74,13 +75,13 @@
             Arc::new(PresenceTask::open(state.clone(), controls.clone(), address).await?);
         let mut tasks = JoinSet::new();
         let client = RpcClient::default();
-        let first: usize = rand::random_range(0..64);
-        for number in 0..FOLLOWED {
+        for place in 0..FOLLOWED {
+            let (state, controls) = (state.clone(), controls.clone());
             tasks.spawn(follower::run(
-                state.clone(),
-                controls.clone(),
+                state,
+                controls,
                 client.clone(),
-                first + number,
+                place,
                 FOLLOWED,
             ));
         }
@@ -179,7 +180,7 @@
             sequence: self.sequence.fetch_add(1, order),
         };
         let bytes = rmp_serde::to_vec(&presence).expect("plain data encodes");
-        for control in self.controls.list() {
+        for control in self.controls.all() {
             if let Err(error) = self.socket.send_to(&bytes, control).await
                 && let Some(log) = self.state.events.line(true)
             {
--- a/daemon/src/roles/follow_message.rs
+++ b/daemon/src/roles/follow_message.rs
@@ -1,9 +1,10 @@
 use laburnumdeal_control::{ControlReply, ControlRequest};
-use laburnumdeal_model::{Applied, Configuration, Version};
-use laburnumdeal_policy::steer::{SharedNews, UpstreamRecord};
+use laburnumdeal_model::Version;
+use laburnumdeal_policy::steer::SharedNews;
 use serde::{Deserialize, Serialize};
 
 use crate::roles::crash_marks::CrashMark;
+use crate::roles::follow_reply::FollowReply;
 
 /// Message to a control instance.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -48,40 +49,14 @@
     pub version: Option<Version>,
     /// Mark of the list of upstreams.
     pub list_mark: u64,
+    /// Age of the list of upstreams; `None` when there is none.
+    pub list_age_ms: Option<u64>,
     /// Mark of the list of entry instances.
     pub roster_mark: u64,
+    /// Whether contents are wanted, or only the versions and marks that tell whether there are any.
+    pub contents: bool,
     /// Crashes that the receiver may not know.
     pub crashes: Vec<CrashMark>,
     /// Time to wait when there is nothing new.
     pub wait_ms: u64,
 }
-
-/// What is newer than what the sender of a [`FollowRequest`] knows.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct FollowReply {
-    /// Whether the replica hears a leader; otherwise it may be cut off.
-    pub is_led: bool,
-    /// Newer configuration.
-    pub configuration: ConfigurationUpdate,
-    /// Age of the list of upstreams; `None` when it was never read.
-    pub list_age_ms: Option<u64>,
-    /// List of upstreams, unless its mark was known.
-    pub list: Option<Vec<UpstreamRecord>>,
-    /// Mark and names of the entry instances, unless the mark was known.
-    pub roster: Option<(u64, Vec<String>)>,
-    /// Addresses of the control instances for other instances.
-    pub controls: Vec<String>,
-    /// Crashes of late.
-    pub crashes: Vec<CrashMark>,
-}
-
-/// Newer configuration.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum ConfigurationUpdate {
-    /// There is none.
-    Same,
-    /// Changes since the version that was known.
-    Changes(Vec<Applied>),
-    /// All of it.
-    Whole(Box<Configuration>),
-}
--- /dev/null
+++ b/daemon/src/roles/follow_reply.rs
@@ -0,0 +1,69 @@
+use std::time::Duration;
+
+use laburnumdeal_model::Version;
+use laburnumdeal_policy::steer::UpstreamRecord;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::roles::configuration_update::ConfigurationUpdate;
+use crate::roles::controls::ControlRecord;
+use crate::roles::crash_marks::CrashMark;
+use crate::roles::{ListChanges, ListedUpstreams};
+
+/// What is newer than what the sender of a [`FollowRequest`] knows.
+///
+/// [`FollowRequest`]: crate::roles::follow_message::FollowRequest
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct FollowReply {
+    /// Whether the replica hears a leader; otherwise it may be cut off.
+    pub is_led: bool,
+    /// Newest version of the configuration.
+    pub version: Version,
+    /// Newer configuration.
+    pub configuration: ConfigurationUpdate,
+    /// Age of the list of upstreams; `None` when it was never read.
+    pub list_age_ms: Option<u64>,
+    /// Mark of the list of upstreams.
+    pub list_mark: u64,
+    /// Newer list of upstreams.
+    pub list: ListUpdate,
+    /// Mark and names of the entry instances, unless the mark was known.
+    pub roster: Option<(u64, Vec<String>)>,
+    /// Control instances.
+    pub controls: Vec<ControlRecord>,
+    /// Crashes of late.
+    pub crashes: Vec<CrashMark>,
+}
+
+/// Newer list of upstreams.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ListUpdate {
+    /// Its mark is known, or its contents were not asked for.
+    Mark,
+    /// Changes of the list that was known.
+    Changes(ListChanges),
+    /// All of it.
+    Whole(Vec<UpstreamRecord>),
+}
+
+impl FollowReply {
+    /// Returns when the list of upstreams was read; `None` when it never was.
+    pub fn list_read_at(&self, now: Instant) -> Option<Instant> {
+        let age = Duration::from_millis(self.list_age_ms?);
+        Some(now.checked_sub(age).unwrap_or(now))
+    }
+
+    /// Returns the list of upstreams after this reply; `None` when it tells none, or changes of
+    /// another list than the one held.
+    pub fn list(&self, held: &ListedUpstreams, now: Instant) -> Option<ListedUpstreams> {
+        let read_at = self.list_read_at(now)?;
+        match &self.list {
+            ListUpdate::Whole(records) => Some(ListedUpstreams::new(records.clone(), read_at)),
+            ListUpdate::Changes(changes) => changes.applied_to(held, read_at),
+            ListUpdate::Mark => (self.list_mark == held.mark).then(|| ListedUpstreams {
+                read_at: Some(read_at),
+                ..held.clone()
+            }),
+        }
+    }
+}
--- a/daemon/src/roles/follower.rs
+++ b/daemon/src/roles/follower.rs
@@ -1,18 +1,19 @@
-//! Follows control instances: each loop asks one of them for what is newer, and goes on to the
-//! next when that one is silent or hears no leader.
+//! Follows control instances, near ones first. The first loop is told all that is newer. The other
+//! one is only told that there is something newer, and asks for it when the first does not bring it;
+//! so a change crosses the narrow link of an entry instance once.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
-use laburnumdeal_control::replay;
-use laburnumdeal_model::{Applied, Configuration, Verdict, Version};
+use laburnumdeal_model::Version;
 use slog::{info, warn};
 use tokio::time::{Instant, sleep};
 
-use crate::roles::ListedUpstreams;
+use crate::roles::controls::Controls;
 use crate::roles::entry_state::EntryState;
-use crate::roles::follow_message::{Call, ConfigurationUpdate, FollowReply, FollowRequest, Reply};
+use crate::roles::follow_message::{Call, FollowRequest, Reply};
+use crate::roles::follow_reply::FollowReply;
 use crate::roles::rpc_client::RpcClient;
 
 /// Time that a control instance waits for something new before it answers.
@@ -24,64 +25,33 @@
 /// Pause after a control instance failed.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// Control instances that an entry instance knows.
-#[derive(Debug)]
-pub(super) struct Controls {
-    seeds: Mutex<Vec<SocketAddr>>,
-    known: Mutex<Vec<SocketAddr>>,
-}
-
-impl Controls {
-    /// Starts with the seeds of the settings.
-    pub fn new(seeds: Vec<SocketAddr>) -> Self {
-        let known = Mutex::new(seeds.clone());
-        let seeds = Mutex::new(seeds);
-        Self { seeds, known }
-    }
+/// Time in which the first loop should bring what another loop heard of.
+const BROUGHT_WITHIN: Duration = Duration::from_millis(300);
 
-    /// Takes over the seeds of new settings.
-    pub fn reseed(&self, seeds: Vec<SocketAddr>) {
-        let mut known = self.known.lock().expect("no holder panics");
-        known.extend(seeds.iter().copied());
-        known.sort();
-        known.dedup();
-        drop(known);
-        *self.seeds.lock().expect("no holder panics") = seeds;
-    }
+/// Time after which a loop that had to leave its near control instance tries it again.
+const RETURN_AFTER: Duration = Duration::from_secs(30);
 
-    /// Returns every control instance that is known.
-    pub fn list(&self) -> Vec<SocketAddr> {
-        self.known.lock().expect("no holder panics").clone()
-    }
-
-    fn take(&self, names: &[String]) {
-        let told: Vec<SocketAddr> = names.iter().filter_map(|name| name.parse().ok()).collect();
-        if told.is_empty() {
-            return;
-        }
-        let seeds = self.seeds.lock().expect("no holder panics").clone();
-        let mut known = self.known.lock().expect("no holder panics");
-        *known = told;
-        let missing = seeds.iter().filter(|seed| !known.contains(seed));
-        let missing: Vec<SocketAddr> = missing.copied().collect();
-        known.extend(missing);
-    }
-}
-
-/// Follows control instances for as long as the process runs, beginning with number `first`.
+/// Follows control instances for as long as the process runs, as number `place` of `loops`.
 pub async fn run(
     state: Arc<EntryState>,
     controls: Arc<Controls>,
     client: RpcClient,
-    first: usize,
+    place: usize,
     loops: usize,
 ) {
-    let mut position = first;
+    let settings = &state.settings;
+    let mut position = place;
+    let mut left_at = Instant::now();
     let mut followed: Option<SocketAddr> = None;
+    let brings_contents = place == 0;
+    let mut contents = brings_contents;
     loop {
-        let known = controls.list();
+        let known = controls.near_first(&settings.region, &settings.instance);
+        if position != place && left_at.elapsed() >= RETURN_AFTER {
+            position = place;
+        }
         let target = known[position % known.len()];
-        match ask(&state, &client, target).await {
+        match ask(&state, &client, target, contents).await {
             Some(reply) if reply.is_led => {
                 if followed != Some(target) {
                     info!(state.events.rare(), "follows a control instance";
@@ -89,7 +59,8 @@
                     followed = Some(target);
                 }
                 controls.take(&reply.controls);
-                take(&state, reply);
+                take(&state, &reply);
+                contents = brings_contents || is_missed(&state, &reply).await;
             }
             reply => {
                 if followed.take().is_some() {
@@ -101,24 +72,50 @@
                         "control" => target.to_string(), "reason" => reason);
                 }
                 if let Some(reply) = reply {
-                    take(&state, reply);
+                    take(&state, &reply);
                 }
                 position += loops;
+                left_at = Instant::now();
                 sleep(PAUSE).await;
             }
         }
     }
 }
 
-async fn ask(state: &EntryState, client: &RpcClient, target: SocketAddr) -> Option<FollowReply> {
+/// Returns whether something newer that a reply only names is still not here after the time that
+/// the first loop has to bring it.
+async fn is_missed(state: &EntryState, reply: &FollowReply) -> bool {
+    let now = Instant::now();
+    let misses = || {
+        let held = state.in_force().configuration;
+        let list = state.list();
+        held.is_none_or(|held| held.version < reply.version)
+            || (list.mark != reply.list_mark && list.read_at < reply.list_read_at(now))
+    };
+    if !misses() {
+        return false;
+    }
+    sleep(BROUGHT_WITHIN).await;
+    misses()
+}
+
+async fn ask(
+    state: &EntryState,
+    client: &RpcClient,
+    target: SocketAddr,
+    contents: bool,
+) -> Option<FollowReply> {
     let in_force = state.in_force().configuration;
     let version = in_force.map_or(Version(0), |configuration| configuration.version);
     let list = state.list();
+    let list_age = list.age(Instant::now());
     let crashes = state.crashes.lock().expect("no holder panics").list();
     let request = FollowRequest {
         version: Some(version),
         list_mark: list.mark,
+        list_age_ms: list_age.map(|age| age.as_millis() as u64),
         roster_mark: state.roster_mark(),
+        contents,
         crashes,
         wait_ms: WAIT.as_millis() as u64,
     };
@@ -128,53 +125,19 @@
     }
 }
 
-fn take(state: &EntryState, reply: FollowReply) {
+fn take(state: &EntryState, reply: &FollowReply) {
     let now = Instant::now();
-    match reply.configuration {
-        ConfigurationUpdate::Same => {}
-        ConfigurationUpdate::Whole(configuration) => {
-            state.take_configuration(Arc::new(*configuration));
-        }
-        ConfigurationUpdate::Changes(changes) => take_changes(state, &changes),
+    let held = state.in_force().configuration;
+    let update = reply.configuration.clone();
+    if let Some(next) = update.applied_to(held.as_deref()) {
+        state.take_configuration(Arc::new(next));
     }
-    if let Some(age_ms) = reply.list_age_ms {
-        let age = Duration::from_millis(age_ms);
-        let read_at = now.checked_sub(age).unwrap_or(now);
-        let list = match reply.list {
-            Some(records) => ListedUpstreams::new(records, read_at),
-            None => ListedUpstreams {
-                read_at: Some(read_at),
-                ..state.list()
-            },
-        };
+    if let Some(list) = reply.list(&state.list(), now) {
         state.take_list(list);
     }
-    if let Some((mark, names)) = reply.roster {
-        state.take_roster(mark, names);
+    if let Some((mark, names)) = &reply.roster {
+        state.take_roster(*mark, names.clone());
     }
     let mut crashes = state.crashes.lock().expect("no holder panics");
     crashes.add(&reply.crashes, now);
 }
-
-/// Makes the changes that follow the version in force.
-fn take_changes(state: &EntryState, changes: &[Applied]) {
-    let Some(held) = state.in_force().configuration else {
-        return;
-    };
-    let mut next = Configuration::clone(&held);
-    for applied in changes {
-        let Verdict::Accepted { version } = applied.verdict else {
-            continue;
-        };
-        if version <= next.version {
-            continue;
-        }
-        if version != next.version.next() {
-            break;
-        }
-        replay(&mut next, &applied.change, applied.at_ms, version);
-    }
-    if next.version > held.version {
-        state.take_configuration(Arc::new(next));
-    }
-}
--- a/daemon/src/roles/list_keeper.rs
+++ b/daemon/src/roles/list_keeper.rs
@@ -80,10 +80,13 @@
 /// Waits for the leader's word; returns whether it came.
 async fn follow(state: &ControlState, leader: SocketAddr) -> bool {
     let held = state.list.borrow().clone();
+    let held_age = held.age(Instant::now());
     let request = FollowRequest {
         version: None,
         list_mark: held.mark,
+        list_age_ms: held_age.map(|age| age.as_millis() as u64),
         roster_mark: 0,
+        contents: true,
         crashes: state.crashes.lock().expect("no holder panics").list(),
         wait_ms: FOLLOW_WAIT.as_millis() as u64,
     };
@@ -95,20 +98,11 @@
     let mut crashes = state.crashes.lock().expect("no holder panics");
     crashes.add(&reply.crashes, now);
     drop(crashes);
-    let Some(age_ms) = reply.list_age_ms else {
-        return false;
-    };
-    let age = Duration::from_millis(age_ms);
-    let read_at = now.checked_sub(age).unwrap_or(now);
-    let list = match reply.list {
-        Some(records) => ListedUpstreams::new(records, read_at),
-        None => ListedUpstreams {
-            read_at: Some(read_at),
-            ..(*held).clone()
-        },
-    };
-    take(state, list);
-    age < OLD_AFTER
+    if let Some(list) = reply.list(&held, now) {
+        take(state, list);
+    }
+    let read_at = reply.list_read_at(now);
+    read_at.is_some_and(|read_at| now - read_at < OLD_AFTER)
 }
 
 fn take(state: &ControlState, list: ListedUpstreams) {
@@ -122,6 +116,9 @@
                 "mark" => format!("{:016x}", list.mark));
         }
         *held = Arc::new(list);
+        if differs {
+            state.lists.push(held.clone());
+        }
         differs
     });
 }
--- a/daemon/src/roles/mod.rs
+++ b/daemon/src/roles/mod.rs
@@ -2,16 +2,21 @@
 //! the configuration, the list of upstreams and the list of entry instances.
 
 mod caller_dialect;
+mod configuration_update;
 mod control_node;
+mod controls;
 mod crash_marks;
 mod entry_node;
 mod entry_state;
 mod event_log;
 mod follow_message;
+mod follow_reply;
 mod follower;
 mod forward_handler;
 mod forwarding;
 mod held_body;
+mod list_changes;
+mod list_history;
 mod list_keeper;
 mod news_board;
 mod news_exchange;
@@ -26,8 +31,10 @@
 mod upstream_list;
 
 pub use caller_dialect::CallerDialect;
+pub use configuration_update::ConfigurationUpdate;
 pub use control_node::{ControlHandle, ControlNode, Submitted};
 pub use entry_node::EntryNode;
+pub use list_changes::ListChanges;
 pub use node_settings::NodeSettings;
 pub use presence::{Presence, PresenceState};
 pub use upstream_list::{ListError, ListRead, ListedUpstreams, UpstreamSource};
--- a/daemon/src/roles/news_exchange.rs
+++ b/daemon/src/roles/news_exchange.rs
@@ -2,17 +2,15 @@
 //! control instance. With many instances, each by itself hears of an upstream too seldom.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use laburnumdeal_policy::steer::hash_of;
 use slog::{info, warn};
 use tokio::time::{Instant, sleep};
 
+use crate::roles::controls::Controls;
 use crate::roles::entry_state::EntryState;
 use crate::roles::follow_message::{Call, NewsRequest, Reply};
-use crate::roles::follower::Controls;
 use crate::roles::rpc_client::RpcClient;
 
 /// Shortest and longest time between two exchanges.
@@ -37,15 +35,13 @@
         let period = (PERIOD_PER_INSTANCE * instances).clamp(PERIOD.0, PERIOD.1);
         sleep(period).await;
         silent.retain(|_, since: &mut Instant| since.elapsed() < PASSED_OVER);
-        let known = controls.list();
-        let usable = known
+        // All entry instances of a region choose the same board, one of their region if there is.
+        let region = &state.settings.region;
+        let known = controls.near_first(region, region);
+        let mut usable = known
             .iter()
             .filter(|control| !silent.contains_key(*control));
-        let score = |control: &&SocketAddr| {
-            let name = control.to_string();
-            hash_of(&[state.settings.region.as_bytes(), name.as_bytes()])
-        };
-        let Some(chosen) = usable.min_by_key(score).copied() else {
+        let Some(chosen) = usable.next().copied() else {
             continue;
         };
         if board.replace(chosen) != Some(chosen) {
--- a/daemon/src/roles/rpc_client.rs
+++ b/daemon/src/roles/rpc_client.rs
@@ -14,6 +14,7 @@
 use crate::connection_pool::{ConnectionPool, Freshness};
 use crate::exchange;
 use crate::exchange_error::ExchangeError;
+use crate::packing::{PackingError, pack, unpack};
 use crate::request_body::RequestBody;
 use crate::roles::follow_message::{Call, Reply};
 
@@ -35,12 +36,9 @@
     /// The exchange failed.
     #[display("{_0}")]
     Exchange(ExchangeError),
-    /// The message cannot be encoded.
-    #[display("message cannot be encoded: {_0}")]
-    Encode(rmp_serde::encode::Error),
-    /// The reply cannot be decoded.
-    #[display("reply cannot be decoded: {_0}")]
-    Decode(rmp_serde::decode::Error),
+    /// The message cannot be encoded, or its reply decoded.
+    #[display("{_0}")]
+    Packing(PackingError),
     /// The reply broke off or took too long.
     #[display("reply broke off")]
     #[from(ignore)]
@@ -78,7 +76,7 @@
     ) -> Result<Reply, RpcError> {
         let deadline = Instant::now() + timeout;
         let pool = self.pool(to);
-        let mut request = Request::new(RequestBody::whole(Bytes::from(rmp_serde::to_vec(call)?)));
+        let mut request = Request::new(RequestBody::whole(Bytes::from(pack(call)?)));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = http::Uri::from_static(CALL_PATH);
         let host = HeaderValue::from_static("laburnumdeal");
@@ -95,7 +93,7 @@
             }
         };
         guard.complete();
-        Ok(rmp_serde::from_slice(&body)?)
+        Ok(unpack(&body, MAX_REPLY_BYTES)?)
     }
 
     fn pool(&self, to: SocketAddr) -> ConnectionPool {
--- a/daemon/src/roles/rpc_handler.rs
+++ b/daemon/src/roles/rpc_handler.rs
@@ -6,17 +6,19 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use laburnumdeal_control::ControlReply;
-use laburnumdeal_model::Version;
+use laburnumdeal_model::Configuration;
 use laburnumdeal_policy::steer::SharedNews;
 use slog::warn;
 use tokio::time::{Instant, sleep_until};
 
 use crate::answer_body::AnswerBody;
 use crate::http_server::Handle;
+use crate::packing::{pack, unpack};
 use crate::roles::control_node::ControlState;
-use crate::roles::follow_message::{
-    Call, ConfigurationUpdate, FollowReply, FollowRequest, NewsRequest, Reply,
-};
+use crate::roles::controls::ControlRecord;
+use crate::roles::follow_message::{Call, FollowRequest, NewsRequest, Reply};
+use crate::roles::follow_reply::{FollowReply, ListUpdate};
+use crate::roles::{ConfigurationUpdate, ListedUpstreams};
 
 /// Longest message.
 const MAX_CALL_BYTES: usize = 32 * 1024 * 1024;
@@ -32,6 +34,28 @@
     state: Arc<ControlState>,
 }
 
+/// List of upstreams that the sender of a request holds.
+#[derive(Clone, Copy)]
+struct KnownList {
+    mark: u64,
+    read_at: Option<Instant>,
+}
+
+impl KnownList {
+    fn new(request: &FollowRequest, now: Instant) -> Self {
+        let age = request.list_age_ms.map(Duration::from_millis);
+        Self {
+            mark: request.list_mark,
+            read_at: age.map(|age| now.checked_sub(age).unwrap_or(now)),
+        }
+    }
+
+    /// Returns whether another list differs and was read later.
+    fn is_outdated_by(self, list: &ListedUpstreams) -> bool {
+        list.mark != self.mark && list.read_at > self.read_at
+    }
+}
+
 impl RpcHandler {
     pub fn new(state: Arc<ControlState>) -> Self {
         Self { state }
@@ -59,14 +83,15 @@
     /// Answers as soon as something is newer than what the sender knows, or when it waited.
     async fn follow(&self, request: FollowRequest) -> FollowReply {
         let now = Instant::now();
+        let known_list = KnownList::new(&request, now);
         let wait = Duration::from_millis(request.wait_ms).min(MAX_WAIT);
         let mut configuration = self.state.replica.watch();
         let mut list = self.state.list.subscribe();
         self.take_crashes(&request, now);
         loop {
             let is_due = now.elapsed() >= wait;
-            if is_due || self.has_news(&request) {
-                return self.reply(&request);
+            if is_due || self.has_news(&request, known_list) {
+                return self.reply(&request, known_list);
             }
             let look_at = (Instant::now() + LOOK_EVERY).min(now + wait);
             tokio::select! {
@@ -85,45 +110,67 @@
         }
     }
 
-    fn has_news(&self, request: &FollowRequest) -> bool {
+    fn has_news(&self, request: &FollowRequest, known_list: KnownList) -> bool {
         let version = self.state.replica.watch().borrow().version;
         let newer = request.version.is_some_and(|known| version > known);
         let list = self.state.list.borrow();
         let roster = self.state.registry.roster(Instant::now()).0;
         let crashes = self.state.crashes.lock().expect("no holder panics").list();
         newer
-            || (list.read_at.is_some() && list.mark != request.list_mark)
+            || known_list.is_outdated_by(&list)
             || (request.roster_mark != 0 && roster != request.roster_mark)
             || crashes.iter().any(|mark| !request.crashes.contains(mark))
     }
 
-    fn reply(&self, request: &FollowRequest) -> FollowReply {
+    fn reply(&self, request: &FollowRequest, known_list: KnownList) -> FollowReply {
         let now = Instant::now();
+        let newest = self.state.replica.watch().borrow().clone();
         let list = self.state.list.borrow().clone();
         let (roster_mark, roster) = self.state.registry.roster(now);
-        let age = list.age(now);
+        let members = self.state.replica.members().into_iter();
+        let controls = members.map(|member| ControlRecord {
+            address: member.instance,
+            region: member.region,
+        });
         FollowReply {
             is_led: self.state.replica.is_led(),
-            configuration: self.update(request.version),
-            list_age_ms: age.map(|age| age.as_millis() as u64),
-            list: (age.is_some() && list.mark != request.list_mark).then(|| list.records.to_vec()),
+            version: newest.version,
+            configuration: self.configuration_update(request, &newest),
+            list_age_ms: list.age(now).map(|age| age.as_millis() as u64),
+            list_mark: list.mark,
+            list: self.list_update(request, known_list, &list),
             roster: (roster_mark != request.roster_mark).then_some((roster_mark, roster)),
-            controls: self.state.replica.members(),
+            controls: controls.collect(),
             crashes: self.state.crashes.lock().expect("no holder panics").list(),
         }
     }
 
-    fn update(&self, known: Option<Version>) -> ConfigurationUpdate {
-        let Some(known) = known else {
-            return ConfigurationUpdate::Same;
-        };
-        let newest = self.state.replica.watch().borrow().clone();
-        if newest.version <= known {
-            return ConfigurationUpdate::Same;
+    fn configuration_update(
+        &self,
+        request: &FollowRequest,
+        newest: &Configuration,
+    ) -> ConfigurationUpdate {
+        match request.version {
+            Some(known) if request.contents => {
+                let changes = |known| self.state.replica.changes_since(known);
+                ConfigurationUpdate::since(known, newest, changes)
+            }
+            _ => ConfigurationUpdate::Same,
+        }
+    }
+
+    fn list_update(
+        &self,
+        request: &FollowRequest,
+        known: KnownList,
+        list: &ListedUpstreams,
+    ) -> ListUpdate {
+        if !request.contents || !known.is_outdated_by(list) {
+            return ListUpdate::Mark;
         }
-        match self.state.replica.changes_since(known) {
-            Some(changes) if known > Version(0) => ConfigurationUpdate::Changes(changes),
-            _ => ConfigurationUpdate::Whole(Box::new((*newest).clone())),
+        match self.state.lists.changes(known.mark, list) {
+            Some(changes) => ListUpdate::Changes(changes),
+            None => ListUpdate::Whole(list.records.to_vec()),
         }
     }
 }
@@ -134,12 +181,12 @@
         let Ok(body) = body.collect().await else {
             return refused("the message broke off");
         };
-        let call = match rmp_serde::from_slice(&body.to_bytes()) {
+        let call = match unpack(&body.to_bytes(), MAX_CALL_BYTES) {
             Ok(call) => call,
             Err(error) => return refused(&error.to_string()),
         };
         let reply = self.answer(call).await;
-        let bytes = rmp_serde::to_vec(&reply).expect("replies are plain data");
+        let bytes = pack(&reply).expect("replies are plain data");
         Response::new(AnswerBody::whole(bytes))
     }
 }
--- a/daemon/src/roles/upstream_list.rs
+++ b/daemon/src/roles/upstream_list.rs
@@ -53,9 +53,7 @@
         records.sort_by(|a, b| a.id.cmp(&b.id));
         let mut hasher = twox_hash::XxHash64::with_seed(0);
         for record in &records {
-            let is_cold = record.cold_ms > 0;
-            (&record.id, record.address, &record.service).hash(&mut hasher);
-            (record.leaving, is_cold, record.slots).hash(&mut hasher);
+            compared(record).hash(&mut hasher);
         }
         Self {
             mark: hasher.finish(),
@@ -64,6 +62,12 @@
         }
     }
 
+    /// Returns whether two records say the same of an upstream, but for the exact time for which it
+    /// stays cold.
+    pub fn are_alike(one: &UpstreamRecord, other: &UpstreamRecord) -> bool {
+        compared(one) == compared(other)
+    }
+
     /// Returns how long ago the list was read.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.read_at.map(|at| now.saturating_duration_since(at))
@@ -74,3 +78,11 @@
         self.read_at > other.read_at
     }
 }
+
+/// Returns what makes records differ; the time for which an upstream stays cold runs down with
+/// every read and does not count by itself.
+fn compared(record: &UpstreamRecord) -> impl Hash + PartialEq + '_ {
+    let is_cold = record.cold_ms > 0;
+    let place = (&record.address, &record.service, &record.zone);
+    (&record.id, place, record.leaving, is_cold, record.slots)
+}
--- /dev/null
+++ b/daemon/tests/updates.rs
@@ -0,0 +1,203 @@
+//! What entry instances are told when routes or upstreams change: the bytes must fit the narrow link
+//! of an entry instance, and the result must be what control instances hold.
+
+use std::sync::Arc;
+
+use laburnumdeal_control::replay;
+use laburnumdeal_daemon::pack;
+use laburnumdeal_daemon::roles::{ConfigurationUpdate, ListChanges, ListedUpstreams};
+use laburnumdeal_model::{
+    Applied, Change, CommandId, Configuration, Digest, Item, ItemKey, ItemValue, NamedItem,
+    RouteItem, Verdict, Version,
+};
+use laburnumdeal_policy::steer::UpstreamRecord;
+use tokio::time::Instant;
+
+/// Link of an entry instance of the users' grown deployments, bytes a second.
+const LINK_BYTES_PER_S: usize = 2_000_000 / 8;
+
+/// A change must be in force within 2.5 s; half of the link for half of a second leaves room for
+/// requests and for what comes before and after.
+const MANY_ROUTES_BYTES: usize = LINK_BYTES_PER_S / 4;
+
+/// The list may change with each read of it, twice a second; this is a twentieth of the link.
+const ONE_UPSTREAM_BYTES: usize = LINK_BYTES_PER_S / 40;
+
+fn route(number: usize) -> NamedItem {
+    let host = format!("h{number:05}.example");
+    let route = RouteItem {
+        host: host.clone(),
+        path_prefix: format!("/p{number:05}/"),
+        idempotent: true,
+        timeout_ms: 2_500,
+        target_latency_ms: 800,
+        max_attempts: 2,
+        priority: 1,
+        services: vec![("svc00001".to_owned(), 900), ("svc00002".to_owned(), 100)],
+        regions: Vec::new(),
+        affinity: true,
+    };
+    // As long as what the users' operator writes for one route.
+    let original = format!(
+        "{{\"host\":\"{host}\",{}}}",
+        "\"field\":\"value\",".repeat(18)
+    );
+    NamedItem {
+        key: ItemKey::Route(format!("r-{number:06}")),
+        item: Item {
+            version: 7,
+            value: Some(ItemValue::Route(route)),
+            original,
+        },
+    }
+}
+
+fn applied(change: Change, version: u64) -> Applied {
+    let id = format!("{version:032x}");
+    let command_id: CommandId = id.parse().expect("hexadecimal digits are a command id");
+    Applied {
+        index: version,
+        command_id,
+        operator: "platform".to_owned(),
+        at_ms: 0,
+        base: None,
+        change,
+        verdict: Verdict::Accepted {
+            version: Version(version),
+        },
+        chain: Digest::default(),
+    }
+}
+
+fn after(held: &Configuration, changes: &[Applied]) -> Configuration {
+    let mut next = held.clone();
+    for applied in changes {
+        let version = next.version.next();
+        replay(&mut next, &applied.change, applied.at_ms, version);
+    }
+    next
+}
+
+fn bytes(message: &impl serde::Serialize) -> usize {
+    pack(message).expect("plain data encodes").len()
+}
+
+fn many_routes() -> (Configuration, Vec<Applied>, Configuration) {
+    let first = Change::Items {
+        items: vec![route(0)],
+    };
+    let held = after(&Configuration::default(), &[applied(first, 1)]);
+    let items = (1..=1_000).map(route).collect();
+    let changes = vec![applied(Change::Items { items }, 2)];
+    let newest = after(&held, &changes);
+    (held, changes, newest)
+}
+
+#[test]
+fn since_a_thousand_routes_fit_a_narrow_link() {
+    let (held, changes, newest) = many_routes();
+    let update = ConfigurationUpdate::since(held.version, &newest, |_| Some(changes));
+    let packed = pack(&update).expect("plain data encodes").len();
+    assert!(packed <= MANY_ROUTES_BYTES, "{packed} bytes");
+    let whole = ConfigurationUpdate::since(Version(0), &newest, |_| None);
+    let packed = pack(&whole).expect("plain data encodes").len();
+    assert!(packed <= MANY_ROUTES_BYTES, "{packed} bytes for the whole");
+}
+
+#[test]
+fn applied_to_an_older_version_gives_the_routes_in_force() {
+    let (held, changes, newest) = many_routes();
+    let update = ConfigurationUpdate::since(held.version, &newest, |_| Some(changes));
+    let next = update.applied_to(Some(&held)).expect("it is newer");
+    assert_eq!(next.version, newest.version);
+    assert!(next.items.routes().eq(newest.items.routes()));
+}
+
+#[test]
+fn applied_to_a_version_before_the_one_known_stops_at_the_gap() {
+    let (held, mut changes, newest) = many_routes();
+    let last = applied(
+        Change::Items {
+            items: vec![route(0)],
+        },
+        4,
+    );
+    changes.push(last);
+    let update = ConfigurationUpdate::since(held.version, &after(&newest, &changes), |_| {
+        Some(changes.clone())
+    });
+    let next = update.applied_to(Some(&held)).expect("it is newer");
+    assert_eq!(next.version, Version(2));
+}
+
+fn upstream(number: usize, cold_ms: u64) -> UpstreamRecord {
+    UpstreamRecord {
+        id: format!("i-{number:010x}"),
+        service: "svc00001".to_owned(),
+        address: ([10, 128, (number / 250) as u8, (number % 250) as u8], 8_080).into(),
+        zone: "cairo-nasr".to_owned(),
+        slots: 9,
+        leaving: false,
+        cold_ms,
+    }
+}
+
+fn list(records: Vec<UpstreamRecord>) -> ListedUpstreams {
+    ListedUpstreams::new(records, Instant::now())
+}
+
+#[test]
+fn between_one_upstream_of_five_hundred_is_a_short_message() {
+    let records: Vec<_> = (0..500).map(|number| upstream(number, 0)).collect();
+    let older = list(records.clone());
+    let mut newer = records;
+    newer[77].leaving = true;
+    newer.remove(300);
+    newer.push(upstream(900, 3_000));
+    let newer = list(newer);
+    let changes = ListChanges::between(&older, &newer).expect("identities differ");
+    let length = bytes(&changes);
+    assert!(length <= ONE_UPSTREAM_BYTES, "{length} bytes");
+    let next = changes.applied_to(&older, Instant::now());
+    assert_eq!(next.expect("the base fits").records, newer.records);
+}
+
+#[test]
+fn applied_to_another_list_is_refused() {
+    let older = list((0..10).map(|number| upstream(number, 0)).collect());
+    let newer = list((0..12).map(|number| upstream(number, 0)).collect());
+    let other = list((0..11).map(|number| upstream(number, 0)).collect());
+    let changes = ListChanges::between(&older, &newer).expect("identities differ");
+    assert!(changes.applied_to(&other, Instant::now()).is_none());
+}
+
+#[test]
+fn between_records_that_share_an_identity_is_ambiguous() {
+    let older = list(vec![upstream(1, 0), upstream(2, 0)]);
+    let mut doubled = upstream(1, 0);
+    doubled.service = "svc00002".to_owned();
+    let newer = list(vec![upstream(1, 0), doubled]);
+    assert_eq!(ListChanges::between(&older, &newer), None);
+}
+
+#[test]
+fn between_lists_whose_upstreams_only_warm_up_is_empty() {
+    let older = list((0..10).map(|number| upstream(number, 3_000)).collect());
+    let newer = list((0..10).map(|number| upstream(number, 2_500)).collect());
+    assert_eq!(older.mark, newer.mark);
+    let changes = ListChanges::between(&older, &newer).expect("identities differ");
+    assert!(bytes(&changes) < 64, "{changes:?}");
+}
+
+#[test]
+fn drop_texts_keeps_what_entry_instances_need() {
+    let mut change = Change::Items {
+        items: vec![route(1)],
+    };
+    change.drop_texts();
+    let mut configuration = Configuration::default();
+    replay(&mut configuration, &change, 0, Version(1));
+    let items = Arc::new(configuration.items.without_texts());
+    assert_eq!(configuration.items, items);
+    assert_eq!(items.routes().count(), 1);
+}
--- a/model/src/change.rs
+++ b/model/src/change.rs
@@ -100,6 +100,18 @@
     },
 }
 
+impl Change {
+    /// Drops the texts of items as their senders wrote them, for receivers that never give them
+    /// back.
+    pub fn drop_texts(&mut self) {
+        if let Self::Items { items } = self {
+            for named in items {
+                named.item.original.clear();
+            }
+        }
+    }
+}
+
 fn names(items: &[NamedItem]) -> String {
     let texts: Vec<String> = items.iter().map(|named| named.key.to_string()).collect();
     texts.join(", ")
--- a/model/src/items.rs
+++ b/model/src/items.rs
@@ -91,6 +91,20 @@
         items.filter(|(_, item)| item.value.is_some())
     }
 
+    /// Returns the items without the texts that their senders wrote, which only a reader of the
+    /// configuration needs.
+    pub fn without_texts(&self) -> Self {
+        let items = self.map.iter().map(|(key, item)| {
+            let item = Item {
+                original: String::new(),
+                ..Item::clone(item)
+            };
+            (key.clone(), Arc::new(item))
+        });
+        let map = items.collect();
+        Self { map }
+    }
+
     /// Returns whether no item was ever set.
     pub fn is_empty(&self) -> bool {
         self.map.is_empty()
