--- a/daemon/src/roles/list_keeper.rs
+++ b/daemon/src/roles/list_keeper.rs
@@ -12,7 +12,8 @@
 use crate::roles::follow_message::{Call, FollowRequest, Reply};
 use crate::roles::{ListError, ListedUpstreams, UpstreamSource};
 
-/// Time between two reads of the list by the leader.
+/// Time between two reads of the list by the leader: a fourth of the time in which no more work may
+/// go to an upstream that the list shows as leaving.
 const READ_EVERY: Duration = Duration::from_millis(400);
 
 /// Time between two reads by an instance that has no fresh word of the leader.
@@ -32,7 +33,10 @@
 
 /// Reads or follows the list for as long as the process runs.
 pub async fn run<S: UpstreamSource>(state: Arc<ControlState>, source: S) {
-    let mut available = true;
+    let mut seen = Seen {
+        available: true,
+        unreadable: 0,
+    };
     loop {
         let me = state.settings.peer_address(state.settings.address);
         let leader = state.replica.leader_name();
@@ -44,7 +48,7 @@
         let age = state.list.borrow().age(Instant::now());
         let leads = state.replica.leads();
         if leads || (!followed && age.is_none_or(|age| age > OLD_AFTER)) {
-            let calls = read(&state, &source, &mut available).await;
+            let calls = read(&state, &source, &mut seen).await;
             let pause = calls as f64 / (state.settings.list_calls_per_s * CALLS_USED);
             let least = if leads { READ_EVERY } else { READ_ALONE_EVERY };
             sleep(least.max(Duration::from_secs_f64(pause))).await;
@@ -54,24 +58,35 @@
     }
 }
 
+/// What the last read showed, so that only changes are logged.
+struct Seen {
+    available: bool,
+    unreadable: usize,
+}
+
 /// Reads the list; returns the calls that it took.
-async fn read<S: UpstreamSource>(state: &ControlState, source: &S, available: &mut bool) -> usize {
+async fn read<S: UpstreamSource>(state: &ControlState, source: &S, seen: &mut Seen) -> usize {
     let asked_at = Instant::now();
     state.metrics.list_read();
     match source.read().await {
         Ok(read) => {
-            if !*available {
+            if !seen.available {
                 info!(state.log, "list of upstreams is available again");
             }
-            *available = true;
+            seen.available = true;
+            if seen.unreadable != read.unreadable {
+                warn!(state.log, "entries of the list cannot be read and are left out";
+                    "entries" => read.unreadable, "before" => seen.unreadable);
+            }
+            seen.unreadable = read.unreadable;
             take(state, ListedUpstreams::new(read.records, asked_at));
             read.calls
         }
         Err(error) => {
-            if *available || error == ListError::TooOften {
+            if seen.available || error == ListError::TooOften {
                 warn!(state.log, "list of upstreams is not available"; "error" => %error);
             }
-            *available = false;
+            seen.available = false;
             1
         }
     }
--- a/daemon/src/roles/upstream_list.rs
+++ b/daemon/src/roles/upstream_list.rs
@@ -20,6 +20,8 @@
     pub records: Vec<UpstreamRecord>,
     /// Calls that reading it took.
     pub calls: usize,
+    /// Entries that could not be read, and were left out.
+    pub unreadable: usize,
 }
 
 /// Reports why the list of upstreams could not be read.
