--- a/daemon/src/roles/list_keeper.rs
+++ b/daemon/src/roles/list_keeper.rs
@@ -14,7 +14,7 @@
 
 /// Time between two reads of the list by the leader: a fourth of the time in which no more work may
 /// go to an upstream that the list shows as leaving.
-const READ_EVERY: Duration = Duration::from_millis(400);
+const READ_EVERY: Duration = Duration::from_millis(700);
 
 /// Time between two reads by an instance that has no fresh word of the leader.
 const READ_ALONE_EVERY: Duration = Duration::from_millis(1_200);
