Share by a count of instances only once all had time to be heard

A presence told readiness up to 0.5 s late.

Now no count is told within 2 s of a start, nothing goes to cold upstreams before there is one, silent instances count for 30 s, and readiness is told at once. Ruled out: the election, which waits for the lease by design.

--- a/daemon/src/roles/entry_node.rs
+++ b/daemon/src/roles/entry_node.rs
@@ -163,7 +163,10 @@
     async fn run(&self) {
         loop {
             self.tell().await;
-            sleep(PRESENCE_EVERY).await;
+            tokio::select! {
+                () = self.state.readiness.notified() => {}
+                () = sleep(PRESENCE_EVERY) => {}
+            }
         }
     }
 
--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -5,6 +5,7 @@
 use laburnumdeal_model::{Configuration, Target, WHOLE_PERMILLE};
 use laburnumdeal_policy::steer::{RetryShare, RouteTable, UpstreamBook, UpstreamKey};
 use slog::{Logger, info};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::connection_pool::ConnectionPool;
@@ -54,6 +55,8 @@
     list: Mutex<ListedUpstreams>,
     roster_mark: AtomicU64,
     leaving: AtomicBool,
+    /// Told when the instance may have become ready.
+    pub readiness: Notify,
 }
 
 impl EntryState {
@@ -71,6 +74,7 @@
             list: Mutex::default(),
             roster_mark: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
+            readiness: Notify::new(),
             events: EventLog::new(log, metrics.clone()),
             metrics,
             settings,
@@ -183,7 +187,11 @@
         book.take_items(&configuration.items);
         book.take_evacuated(evacuated.collect(), Instant::now());
         drop(book);
-        in_force.configuration = Some(configuration);
+        let was_missing = in_force.configuration.replace(configuration).is_none();
+        drop(in_force);
+        if was_missing {
+            self.readiness.notify_one();
+        }
     }
 
     /// Takes over a list of upstreams that was read later than the one held.
@@ -207,7 +215,12 @@
             }
         }
         self.metrics.list_age(list.age(now).unwrap_or_default());
+        let was_missing = held.read_at.is_none();
         *held = list;
+        drop(held);
+        if was_missing {
+            self.readiness.notify_one();
+        }
     }
 
     /// Takes over the names of the entry instances, and the shares that follow from their number.
--- a/daemon/src/roles/mod.rs
+++ b/daemon/src/roles/mod.rs
@@ -37,4 +37,5 @@
 pub use list_changes::ListChanges;
 pub use node_settings::NodeSettings;
 pub use presence::{Presence, PresenceState};
+pub use registry::Registry;
 pub use upstream_list::{ListError, ListRead, ListedUpstreams, UpstreamSource};
--- a/daemon/src/roles/registry.rs
+++ b/daemon/src/roles/registry.rs
@@ -11,8 +11,12 @@
 /// Silence after which an entry instance is no longer named to callers.
 const LIVE_FOR: Duration = Duration::from_millis(1_900);
 
-/// Silence after which an entry instance no longer counts for shares.
-const COUNTED_FOR: Duration = Duration::from_secs(10);
+/// Silence after which an entry instance no longer counts for shares. An instance that is cut off
+/// from here may still send, so this is longer than a cut that is expected to heal.
+const COUNTED_FOR: Duration = Duration::from_secs(30);
+
+/// Time after the start in which the count of instances may be too low to share by: four presences.
+const COUNTING: Duration = Duration::from_millis(2_000);
 
 /// Time after the start in which too few instances have been heard to name any.
 const SETTLING: Duration = Duration::from_millis(1_200);
@@ -21,6 +25,17 @@
 const NAMED: usize = 64;
 
 /// Entry instances that a control instance hears.
+///
+/// # Examples
+///
+/// ```
+/// use laburnumdeal_daemon::roles::Registry;
+/// use tokio::time::Instant;
+///
+/// let now = Instant::now();
+/// let registry = Registry::new(now);
+/// assert!(registry.name("cairo", "nasr", now).is_empty());
+/// ```
 #[derive(Debug)]
 pub struct Registry {
     started_at: Instant,
@@ -78,12 +93,16 @@
         addresses.take(NAMED).collect()
     }
 
-    /// Returns the names of the instances that count for shares, and a mark of the list.
-    pub fn roster(&self, now: Instant) -> (u64, Vec<String>) {
+    /// Returns the names of the instances that count for shares, and a mark of the list; `None` until
+    /// all have had time to be heard.
+    pub fn roster(&self, now: Instant) -> Option<(u64, Vec<String>)> {
+        if now - self.started_at < COUNTING {
+            return None;
+        }
         let mut heard = self.heard.lock().expect("no holder panics");
         heard.retain(|_, held| now - held.at < COUNTED_FOR);
         let names: Vec<String> = heard.keys().cloned().collect();
         let parts: Vec<&[u8]> = names.iter().map(String::as_bytes).collect();
-        (hash_of(&parts), names)
+        Some((hash_of(&parts), names))
     }
 }
--- a/daemon/src/roles/rpc_handler.rs
+++ b/daemon/src/roles/rpc_handler.rs
@@ -114,11 +114,12 @@
         let version = self.state.replica.watch().borrow().version;
         let newer = request.version.is_some_and(|known| version > known);
         let list = self.state.list.borrow();
-        let roster = self.state.registry.roster(Instant::now()).0;
+        let roster = self.state.registry.roster(Instant::now());
+        let roster_mark = roster.map_or(request.roster_mark, |(mark, _)| mark);
         let crashes = self.state.crashes.lock().expect("no holder panics").list();
         newer
             || known_list.is_outdated_by(&list)
-            || (request.roster_mark != 0 && roster != request.roster_mark)
+            || (request.roster_mark != 0 && roster_mark != request.roster_mark)
             || crashes.iter().any(|mark| !request.crashes.contains(mark))
     }
 
@@ -126,7 +127,7 @@
         let now = Instant::now();
         let newest = self.state.replica.watch().borrow().clone();
         let list = self.state.list.borrow().clone();
-        let (roster_mark, roster) = self.state.registry.roster(now);
+        let roster = self.state.registry.roster(now);
         let members = self.state.replica.members().into_iter();
         let controls = members.map(|member| ControlRecord {
             address: member.instance,
@@ -139,7 +140,7 @@
             list_age_ms: list.age(now).map(|age| age.as_millis() as u64),
             list_mark: list.mark,
             list: self.list_update(request, known_list, &list),
-            roster: (roster_mark != request.roster_mark).then_some((roster_mark, roster)),
+            roster: roster.filter(|(mark, _)| *mark != request.roster_mark),
             controls: controls.collect(),
             crashes: self.state.crashes.lock().expect("no holder panics").list(),
         }
--- a/policy/src/steer/choosing.rs
+++ b/policy/src/steer/choosing.rs
@@ -95,7 +95,12 @@
         rank == 0 || is_known || (rank < REACH && has_room_to_learn(entry, now))
     }
 
+    /// Returns this instance's part of the requests that a cold upstream tolerates; nothing until it
+    /// is known among how many they are shared.
     fn cold_allowed(&self, entry: &UpstreamEntry) -> usize {
+        if self.instances.is_empty() {
+            return 0;
+        }
         let per_s = self.warm_up_of(&entry.record.service).1;
         let bound = per_s * self.settings.cold_overshoot + self.settings.cold_slack;
         let rank_of = |name: &str| hash_of(&[name.as_bytes(), entry.record.id.as_bytes()]);
--- a/policy/src/steer/upstream_book.rs
+++ b/policy/src/steer/upstream_book.rs
@@ -79,6 +79,7 @@
     pub(super) route_times: HashMap<String, RouteTime>,
     warm_up: HashMap<String, (Duration, f64)>,
     pub(super) evacuated: BTreeSet<String>,
+    /// Instances that may send to upstreams; empty until they are known.
     pub(super) instances: Vec<String>,
     handled: Vec<SharedObject>,
 }
@@ -86,7 +87,6 @@
 impl UpstreamBook {
     /// Returns a book without upstreams.
     pub fn new(settings: BookSettings) -> Self {
-        let instances = vec![settings.instance.clone()];
         Self {
             settings,
             entries: Vec::new(),
@@ -97,7 +97,7 @@
             route_times: HashMap::new(),
             warm_up: HashMap::new(),
             evacuated: BTreeSet::new(),
-            instances,
+            instances: Vec::new(),
             handled: Vec::new(),
         }
     }
@@ -174,9 +174,9 @@
         self.instances = names;
     }
 
-    /// Returns the number of instances that may send to upstreams.
+    /// Returns the number of instances that may send to upstreams, as far as it is known.
     pub fn instances(&self) -> usize {
-        self.instances.len()
+        self.instances.len().max(1)
     }
 
     /// Returns an upstream's identity and address.
--- a/policy/tests/steer/cold.rs
+++ b/policy/tests/steer/cold.rs
@@ -4,7 +4,7 @@
 use laburnumdeal_policy::steer::{AttemptOutcome, ColdShare, UpstreamBook, Verdict};
 use tokio::time::Instant;
 
-use crate::setup::{ask, book, upstream};
+use crate::setup::{ask, book, items, settings, upstream};
 
 /// Requests a second that a cold upstream may get: 15 x 1.5 + 5.
 const BOUND: usize = 27;
@@ -56,6 +56,20 @@
     }
 }
 
+/// After a start of all instances each would take itself for the only one.
+#[test]
+fn choose_cold_upstream_gets_nothing_before_the_instances_are_known() {
+    let now = Instant::now();
+    let mut record = upstream(0, "a1", 9);
+    record.cold_ms = 3_000;
+    let mut book = UpstreamBook::new(settings("e-1", "a"));
+    book.take_items(&items());
+    book.take_list(&[record], now);
+    assert_eq!(fill(&mut book, now), 0);
+    book.take_instances(names(9));
+    assert!((1..=BOUND).contains(&fill(&mut book, now)));
+}
+
 #[test]
 fn take_evacuated_zone_that_comes_back_is_cold() {
     let start = Instant::now();
--- a/policy/tests/steer/setup.rs
+++ b/policy/tests/steer/setup.rs
@@ -78,6 +78,7 @@
     let mut book = UpstreamBook::new(settings(instance, region));
     book.take_items(&items());
     book.take_list(records, now);
+    book.take_instances(vec![instance.to_owned()]);
     book
 }
 
