--- a/daemon/src/roles/controls.rs
+++ b/daemon/src/roles/controls.rs
@@ -2,16 +2,8 @@
 use std::sync::Mutex;
 
 use laburnumdeal_policy::steer::hash_of;
-use serde::{Deserialize, Serialize};
 
-/// Control instance as entry instances are told of it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ControlRecord {
-    /// Address for other instances.
-    pub address: String,
-    /// Region; empty when it is not known.
-    pub region: String,
-}
+use crate::roles::control_record::ControlRecord;
 
 /// Control instances that an entry instance knows.
 #[derive(Debug)]
--- a/daemon/src/roles/follow_reply.rs
+++ b/daemon/src/roles/follow_reply.rs
@@ -1,14 +1,14 @@
 use std::time::Duration;
 
 use laburnumdeal_model::Version;
-use laburnumdeal_policy::steer::UpstreamRecord;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::roles::ListedUpstreams;
 use crate::roles::configuration_update::ConfigurationUpdate;
-use crate::roles::controls::ControlRecord;
+use crate::roles::control_record::ControlRecord;
 use crate::roles::crash_marks::CrashMark;
-use crate::roles::{ListChanges, ListedUpstreams};
+use crate::roles::list_update::ListUpdate;
 
 /// What is newer than what the sender of a [`FollowRequest`] knows.
 ///
@@ -35,17 +35,6 @@
     pub crashes: Vec<CrashMark>,
 }
 
-/// Newer list of upstreams.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum ListUpdate {
-    /// Its mark is known, or its contents were not asked for.
-    Mark,
-    /// Changes of the list that was known.
-    Changes(ListChanges),
-    /// All of it.
-    Whole(Vec<UpstreamRecord>),
-}
-
 impl FollowReply {
     /// Returns when the list of upstreams was read; `None` when it never was.
     pub fn list_read_at(&self, now: Instant) -> Option<Instant> {
--- a/daemon/src/roles/rpc_handler.rs
+++ b/daemon/src/roles/rpc_handler.rs
@@ -15,9 +15,11 @@
 use crate::http_server::Handle;
 use crate::packing::{pack, unpack};
 use crate::roles::control_node::ControlState;
-use crate::roles::controls::ControlRecord;
+use crate::roles::control_record::ControlRecord;
 use crate::roles::follow_message::{Call, FollowRequest, NewsRequest, Reply};
-use crate::roles::follow_reply::{FollowReply, ListUpdate};
+use crate::roles::follow_reply::FollowReply;
+use crate::roles::known_list::KnownList;
+use crate::roles::list_update::ListUpdate;
 use crate::roles::{ConfigurationUpdate, ListedUpstreams};
 
 /// Longest message.
@@ -34,28 +36,6 @@
     state: Arc<ControlState>,
 }
 
-/// List of upstreams that the sender of a request holds.
-#[derive(Clone, Copy)]
-struct KnownList {
-    mark: u64,
-    read_at: Option<Instant>,
-}
-
-impl KnownList {
-    fn new(request: &FollowRequest, now: Instant) -> Self {
-        let age = request.list_age_ms.map(Duration::from_millis);
-        Self {
-            mark: request.list_mark,
-            read_at: age.map(|age| now.checked_sub(age).unwrap_or(now)),
-        }
-    }
-
-    /// Returns whether another list differs and was read later.
-    fn is_outdated_by(self, list: &ListedUpstreams) -> bool {
-        list.mark != self.mark && list.read_at > self.read_at
-    }
-}
-
 impl RpcHandler {
     pub fn new(state: Arc<ControlState>) -> Self {
         Self { state }
