Log how attempts end, what crash checks find and who receives reports

Each of these is now a line with the id or fingerprint, the inputs, their age and the outcome; lines about requests stay within the limit of the log. Two metrics count the checks by result and the reports known.

No decision changes.

--- a/daemon/src/roles/control_node.rs
+++ b/daemon/src/roles/control_node.rs
@@ -1,4 +1,4 @@
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -16,7 +16,7 @@
 
 use crate::daemon_error::DaemonError;
 use crate::http_server::HttpServer;
-use crate::roles::crash_reports::CrashReports;
+use crate::roles::crash_reports::{CrashReport, CrashReports, fingerprints_text};
 use crate::roles::list_history::ListHistory;
 use crate::roles::list_refresher;
 use crate::roles::node_metrics::NodeMetrics;
@@ -91,6 +91,22 @@
     state: Arc<ControlState>,
 }
 
+impl ControlState {
+    /// Adds crash reports of another instance and logs the new ones.
+    pub fn add_crashes(&self, reports: &[CrashReport], source: IpAddr) {
+        let mut crashes = self.crashes.lock().expect("no holder panics");
+        let new = crashes.add(reports, Instant::now());
+        let total = crashes.len();
+        drop(crashes);
+        self.metrics.set_crash_reports(total);
+        if new.is_empty() {
+            return;
+        }
+        warn!(self.log, "crash reports received"; "source" => source.to_string(),
+            "new" => new.len(), "total" => total, "fingerprints" => fingerprints_text(&new));
+    }
+}
+
 impl ControlNode {
     /// Starts a control instance.
     ///
--- a/daemon/src/roles/crash_reports.rs
+++ b/daemon/src/roles/crash_reports.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -10,6 +11,9 @@
 /// Time for which a crash report is kept.
 const RETENTION: Duration = Duration::from_secs(60);
 
+/// Limit on the fingerprints in one log line.
+const MAX_LOGGED: usize = 8;
+
 /// Limit on the reports that are kept.
 const MAX_REPORTS: usize = 4_096;
 
@@ -29,14 +33,35 @@
 }
 
 impl CrashReports {
-    /// Adds reports and drops expired ones; returns whether any report is new.
-    pub fn add(&mut self, reports: &[CrashReport], now: Instant) -> bool {
+    /// Adds reports and drops expired ones; returns those that are new.
+    pub fn add(&mut self, reports: &[CrashReport], now: Instant) -> Vec<CrashReport> {
         self.reports.retain(|_, at| now - *at < RETENTION);
         let before = self.reports.len();
+        let mut new = Vec::new();
         for report in reports.iter().take(MAX_REPORTS.saturating_sub(before)) {
-            self.reports.entry(*report).or_insert(now);
+            if let Entry::Vacant(vacant) = self.reports.entry(*report) {
+                vacant.insert(now);
+                new.push(*report);
+            }
         }
-        self.reports.len() > before
+        new
+    }
+
+    /// Returns the number of reports.
+    pub fn len(&self) -> usize {
+        self.reports.len()
+    }
+
+    /// Returns the number of reports of a request, and the time since the newest one was added.
+    pub fn known(&self, fingerprint: u64, now: Instant) -> (usize, Duration) {
+        let of_request = |(report, _): &(&CrashReport, &Instant)| report.fingerprint == fingerprint;
+        let added_at = self
+            .reports
+            .iter()
+            .filter(of_request)
+            .map(|(_, added_at)| now - *added_at);
+        let ages: Vec<Duration> = added_at.collect();
+        (ages.len(), ages.into_iter().min().unwrap_or_default())
     }
 
     /// Returns whether a request crashed so many upstreams that it is no longer forwarded.
@@ -51,3 +76,12 @@
         self.reports.keys().copied().collect()
     }
 }
+
+/// Returns the fingerprints of the first reports, for a log line.
+pub fn fingerprints_text(reports: &[CrashReport]) -> String {
+    let logged = reports.iter().take(MAX_LOGGED);
+    let texts: Vec<String> = logged
+        .map(|report| format!("{:016x}", report.fingerprint))
+        .collect();
+    texts.join(",")
+}
--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -1,6 +1,8 @@
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use std::time::Duration;
 
 use laburnumdeal_model::{Configuration, Target, WHOLE_PERMILLE};
 use laburnumdeal_policy::steer::{LoadBalancer, RetryBudgetShare, RouteTable, UpstreamKey};
@@ -9,7 +11,7 @@
 use tokio::time::Instant;
 
 use crate::connection_pool::ConnectionPool;
-use crate::roles::crash_reports::CrashReports;
+use crate::roles::crash_reports::{CrashReport, CrashReports, fingerprints_text};
 use crate::roles::node_metrics::NodeMetrics;
 use crate::roles::rate_limited_log::RateLimitedLog;
 use crate::roles::{NodeSettings, PresenceState, UpstreamList};
@@ -150,6 +152,27 @@
         crashes.is_blocked(fingerprint)
     }
 
+    /// Returns how many crashes of upstreams are known for a request, and the age of the newest
+    /// report.
+    pub fn known_crashes(&self, fingerprint: u64) -> (usize, Duration) {
+        let crashes = self.crashes.lock().expect("no holder panics");
+        crashes.known(fingerprint, Instant::now())
+    }
+
+    /// Adds crash reports of another instance and logs the new ones.
+    pub fn add_crashes(&self, reports: &[CrashReport], source: SocketAddr) {
+        let mut crashes = self.crashes.lock().expect("no holder panics");
+        let new = crashes.add(reports, Instant::now());
+        let total = crashes.len();
+        drop(crashes);
+        self.metrics.set_crash_reports(total);
+        if new.is_empty() {
+            return;
+        }
+        info!(self.log.unlimited(), "crash reports received"; "source" => source.to_string(),
+            "new" => new.len(), "total" => total, "fingerprints" => fingerprints_text(&new));
+    }
+
     /// Returns whether the instance is stopping.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
--- a/daemon/src/roles/follower.rs
+++ b/daemon/src/roles/follower.rs
@@ -60,7 +60,7 @@
                     followed = Some(target);
                 }
                 controls.update(&reply.controls);
-                apply(&state, &reply);
+                apply(&state, &reply, target);
                 contents = always_contents || is_overdue(&state, &reply).await;
             }
             reply => {
@@ -73,7 +73,7 @@
                         "control" => target.to_string(), "reason" => reason);
                 }
                 if let Some(reply) = reply {
-                    apply(&state, &reply);
+                    apply(&state, &reply, target);
                 }
                 position += loops;
                 failed_over_at = Instant::now();
@@ -129,7 +129,7 @@
     }
 }
 
-fn apply(state: &EntryState, reply: &FollowReply) {
+fn apply(state: &EntryState, reply: &FollowReply, source: SocketAddr) {
     let now = Instant::now();
     let current = state.active().configuration;
     let update = reply.configuration.clone();
@@ -142,6 +142,5 @@
     if let Some((hash, names)) = &reply.roster {
         state.update_roster(*hash, names.clone());
     }
-    let mut crashes = state.crashes.lock().expect("no holder panics");
-    crashes.add(&reply.crashes, now);
+    state.add_crashes(&reply.crashes, source);
 }
--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -97,12 +97,13 @@
         let content = [caller.as_bytes(), method, path.as_bytes(), body.prefix()];
         let fingerprint = hash_of(&content);
         if self.state.is_blocked(fingerprint) {
+            self.log_blocked(&parts, routed, fingerprint);
             return unavailable_response::<H>(
                 "the request crashed upstreams before",
                 BLOCKED_RETRY_AFTER,
             );
         }
-        let attempt = attempt_request::<H>(&parts, routed, path);
+        let attempt = attempt_request::<H>(&parts, routed, path, fingerprint);
         let id = attempt.id.clone();
         let mut forwarding = Forwarding {
             state: &self.state,
@@ -111,7 +112,6 @@
             request: attempt,
             body,
             max_body_bytes: routed.max_body_bytes,
-            fingerprint,
             started_at: routed.started_at,
             progress: Progress::default(),
         };
@@ -151,7 +151,8 @@
         });
         info!(log, "request";
             "id" => String::from_utf8_lossy(id.as_bytes()).into_owned(),
-            "route" => &routed.route.name, "route_version" => routed.route.version,
+            "fingerprint" => format!("{:016x}", forwarding.request.fingerprint),
+            "caller" => routed.peer.ip().to_string(), "route" => &routed.route.name, "route_version" => routed.route.version,
             "service" => routed.service, "upstream" => upstream,
             "expected_ms" => last.map_or(0, |decision| decision.expected_ms as u64),
             "queue_ms" => last.map_or(0, |decision| decision.queue_ms as u64),
@@ -165,6 +166,28 @@
             "status" => status, "reason" => reason);
     }
 
+    fn log_blocked(
+        &self,
+        parts: &http::request::Parts,
+        routed: &RoutedRequest<'_>,
+        fingerprint: u64,
+    ) {
+        let metrics = &self.state.metrics;
+        metrics.count_request(routed.service, "blocked", routed.started_at.elapsed());
+        let Some(log) = self.state.log.limited(true) else {
+            return;
+        };
+        let (crashes, age) = self.state.known_crashes(fingerprint);
+        let id = header::text(&parts.headers, &H::REQUEST_ID);
+        info!(log, "request"; "id" => id.unwrap_or("none").to_owned(),
+            "fingerprint" => format!("{fingerprint:016x}"),
+            "caller" => routed.peer.ip().to_string(), "route" => &routed.route.name,
+            "service" => routed.service, "crashes" => crashes,
+            "crash_age_ms" => age.as_millis() as u64, "outcome" => "blocked",
+            "status" => StatusCode::SERVICE_UNAVAILABLE.as_u16(),
+            "reason" => "the request crashed upstreams before");
+    }
+
     fn log_rejected(&self, request: &Request<Incoming>, status: StatusCode, reason: &str) {
         let Some(log) = self.state.log.limited(true) else {
             return;
@@ -196,6 +219,7 @@
     parts: &http::request::Parts,
     routed: &RoutedRequest<'_>,
     path: &str,
+    fingerprint: u64,
 ) -> AttemptRequest {
     let header_ms = header::text(&parts.headers, &H::DEADLINE_MS);
     let header_ms = header_ms.and_then(|text| text.trim().parse::<f64>().ok());
@@ -215,6 +239,7 @@
         uri: path.parse::<Uri>().unwrap_or_else(|_| parts.uri.clone()),
         headers,
         id: request_id::<H>(parts),
+        fingerprint,
         object,
         idempotent: routed.route.item.idempotent,
         deadline,
--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -3,6 +3,7 @@
 
 use http::{Response, StatusCode};
 use laburnumdeal_policy::steer::{Decision, RequestContext, Route, Selection, UpstreamKey};
+use slog::info;
 use tokio::time::Instant;
 
 use crate::answer_body::AnswerBody;
@@ -50,7 +51,6 @@
     pub request: AttemptRequest,
     pub body: BufferedBody,
     pub max_body_bytes: u64,
-    pub fingerprint: u64,
     pub started_at: Instant,
     /// Results of the attempts so far.
     pub progress: Progress,
@@ -153,7 +153,7 @@
             } => {
                 self.count_arrival(true, is_retry);
                 if connection_broke {
-                    report_if_crashed(self.state, decision.upstream, self.fingerprint).await;
+                    report_if_crashed(self.state, decision.upstream, &self.request).await;
                 }
                 self.on_unknown(reason, timed_out, is_replayable)
             }
@@ -231,15 +231,34 @@
 }
 
 /// Adds a crash report for a request if the upstream that it was sent to no longer listens.
-async fn report_if_crashed(state: &EntryState, upstream: UpstreamKey, fingerprint: u64) {
-    let address = state.load_balancer().endpoint(upstream).1;
+async fn report_if_crashed(state: &EntryState, upstream: UpstreamKey, request: &AttemptRequest) {
+    let (name, address) = {
+        let load_balancer = state.load_balancer();
+        let (name, address) = load_balancer.endpoint(upstream);
+        (name.to_owned(), address)
+    };
+    let started_at = Instant::now();
     let connecting = tokio::net::TcpStream::connect(address);
-    if let Ok(Err(_)) = tokio::time::timeout(CRASH_PROBE_TIMEOUT, connecting).await {
+    let result = match tokio::time::timeout(CRASH_PROBE_TIMEOUT, connecting).await {
+        Ok(Ok(_)) => "accepts connections",
+        Ok(Err(_)) => "refuses connections",
+        Err(_) => "no reply",
+    };
+    let is_crashed = result == "refuses connections";
+    if is_crashed {
         let report = CrashReport {
-            fingerprint,
+            fingerprint: request.fingerprint,
             crash: rand::random(),
         };
         let mut crashes = state.crashes.lock().expect("no holder panics");
         crashes.add(&[report], Instant::now());
     }
+    state.metrics.count_crash_check(result);
+    if let Some(log) = state.log.limited(true) {
+        info!(log, "checked an upstream for a crash";
+            "id" => String::from_utf8_lossy(request.id.as_bytes()).into_owned(),
+            "fingerprint" => format!("{:016x}", request.fingerprint), "upstream" => name,
+            "result" => result, "took_ms" => started_at.elapsed().as_millis() as u64,
+            "reported" => is_crashed);
+    }
 }
--- a/daemon/src/roles/list_refresher.rs
+++ b/daemon/src/roles/list_refresher.rs
@@ -118,9 +118,7 @@
         return false;
     };
     let now = Instant::now();
-    let mut crashes = state.crashes.lock().expect("no holder panics");
-    crashes.add(&reply.crashes, now);
-    drop(crashes);
+    state.add_crashes(&reply.crashes, leader.ip());
     if let Some(list) = reply.list(&current, now) {
         update_list(state, list);
     }
--- a/daemon/src/roles/node_metrics.rs
+++ b/daemon/src/roles/node_metrics.rs
@@ -30,6 +30,8 @@
     version: Gauge,
     list_age_ms: Gauge,
     dropped_lines: Counter,
+    crash_checks: Family<ResultLabels, Counter>,
+    crash_reports: Gauge,
 }
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
@@ -43,6 +45,11 @@
     service: String,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ResultLabels {
+    result: &'static str,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ChangeLabels {
     outcome: &'static str,
@@ -89,6 +96,17 @@
             "Log lines left out",
             dropped_lines.clone(),
         );
+        let (crash_checks, crash_reports) = (Family::default(), Gauge::default());
+        registry.register(
+            "crash_checks",
+            "Checks whether an upstream crashed, by result",
+            Family::clone(&crash_checks),
+        );
+        registry.register(
+            "crash_reports",
+            "Known crashes of upstreams under requests",
+            crash_reports.clone(),
+        );
         Self {
             registry: Arc::new(registry),
             requests,
@@ -101,6 +119,8 @@
             version,
             list_age_ms,
             dropped_lines,
+            crash_checks,
+            crash_reports,
         }
     }
 
@@ -164,6 +184,18 @@
         self.dropped_lines.inc_by(lines);
     }
 
+    /// Counts a check whether an upstream crashed.
+    pub fn count_crash_check(&self, result: &'static str) {
+        self.crash_checks
+            .get_or_create(&ResultLabels { result })
+            .inc();
+    }
+
+    /// Sets the number of known crash reports.
+    pub fn set_crash_reports(&self, reports: usize) {
+        self.crash_reports.set(reports as i64);
+    }
+
     /// Renders all metrics in the OpenMetrics text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
--- a/daemon/src/roles/rpc_handler.rs
+++ b/daemon/src/roles/rpc_handler.rs
@@ -8,7 +8,6 @@
 use laburnumdeal_control::ControlReply;
 use laburnumdeal_model::Configuration;
 use laburnumdeal_policy::steer::SharedReport;
-use slog::warn;
 use tokio::time::{Instant, sleep_until};
 
 use crate::answer_body::AnswerBody;
@@ -41,13 +40,13 @@
         Self { state }
     }
 
-    async fn dispatch(&self, call: Call) -> Reply {
+    async fn dispatch(&self, call: Call, peer: SocketAddr) -> Reply {
         match call {
             Call::Control { from, request } => match self.state.names.id(&from) {
                 Some(from) => Reply::Control(self.state.replica.handle(from, request).await),
                 None => Reply::Control(ControlReply::Failed),
             },
-            Call::Follow(request) => Reply::Follow(Box::new(self.follow(request).await)),
+            Call::Follow(request) => Reply::Follow(Box::new(self.follow(request, peer).await)),
             Call::Report(request) => Reply::Report(self.exchange_reports(&request)),
         }
     }
@@ -61,13 +60,13 @@
     }
 
     /// Replies as soon as there is an update for the sender, or when its wait is over.
-    async fn follow(&self, request: FollowRequest) -> FollowReply {
+    async fn follow(&self, request: FollowRequest, peer: SocketAddr) -> FollowReply {
         let now = Instant::now();
         let known_list = KnownList::new(&request, now);
         let wait = Duration::from_millis(request.wait_ms).min(MAX_WAIT);
         let mut configuration = self.state.replica.watch();
         let mut list = self.state.list.subscribe();
-        self.record_crashes(&request, now);
+        self.state.add_crashes(&request.crashes, peer.ip());
         loop {
             let is_timed_out = now.elapsed() >= wait;
             if is_timed_out || self.has_updates(&request, known_list) {
@@ -82,14 +81,6 @@
         }
     }
 
-    fn record_crashes(&self, request: &FollowRequest, now: Instant) {
-        let mut crashes = self.state.crashes.lock().expect("no holder panics");
-        if crashes.add(&request.crashes, now) {
-            warn!(self.state.log, "a request crashed an upstream";
-                "marks" => request.crashes.len());
-        }
-    }
-
     fn has_updates(&self, request: &FollowRequest, known_list: KnownList) -> bool {
         let version = self.state.replica.watch().borrow().version;
         let has_newer_version = request.version.is_some_and(|known| version > known);
@@ -169,7 +160,7 @@
 }
 
 impl HttpHandler for RpcHandler {
-    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<AnswerBody> {
+    async fn handle(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<AnswerBody> {
         let body = Limited::new(request.into_body(), MAX_CALL_BYTES);
         let Ok(body) = body.collect().await else {
             return bad_request("the message broke off");
@@ -178,7 +169,7 @@
             Ok(call) => call,
             Err(error) => return bad_request(&error.to_string()),
         };
-        let reply = self.dispatch(call).await;
+        let reply = self.dispatch(call, peer).await;
         let bytes = pack(&reply).expect("replies are plain data");
         Response::new(AnswerBody::whole(bytes))
     }
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -6,6 +6,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use laburnumdeal_policy::steer::{AttemptOutcome, Decision};
+use slog::info;
 use tokio::time::Instant;
 
 use crate::answer_body::AnswerBody;
@@ -40,6 +41,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub id: HeaderValue,
+    /// Hash that repeats of the request share; crash reports name it.
+    pub fingerprint: u64,
     /// Hash of the affinity key, or of the path if the request has no key.
     pub object: u64,
     pub idempotent: bool,
@@ -78,23 +81,53 @@
     decision: Decision,
     route: String,
     object: u64,
+    id: HeaderValue,
+    fingerprint: u64,
     started_at: Instant,
+    /// Whether the upstream may have received the request.
+    is_sent: bool,
     outcome: AttemptOutcome,
 }
 
 impl InFlightAttempt {
-    fn begin(state: &Arc<EntryState>, decision: Decision, route: &str, object: u64) -> Self {
+    fn begin(
+        state: &Arc<EntryState>,
+        decision: Decision,
+        route: &str,
+        request: &AttemptRequest,
+    ) -> Self {
         let now = Instant::now();
         state.load_balancer().begin_attempt(&decision, now);
         Self {
             state: state.clone(),
             decision,
             route: route.to_owned(),
-            object,
+            object: request.object,
+            id: request.id.clone(),
+            fingerprint: request.fingerprint,
             started_at: now,
+            is_sent: false,
             outcome: AttemptOutcome::Cancelled,
         }
     }
+
+    /// Logs how an attempt ended after which the upstream may have run the request, or may have
+    /// crashed, if there was no answer.
+    fn log_unanswered(&self, upstream: &str) {
+        let outcome = match self.outcome {
+            AttemptOutcome::Broken => "broken",
+            AttemptOutcome::TimedOut => "timed-out",
+            AttemptOutcome::Cancelled if self.is_sent => "cancelled",
+            _ => return,
+        };
+        let Some(log) = self.state.log.limited(true) else {
+            return;
+        };
+        info!(log, "attempt ended without an answer";
+            "id" => String::from_utf8_lossy(self.id.as_bytes()).into_owned(),
+            "fingerprint" => format!("{:016x}", self.fingerprint), "upstream" => upstream,
+            "outcome" => outcome, "took_ms" => self.started_at.elapsed().as_millis() as u64);
+    }
 }
 
 impl Drop for InFlightAttempt {
@@ -102,6 +135,9 @@
         let mut load_balancer = self.state.load_balancer();
         let now = Instant::now();
         load_balancer.end_attempt(&self.decision, &self.route, self.object, self.outcome, now);
+        let upstream = load_balancer.endpoint(self.decision.upstream).0.to_owned();
+        drop(load_balancer);
+        self.log_unanswered(&upstream);
     }
 }
 
@@ -118,7 +154,7 @@
         let (id, address) = load_balancer.endpoint(decision.upstream);
         (id.to_owned(), address)
     };
-    let mut in_flight = InFlightAttempt::begin(state, decision, route, request.object);
+    let mut in_flight = InFlightAttempt::begin(state, decision, route, request);
     let pool = state.pool(decision.upstream, address);
     let guard = match connect(&pool, request).await {
         Ok(guard) => guard,
@@ -175,11 +211,12 @@
     request: &AttemptRequest,
     message: Request<RequestBody>,
 ) -> AttemptResult {
+    in_flight.is_sent = true;
     let sent = guard.connection().send(message, request.wait_until).await;
     let response = match sent {
         Ok(response) => response,
         Err(ExchangeError::NotSent | ExchangeError::Refused(_)) => {
-            in_flight.outcome = AttemptOutcome::Cancelled;
+            in_flight.is_sent = false;
             return AttemptResult::NotRun {
                 reason: "no byte was sent",
                 arrived: false,
