Report a crash within the body of an answer

Callers saw a request that crashes upstreams within its answer run on and on. Only a connection that broke before the head of the answer led to a check for a crash; one that broke within the body was taken for a truncated answer. Both are signs of a crash, and the check tells them from a faulty upstream.

resend_after_crashes_within_answers_is_refused failed before (18 crashes later than 3 s after the third, 3 allowed) and passes now.

--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -69,7 +69,8 @@
         reason: &'static str,
         /// Whether the cause is a timeout.
         timed_out: bool,
-        /// Whether the connection broke before the answer, as it does when an upstream crashes.
+        /// Whether the connection broke before the end of the answer, as it does when an upstream
+        /// crashes.
         connection_broke: bool,
     },
 }
@@ -268,7 +269,7 @@
                 true => AttemptOutcome::TimedOut,
                 false => AttemptOutcome::Broken,
             };
-            unknown("the answer broke off", timed_out, false)
+            unknown("the answer broke off", timed_out, !timed_out)
         }
     }
 }
