Report the crash of an upstream that ends silently

Callers saw a request that crashes upstreams run on and on where upstreams end together with their machine. Such an upstream closes no connection and refuses none: the attempt times out, and a time-out led to no check; had there been one, a connection without a reply would not have counted.

An attempt that times out is now checked as well, and an upstream that does not reply within 0.5 s has crashed. The check runs in a task of its own, one for an upstream at a time, so that the answer does not wait for it. An upstream that answers another request within 0.2 s is only slow, and gets no connection.

--- /dev/null
+++ b/daemon/src/roles/crash_checks.rs
@@ -0,0 +1,188 @@
+//! Checks whether an upstream crashed, after attempts at it ended without an answer. A check runs in
+//! a task of its own, so that it does not end with the request of a caller that leaves.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use http::HeaderValue;
+use laburnumdeal_policy::steer::UpstreamKey;
+use slog::info;
+use tokio::net::TcpStream;
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::roles::crash_reports::CrashReport;
+use crate::roles::entry_state::EntryState;
+
+/// Timeout of the connection that checks an upstream. An upstream that ended with its machine does
+/// not refuse connections, it does not reply.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time in which an upstream that is only slow may answer another request, which saves the
+/// connection.
+const ANSWER_WAIT: Duration = Duration::from_millis(200);
+
+/// Limit on the attempts that one check is for.
+const MAX_ATTEMPTS: usize = 256;
+
+/// Running checks, by upstream.
+#[derive(Debug, Default)]
+pub(super) struct CrashChecks {
+    running: Mutex<HashMap<UpstreamKey, RunningCheck>>,
+}
+
+#[derive(Debug)]
+struct RunningCheck {
+    attempts: Vec<UnansweredAttempt>,
+    /// Whether the connection of an attempt broke, so that the check need not wait for answers.
+    is_urgent: watch::Sender<bool>,
+}
+
+/// Attempt that ended without a whole answer.
+#[derive(Clone, Debug)]
+pub(super) struct UnansweredAttempt {
+    /// ID of the request.
+    pub id: HeaderValue,
+    /// Hash that repeats of the request share.
+    pub fingerprint: u64,
+    /// Whether the connection broke, rather than that the time was out.
+    pub is_broken: bool,
+    /// Time at which the attempt ended.
+    pub ended_at: Instant,
+}
+
+/// What a check found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CheckResult {
+    /// The upstream has answered another request since.
+    Answers,
+    /// It accepts connections.
+    AcceptsConnections,
+    /// It refuses connections.
+    RefusesConnections,
+    /// It does not reply.
+    NoReply,
+}
+
+impl CheckResult {
+    fn is_crash(self) -> bool {
+        matches!(self, Self::RefusesConnections | Self::NoReply)
+    }
+
+    fn text(self) -> &'static str {
+        match self {
+            Self::Answers => "answers",
+            Self::AcceptsConnections => "accepts connections",
+            Self::RefusesConnections => "refuses connections",
+            Self::NoReply => "no reply",
+        }
+    }
+}
+
+/// Checks an upstream for a crash, unless a check of it is running, which then covers the attempt.
+pub(super) fn start(state: &Arc<EntryState>, upstream: UpstreamKey, attempt: UnansweredAttempt) {
+    let Ok(runtime) = Handle::try_current() else {
+        return;
+    };
+    let is_urgent = attempt.is_broken;
+    let mut running = state.crash_checks.running();
+    if let Some(check) = running.get_mut(&upstream) {
+        if check.attempts.len() < MAX_ATTEMPTS {
+            check.attempts.push(attempt);
+        }
+        check.is_urgent.send_if_modified(|urgent| {
+            let is_new = is_urgent && !*urgent;
+            *urgent |= is_urgent;
+            is_new
+        });
+        return;
+    }
+    let is_urgent = watch::Sender::new(is_urgent);
+    let urgency = is_urgent.subscribe();
+    let check = RunningCheck {
+        attempts: vec![attempt],
+        is_urgent,
+    };
+    running.insert(upstream, check);
+    runtime.spawn(run(state.clone(), upstream, urgency));
+}
+
+/// Waits until no check of an upstream is running, or for `timeout`.
+pub(super) async fn wait(state: &EntryState, upstream: UpstreamKey, timeout: Duration) {
+    let urgency = match state.crash_checks.running().get(&upstream) {
+        Some(check) => check.is_urgent.subscribe(),
+        None => return,
+    };
+    // The sender is dropped when the check ends.
+    let ended = async {
+        let mut urgency = urgency;
+        while urgency.changed().await.is_ok() {}
+    };
+    let _ = tokio::time::timeout(timeout, ended).await;
+}
+
+impl CrashChecks {
+    fn running(&self) -> std::sync::MutexGuard<'_, HashMap<UpstreamKey, RunningCheck>> {
+        self.running.lock().expect("no holder panics")
+    }
+}
+
+async fn run(state: Arc<EntryState>, upstream: UpstreamKey, mut urgency: watch::Receiver<bool>) {
+    let started_at = Instant::now();
+    let until_urgent = async {
+        let _ = urgency.wait_for(|is_urgent| *is_urgent).await;
+    };
+    let _ = tokio::time::timeout(ANSWER_WAIT, until_urgent).await;
+    let is_urgent = *urgency.borrow();
+    let (name, address, answered_at) = {
+        let load_balancer = state.load_balancer();
+        let (name, address) = load_balancer.endpoint(upstream);
+        let answered_at = load_balancer.answered_at(upstream);
+        (name.to_owned(), address, answered_at)
+    };
+    let result = match answered_at.is_some_and(|at| at > started_at) && !is_urgent {
+        true => CheckResult::Answers,
+        false => connect(address).await,
+    };
+    let check = state.crash_checks.running().remove(&upstream);
+    let attempts = check.map(|check| check.attempts).unwrap_or_default();
+    if result.is_crash() {
+        report(&state, &attempts);
+    }
+    state.metrics.count_crash_check(result.text());
+    for attempt in &attempts {
+        let Some(log) = state.log.limited(true) else {
+            return;
+        };
+        info!(log, "checked an upstream for a crash";
+            "id" => String::from_utf8_lossy(attempt.id.as_bytes()).into_owned(),
+            "fingerprint" => format!("{:016x}", attempt.fingerprint), "upstream" => &name,
+            "result" => result.text(), "took_ms" => started_at.elapsed().as_millis() as u64,
+            "attempt_age_ms" => attempt.ended_at.elapsed().as_millis() as u64,
+            "reported" => result.is_crash());
+    }
+}
+
+async fn connect(address: std::net::SocketAddr) -> CheckResult {
+    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => CheckResult::AcceptsConnections,
+        Ok(Err(_)) => CheckResult::RefusesConnections,
+        Err(_) => CheckResult::NoReply,
+    }
+}
+
+/// Adds a crash report for each request. Attempts of one request at one upstream are of one crash.
+fn report(state: &EntryState, attempts: &[UnansweredAttempt]) {
+    let mut fingerprints: Vec<u64> = attempts.iter().map(|attempt| attempt.fingerprint).collect();
+    fingerprints.sort_unstable();
+    fingerprints.dedup();
+    let reports = fingerprints.into_iter().map(|fingerprint| CrashReport {
+        fingerprint,
+        crash: rand::random(),
+    });
+    let reports: Vec<CrashReport> = reports.collect();
+    let mut crashes = state.crashes.lock().expect("no holder panics");
+    crashes.add(&reports, Instant::now());
+}
--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::connection_pool::ConnectionPool;
+use crate::roles::crash_checks::CrashChecks;
 use crate::roles::crash_reports::{CrashReport, CrashReports, fingerprints_text};
 use crate::roles::node_metrics::NodeMetrics;
 use crate::roles::rate_limited_log::RateLimitedLog;
@@ -55,6 +56,7 @@
     retries: Mutex<RetryBudgets>,
     active: RwLock<ActiveConfiguration>,
     pub crashes: Mutex<CrashReports>,
+    pub crash_checks: CrashChecks,
     list: Mutex<UpstreamList>,
     roster_hash: AtomicU64,
     leaving: AtomicBool,
@@ -74,6 +76,7 @@
             retries: Mutex::new(retries),
             active: RwLock::default(),
             crashes: Mutex::default(),
+            crash_checks: CrashChecks::default(),
             list: Mutex::default(),
             roster_hash: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -3,13 +3,12 @@
 
 use http::{Response, StatusCode};
 use laburnumdeal_policy::steer::{Decision, RequestContext, Route, Selection, UpstreamKey};
-use slog::info;
 use tokio::time::Instant;
 
 use crate::answer_body::AnswerBody;
 use crate::roles::HeaderCodec;
 use crate::roles::buffered_body::BufferedBody;
-use crate::roles::crash_reports::CrashReport;
+use crate::roles::crash_checks;
 use crate::roles::entry_state::EntryState;
 use crate::roles::upstream_attempt::{self, AttemptRequest, AttemptResult};
 
@@ -19,9 +18,9 @@
 /// Default retry delay for a request that is given up without an answer.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
 
-/// Timeout of the connection attempt that checks whether an upstream still listens after its
-/// connection broke.
-const CRASH_PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest time for which a further attempt waits for the check whether the upstream of the last one
+/// crashed.
+const CRASH_CHECK_WAIT: Duration = Duration::from_millis(150);
 
 /// Final outcome of a request.
 pub(super) enum ForwardOutcome {
@@ -153,7 +152,7 @@
             } => {
                 self.count_arrival(true, is_retry);
                 if connection_broke {
-                    report_if_crashed(self.state, decision.upstream, &self.request).await;
+                    crash_checks::wait(self.state, decision.upstream, CRASH_CHECK_WAIT).await;
                 }
                 self.on_unknown(reason, timed_out, is_replayable)
             }
@@ -229,36 +228,3 @@
         }
     }
 }
-
-/// Adds a crash report for a request if the upstream that it was sent to no longer listens.
-async fn report_if_crashed(state: &EntryState, upstream: UpstreamKey, request: &AttemptRequest) {
-    let (name, address) = {
-        let load_balancer = state.load_balancer();
-        let (name, address) = load_balancer.endpoint(upstream);
-        (name.to_owned(), address)
-    };
-    let started_at = Instant::now();
-    let connecting = tokio::net::TcpStream::connect(address);
-    let result = match tokio::time::timeout(CRASH_PROBE_TIMEOUT, connecting).await {
-        Ok(Ok(_)) => "accepts connections",
-        Ok(Err(_)) => "refuses connections",
-        Err(_) => "no reply",
-    };
-    let is_crashed = result == "refuses connections";
-    if is_crashed {
-        let report = CrashReport {
-            fingerprint: request.fingerprint,
-            crash: rand::random(),
-        };
-        let mut crashes = state.crashes.lock().expect("no holder panics");
-        crashes.add(&[report], Instant::now());
-    }
-    state.metrics.count_crash_check(result);
-    if let Some(log) = state.log.limited(true) {
-        info!(log, "checked an upstream for a crash";
-            "id" => String::from_utf8_lossy(request.id.as_bytes()).into_owned(),
-            "fingerprint" => format!("{:016x}", request.fingerprint), "upstream" => name,
-            "result" => result, "took_ms" => started_at.elapsed().as_millis() as u64,
-            "reported" => is_crashed);
-    }
-}
--- a/daemon/src/roles/mod.rs
+++ b/daemon/src/roles/mod.rs
@@ -6,6 +6,7 @@
 mod configuration_update;
 mod control_node;
 mod control_record;
+mod crash_checks;
 mod crash_reports;
 mod entry_node;
 mod entry_state;
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -16,6 +16,7 @@
 use crate::header;
 use crate::request_body::RequestBody;
 use crate::roles::HeaderCodec;
+use crate::roles::crash_checks::{self, UnansweredAttempt};
 use crate::roles::entry_state::EntryState;
 
 /// Timeout for opening a connection to an upstream.
@@ -112,15 +113,27 @@
         }
     }
 
-    /// Logs how an attempt ended after which the upstream may have run the request, or may have
-    /// crashed, if there was no answer.
-    fn log_unanswered(&self, upstream: &str) {
+    fn check_for_crash(&self) {
+        let attempt = UnansweredAttempt {
+            id: self.id.clone(),
+            fingerprint: self.fingerprint,
+            is_broken: self.outcome == AttemptOutcome::Broken,
+            ended_at: Instant::now(),
+        };
+        crash_checks::start(&self.state, self.decision.upstream, attempt);
+    }
+
+    /// Logs an attempt that ended without an answer, and checks its upstream for a crash.
+    fn handle_unanswered(&self, upstream: &str) {
         let outcome = match self.outcome {
             AttemptOutcome::Broken => "broken",
             AttemptOutcome::TimedOut => "timed-out",
             AttemptOutcome::Cancelled if self.is_sent => "cancelled",
             _ => return,
         };
+        if outcome != "cancelled" {
+            self.check_for_crash();
+        }
         let Some(log) = self.state.log.limited(true) else {
             return;
         };
@@ -138,7 +151,7 @@
         load_balancer.end_attempt(&self.decision, &self.route, self.object, self.outcome, now);
         let upstream = load_balancer.endpoint(self.decision.upstream).0.to_owned();
         drop(load_balancer);
-        self.log_unanswered(&upstream);
+        self.handle_unanswered(&upstream);
     }
 }
 
--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -194,6 +194,11 @@
         (&record.id, record.address)
     }
 
+    /// Returns when an upstream last answered this instance.
+    pub fn answered_at(&self, key: UpstreamKey) -> Option<Instant> {
+        self.entry(key).answered_at
+    }
+
     /// Returns the keys of upstreams that have left the list.
     pub fn removed(&self) -> impl Iterator<Item = UpstreamKey> + '_ {
         let entries = self.entries.iter().enumerate();
--- a/policy/src/steer/upstream_entry.rs
+++ b/policy/src/steer/upstream_entry.rs
@@ -55,6 +55,8 @@
     failure_rate: f64,
     failure_rate_at: Option<Instant>,
     unanswered_since: Option<Instant>,
+    /// Time of the last answer.
+    pub answered_at: Option<Instant>,
 }
 
 impl UpstreamEntry {
@@ -74,6 +76,7 @@
             failure_rate: 0.0,
             failure_rate_at: None,
             unanswered_since: None,
+            answered_at: None,
         }
     }
 
@@ -154,6 +157,9 @@
             outcome,
             AttemptOutcome::Answered { .. } | AttemptOutcome::Shed | AttemptOutcome::WrongUpstream
         );
+        if is_answered && outcome != AttemptOutcome::WrongUpstream {
+            self.answered_at = Some(now);
+        }
         if self.load.own_in_flight() == 0 {
             self.unanswered_since = None;
         } else if is_answered {
