Check for a crash when the caller leaves first

Callers that leave before their request times out hid its crashes: the attempt ended with the request, and with it the check. Since a caller's own time limit ends before the instance gives up, this is the usual end at an upstream that is silent. The check starts now when such an attempt is dropped; its task does not belong to the request.

resend_by_callers_that_leave_before_the_timeout_is_refused failed before (14 crashes later than 3 s after the third, 3 allowed) and passes now.

--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -131,9 +131,7 @@
             AttemptOutcome::Cancelled if self.is_sent => "cancelled",
             _ => return,
         };
-        if outcome != "cancelled" {
-            self.check_for_crash();
-        }
+        self.check_for_crash();
         let Some(log) = self.state.log.limited(true) else {
             return;
         };
