Report the crash of an upstream that is back before its request times out

Callers saw a request that crashes upstreams run on and on where upstreams end silently and start again quickly: when the attempt times out, the address accepts connections again, and the check took the upstream for a slow one. The list of upstreams tells otherwise: the id of the start that got the request is gone from it, without having been shown as leaving, or another id answers at the address.

When their upstream leaves the list unannounced or turns out to have lost its address, and has answered nothing since, the crash is reported for them.

--- a/daemon/src/roles/crash_checks.rs
+++ b/daemon/src/roles/crash_checks.rs
@@ -2,18 +2,18 @@
 //! a task of its own, so that it does not end with the request of a caller that leaves.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use http::HeaderValue;
-use laburnumdeal_policy::steer::UpstreamKey;
+use laburnumdeal_policy::steer::{UnansweredAttempts, UpstreamKey};
 use slog::info;
 use tokio::net::TcpStream;
 use tokio::runtime::Handle;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::roles::crash_reports::CrashReport;
+use crate::roles::crash_reports::fingerprints_text;
 use crate::roles::entry_state::EntryState;
 
 /// Timeout of the connection that checks an upstream. An upstream that ended with its machine does
@@ -31,6 +31,8 @@
 #[derive(Debug, Default)]
 pub(super) struct CrashChecks {
     running: Mutex<HashMap<UpstreamKey, RunningCheck>>,
+    /// Attempts at upstreams whose address accepts connections.
+    undecided: Mutex<UnansweredAttempts>,
 }
 
 #[derive(Debug)]
@@ -60,6 +62,8 @@
     Answers,
     /// It accepts connections.
     AcceptsConnections,
+    /// Its address accepts connections, but it has left the list of upstreams unannounced.
+    LeftList,
     /// It refuses connections.
     RefusesConnections,
     /// It does not reply.
@@ -68,13 +72,17 @@
 
 impl CheckResult {
     fn is_crash(self) -> bool {
-        matches!(self, Self::RefusesConnections | Self::NoReply)
+        matches!(
+            self,
+            Self::LeftList | Self::RefusesConnections | Self::NoReply
+        )
     }
 
     fn text(self) -> &'static str {
         match self {
             Self::Answers => "answers",
             Self::AcceptsConnections => "accepts connections",
+            Self::LeftList => "left the list",
             Self::RefusesConnections => "refuses connections",
             Self::NoReply => "no reply",
         }
@@ -124,9 +132,13 @@
 }
 
 impl CrashChecks {
-    fn running(&self) -> std::sync::MutexGuard<'_, HashMap<UpstreamKey, RunningCheck>> {
+    fn running(&self) -> MutexGuard<'_, HashMap<UpstreamKey, RunningCheck>> {
         self.running.lock().expect("no holder panics")
     }
+
+    fn undecided(&self) -> MutexGuard<'_, UnansweredAttempts> {
+        self.undecided.lock().expect("no holder panics")
+    }
 }
 
 async fn run(state: Arc<EntryState>, upstream: UpstreamKey, mut urgency: watch::Receiver<bool>) {
@@ -148,8 +160,20 @@
     };
     let check = state.crash_checks.running().remove(&upstream);
     let attempts = check.map(|check| check.attempts).unwrap_or_default();
+    let result = match result {
+        CheckResult::AcceptsConnections if state.load_balancer().left_unannounced(upstream) => {
+            CheckResult::LeftList
+        }
+        result => result,
+    };
     if result.is_crash() {
-        report(&state, &attempts);
+        let fingerprints = attempts.iter().map(|attempt| attempt.fingerprint);
+        state.report_crash(fingerprints.collect());
+    } else if result == CheckResult::AcceptsConnections {
+        let mut undecided = state.crash_checks.undecided();
+        for attempt in &attempts {
+            undecided.record(upstream, attempt.fingerprint, attempt.ended_at);
+        }
     }
     state.metrics.count_crash_check(result.text());
     for attempt in &attempts {
@@ -173,16 +197,34 @@
     }
 }
 
-/// Adds a crash report for each request. Attempts of one request at one upstream are of one crash.
-fn report(state: &EntryState, attempts: &[UnansweredAttempt]) {
-    let mut fingerprints: Vec<u64> = attempts.iter().map(|attempt| attempt.fingerprint).collect();
-    fingerprints.sort_unstable();
-    fingerprints.dedup();
-    let reports = fingerprints.into_iter().map(|fingerprint| CrashReport {
-        fingerprint,
-        crash: rand::random(),
-    });
-    let reports: Vec<CrashReport> = reports.collect();
-    let mut crashes = state.crashes.lock().expect("no holder panics");
-    crashes.add(&reports, Instant::now());
+/// Reports the crashes of upstreams that accepted connections when they were checked, but have
+/// since left the list unannounced.
+pub(super) fn report_unannounced(state: &EntryState) {
+    let upstreams: Vec<UpstreamKey> = state.crash_checks.undecided().upstreams().collect();
+    for upstream in upstreams {
+        if state.load_balancer().left_unannounced(upstream) {
+            report_ended(state, upstream, "left the list");
+        }
+    }
+}
+
+/// Reports the crash of an upstream that is known to have ended, for the requests whose attempts
+/// it left without an answer.
+pub(super) fn report_ended(state: &EntryState, upstream: UpstreamKey, evidence: &'static str) {
+    let (name, answered_at) = {
+        let load_balancer = state.load_balancer();
+        let name = load_balancer.endpoint(upstream).0.to_owned();
+        (name, load_balancer.answered_at(upstream))
+    };
+    let mut undecided = state.crash_checks.undecided();
+    let fingerprints = undecided.take_crashed(upstream, answered_at, Instant::now());
+    drop(undecided);
+    if fingerprints.is_empty() {
+        return;
+    }
+    if let Some(log) = state.log.limited(true) {
+        info!(log, "upstream crashed"; "upstream" => name, "evidence" => evidence,
+            "requests" => fingerprints.len(), "fingerprints" => fingerprints_text(&fingerprints));
+    }
+    state.report_crash(fingerprints);
 }
--- a/daemon/src/roles/crash_reports.rs
+++ b/daemon/src/roles/crash_reports.rs
@@ -33,15 +33,15 @@
 }
 
 impl CrashReports {
-    /// Adds reports and drops expired ones; returns those that are new.
-    pub fn add(&mut self, reports: &[CrashReport], now: Instant) -> Vec<CrashReport> {
+    /// Adds reports and drops expired ones; returns the fingerprints of those that are new.
+    pub fn add(&mut self, reports: &[CrashReport], now: Instant) -> Vec<u64> {
         self.reports.retain(|_, at| now - *at < RETENTION);
         let before = self.reports.len();
         let mut new = Vec::new();
         for report in reports.iter().take(MAX_REPORTS.saturating_sub(before)) {
             if let Entry::Vacant(vacant) = self.reports.entry(*report) {
                 vacant.insert(now);
-                new.push(*report);
+                new.push(report.fingerprint);
             }
         }
         new
@@ -77,11 +77,9 @@
     }
 }
 
-/// Returns the fingerprints of the first reports, for a log line.
-pub fn fingerprints_text(reports: &[CrashReport]) -> String {
-    let logged = reports.iter().take(MAX_LOGGED);
-    let texts: Vec<String> = logged
-        .map(|report| format!("{:016x}", report.fingerprint))
-        .collect();
+/// Returns the first fingerprints, for a log line.
+pub fn fingerprints_text(fingerprints: &[u64]) -> String {
+    let logged = fingerprints.iter().take(MAX_LOGGED);
+    let texts: Vec<String> = logged.map(|hash| format!("{hash:016x}")).collect();
     texts.join(",")
 }
--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use crate::connection_pool::ConnectionPool;
-use crate::roles::crash_checks::CrashChecks;
+use crate::roles::crash_checks::{self, CrashChecks};
 use crate::roles::crash_reports::{CrashReport, CrashReports, fingerprints_text};
 use crate::roles::node_metrics::NodeMetrics;
 use crate::roles::rate_limited_log::RateLimitedLog;
@@ -162,6 +162,20 @@
         crashes.known(fingerprint, Instant::now())
     }
 
+    /// Adds a report of one crash for each of the requests that it may have been caused by.
+    pub fn report_crash(&self, mut fingerprints: Vec<u64>) {
+        fingerprints.sort_unstable();
+        fingerprints.dedup();
+        let reports = fingerprints.into_iter().map(|fingerprint| CrashReport {
+            fingerprint,
+            crash: rand::random(),
+        });
+        let reports: Vec<CrashReport> = reports.collect();
+        let mut crashes = self.crashes.lock().expect("no holder panics");
+        crashes.add(&reports, Instant::now());
+        self.metrics.set_crash_reports(crashes.len());
+    }
+
     /// Adds crash reports of another instance and logs the new ones.
     pub fn add_crashes(&self, reports: &[CrashReport], source: SocketAddr) {
         let mut crashes = self.crashes.lock().expect("no holder panics");
@@ -249,6 +263,8 @@
             for key in gone {
                 pools.remove(&key);
             }
+            drop(pools);
+            crash_checks::report_unannounced(self);
         }
         self.metrics.set_list_age(list.age(now).unwrap_or_default());
         let was_missing = current.read_at.is_none();
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -129,6 +129,10 @@
             AttemptOutcome::Broken => "broken",
             AttemptOutcome::TimedOut => "timed-out",
             AttemptOutcome::Cancelled if self.is_sent => "cancelled",
+            AttemptOutcome::WrongUpstream => {
+                let upstream = self.decision.upstream;
+                return crash_checks::report_ended(&self.state, upstream, "lost its address");
+            }
             _ => return,
         };
         self.check_for_crash();
--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -199,6 +199,12 @@
         self.entry(key).answered_at
     }
 
+    /// Returns whether an upstream has left the list without having been shown as leaving before.
+    pub fn left_unannounced(&self, key: UpstreamKey) -> bool {
+        let entry = self.entry(key);
+        !entry.is_listed && !entry.record.leaving
+    }
+
     /// Returns the keys of upstreams that have left the list.
     pub fn removed(&self) -> impl Iterator<Item = UpstreamKey> + '_ {
         let entries = self.entries.iter().enumerate();
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -13,6 +13,7 @@
 mod route_table;
 mod service_latency;
 mod shared_report;
+mod unanswered_attempts;
 mod upstream_entry;
 mod upstream_record;
 
@@ -26,4 +27,5 @@
 pub use route_table::{Route, RouteTable};
 pub use service_latency::ServiceLatency;
 pub use shared_report::{SharedLoad, SharedObject, SharedReport};
+pub use unanswered_attempts::UnansweredAttempts;
 pub use upstream_record::UpstreamRecord;
--- a/policy/tests/steer/main.rs
+++ b/policy/tests/steer/main.rs
@@ -6,3 +6,4 @@
 mod routes;
 mod setup;
 mod simulation;
+mod unanswered_attempts;
