Let crash reports live by their age and by use

Two faults of one rule: each instance kept a report for 60 s from when it got it. Instances that dropped it got it back from others as new, so it lived for ever by accident, and requests that merely were beside a crash filled the table of 4,096, after which no report was taken. And where it did expire everywhere, a request that comes once a minute could crash two upstreams each time.

Reports now carry their age. A request with one crash is forgotten after 60 s, a blocked one when it has not come for 10 minutes; a full table drops those that are not blocked, oldest first. The table moves to policy, which has no sockets.

The tests need the new interface, so they did not run on the code before: is_blocked_while_the_request_keeps_coming, merge_does_not_revive_expired_reports, merge_full_table_keeps_blocked_requests_ and_takes_new_ones.

--- a/daemon/src/roles/control_node.rs
+++ b/daemon/src/roles/control_node.rs
@@ -8,6 +8,7 @@
 use laburnumdeal_model::{
     Change, CommandId, Configuration, Region, RegionId, Submission, Topology, Verdict, Zone,
 };
+use laburnumdeal_policy::steer::{CrashReport, CrashReports};
 use slog::{Logger, info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
@@ -16,7 +17,7 @@
 
 use crate::daemon_error::DaemonError;
 use crate::http_server::HttpServer;
-use crate::roles::crash_reports::{CrashReport, CrashReports, fingerprints_text};
+use crate::roles::fingerprints_text::fingerprints_text;
 use crate::roles::list_history::ListHistory;
 use crate::roles::list_refresher;
 use crate::roles::node_metrics::NodeMetrics;
@@ -95,7 +96,7 @@
     /// Adds crash reports of another instance and logs the new ones.
     pub fn add_crashes(&self, reports: &[CrashReport], source: IpAddr) {
         let mut crashes = self.crashes.lock().expect("no holder panics");
-        let new = crashes.add(reports, Instant::now());
+        let new = crashes.merge(reports, Instant::now());
         let total = crashes.len();
         drop(crashes);
         self.metrics.set_crash_reports(total);
--- a/daemon/src/roles/crash_checks.rs
+++ b/daemon/src/roles/crash_checks.rs
@@ -13,8 +13,8 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::roles::crash_reports::fingerprints_text;
 use crate::roles::entry_state::EntryState;
+use crate::roles::fingerprints_text::fingerprints_text;
 
 /// Timeout of the connection that checks an upstream. An upstream that ended with its machine does
 /// not refuse connections, it does not reply.
--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -5,14 +5,16 @@
 use std::time::Duration;
 
 use laburnumdeal_model::{Configuration, Target, WHOLE_PERMILLE};
-use laburnumdeal_policy::steer::{LoadBalancer, RetryBudgetShare, RouteTable, UpstreamKey};
+use laburnumdeal_policy::steer::{
+    CrashReport, CrashReports, LoadBalancer, RetryBudgetShare, RouteTable, UpstreamKey,
+};
 use slog::{Logger, info};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::connection_pool::ConnectionPool;
 use crate::roles::crash_checks::{self, CrashChecks};
-use crate::roles::crash_reports::{CrashReport, CrashReports, fingerprints_text};
+use crate::roles::fingerprints_text::fingerprints_text;
 use crate::roles::node_metrics::NodeMetrics;
 use crate::roles::rate_limited_log::RateLimitedLog;
 use crate::roles::{NodeSettings, PresenceState, UpstreamList};
@@ -149,14 +151,19 @@
         }
     }
 
-    /// Returns whether a request crashed so many upstreams that it is no longer forwarded.
-    pub fn is_blocked(&self, fingerprint: u64) -> bool {
-        let crashes = self.crashes.lock().expect("no holder panics");
-        crashes.is_blocked(fingerprint)
+    /// Returns whether a request must be refused, because it crashed upstreams.
+    pub fn refuses(&self, fingerprint: u64) -> bool {
+        let now = Instant::now();
+        let mut crashes = self.crashes.lock().expect("no holder panics");
+        let is_blocked = crashes.is_blocked(fingerprint, now);
+        if is_blocked {
+            crashes.record_refusal(fingerprint, now);
+        }
+        is_blocked
     }
 
-    /// Returns how many crashes of upstreams are known for a request, and the age of the newest
-    /// report.
+    /// Returns how many crashes of upstreams are known for a request, and the time since the newest
+    /// one or the last refusal.
     pub fn known_crashes(&self, fingerprint: u64) -> (usize, Duration) {
         let crashes = self.crashes.lock().expect("no holder panics");
         crashes.known(fingerprint, Instant::now())
@@ -166,20 +173,17 @@
     pub fn report_crash(&self, mut fingerprints: Vec<u64>) {
         fingerprints.sort_unstable();
         fingerprints.dedup();
-        let reports = fingerprints.into_iter().map(|fingerprint| CrashReport {
-            fingerprint,
-            crash: rand::random(),
-        });
-        let reports: Vec<CrashReport> = reports.collect();
         let mut crashes = self.crashes.lock().expect("no holder panics");
-        crashes.add(&reports, Instant::now());
+        for fingerprint in fingerprints {
+            crashes.add_crash(fingerprint, rand::random(), Instant::now());
+        }
         self.metrics.set_crash_reports(crashes.len());
     }
 
     /// Adds crash reports of another instance and logs the new ones.
     pub fn add_crashes(&self, reports: &[CrashReport], source: SocketAddr) {
         let mut crashes = self.crashes.lock().expect("no holder panics");
-        let new = crashes.add(reports, Instant::now());
+        let new = crashes.merge(reports, Instant::now());
         let total = crashes.len();
         drop(crashes);
         self.metrics.set_crash_reports(total);
--- a/daemon/src/roles/follow_message.rs
+++ b/daemon/src/roles/follow_message.rs
@@ -1,9 +1,8 @@
 use laburnumdeal_control::{ControlReply, ControlRequest};
 use laburnumdeal_model::Version;
-use laburnumdeal_policy::steer::SharedReport;
+use laburnumdeal_policy::steer::{CrashReport, SharedReport};
 use serde::{Deserialize, Serialize};
 
-use crate::roles::crash_reports::CrashReport;
 use crate::roles::follow_reply::FollowReply;
 
 /// Message to a control instance.
--- a/daemon/src/roles/follow_reply.rs
+++ b/daemon/src/roles/follow_reply.rs
@@ -1,13 +1,13 @@
 use std::time::Duration;
 
 use laburnumdeal_model::Version;
+use laburnumdeal_policy::steer::CrashReport;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::roles::UpstreamList;
 use crate::roles::configuration_update::ConfigurationUpdate;
 use crate::roles::control_record::ControlRecord;
-use crate::roles::crash_reports::CrashReport;
 use crate::roles::list_update::ListUpdate;
 
 /// Updates to the state that the sender of a [`FollowRequest`] knows.
--- a/daemon/src/roles/follower.rs
+++ b/daemon/src/roles/follower.rs
@@ -109,8 +109,9 @@
     let active = state.active().configuration;
     let version = active.map_or(Version(0), |configuration| configuration.version);
     let list = state.list();
-    let list_age = list.age(Instant::now());
-    let crashes = state.crashes.lock().expect("no holder panics").to_vec();
+    let now = Instant::now();
+    let list_age = list.age(now);
+    let crashes = state.crashes.lock().expect("no holder panics").to_vec(now);
     let request = FollowRequest {
         version: Some(version),
         list_hash: list.hash,
--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -96,8 +96,9 @@
         let method = parts.method.as_str().as_bytes();
         let content = [caller.as_bytes(), method, path.as_bytes(), body.prefix()];
         let fingerprint = hash_of(&content);
-        if self.state.is_blocked(fingerprint) {
-            self.log_blocked(&parts, routed, fingerprint);
+        let known = self.state.known_crashes(fingerprint);
+        if self.state.refuses(fingerprint) {
+            self.log_blocked(&parts, routed, fingerprint, known);
             return unavailable_response::<H>(
                 "the request crashed upstreams before",
                 BLOCKED_RETRY_AFTER,
@@ -171,13 +172,13 @@
         parts: &http::request::Parts,
         routed: &RoutedRequest<'_>,
         fingerprint: u64,
+        (crashes, age): (usize, Duration),
     ) {
         let metrics = &self.state.metrics;
         metrics.count_request(routed.service, "blocked", routed.started_at.elapsed());
         let Some(log) = self.state.log.limited(true) else {
             return;
         };
-        let (crashes, age) = self.state.known_crashes(fingerprint);
         let id = header::text(&parts.headers, &H::REQUEST_ID);
         info!(log, "request"; "id" => id.unwrap_or("none").to_owned(),
             "fingerprint" => format!("{fingerprint:016x}"),
--- a/daemon/src/roles/list_refresher.rs
+++ b/daemon/src/roles/list_refresher.rs
@@ -110,7 +110,11 @@
         list_age_ms: current_age.map(|age| age.as_millis() as u64),
         roster_hash: 0,
         contents: true,
-        crashes: state.crashes.lock().expect("no holder panics").to_vec(),
+        crashes: state
+            .crashes
+            .lock()
+            .expect("no holder panics")
+            .to_vec(Instant::now()),
         wait_ms: LONG_POLL_WAIT.as_millis() as u64,
     };
     let call = Call::Follow(request);
--- a/daemon/src/roles/rpc_handler.rs
+++ b/daemon/src/roles/rpc_handler.rs
@@ -87,18 +87,13 @@
         let list = self.state.list.borrow();
         let roster = self.state.registry.roster(Instant::now());
         let roster_hash = roster.map_or(request.roster_hash, |(hash, _)| hash);
-        let crashes = self
-            .state
-            .crashes
-            .lock()
-            .expect("no holder panics")
-            .to_vec();
+        let crashes = self.state.crashes.lock().expect("no holder panics");
+        let has_other_crashes = crashes.has_other_than(&request.crashes, Instant::now());
+        drop(crashes);
         has_newer_version
             || known_list.is_outdated_by(&list)
             || (request.roster_hash != 0 && roster_hash != request.roster_hash)
-            || crashes
-                .iter()
-                .any(|report| !request.crashes.contains(report))
+            || has_other_crashes
     }
 
     fn reply(&self, request: &FollowRequest, known_list: KnownList) -> FollowReply {
@@ -125,7 +120,7 @@
                 .crashes
                 .lock()
                 .expect("no holder panics")
-                .to_vec(),
+                .to_vec(now),
         }
     }
 
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -5,6 +5,7 @@
 mod cached_objects;
 mod choosing;
 mod cold_start_limiter;
+mod crash_reports;
 mod decision;
 mod load_balancer;
 mod load_estimate;
@@ -19,6 +20,7 @@
 
 pub use cached_objects::CachedObjects;
 pub use cold_start_limiter::ColdStartLimiter;
+pub use crash_reports::{CrashReport, CrashReports};
 pub use decision::{Decision, RequestContext, Selection};
 pub use load_balancer::{AttemptOutcome, LoadBalancer, LoadBalancerSettings, UpstreamKey, hash_of};
 pub use load_estimate::{LoadEstimate, UpstreamLoad};
--- /dev/null
+++ b/policy/tests/steer/crash_reports.rs
@@ -0,0 +1,114 @@
+//! Crashes of upstreams under requests, as instances tell each other of them.
+
+use std::time::Duration;
+
+use laburnumdeal_policy::steer::{CrashReport, CrashReports};
+use tokio::time::Instant;
+
+const CRASHING: u64 = 666;
+
+/// Time for which a blocked request that does not come again stays blocked.
+const BLOCK_S: u64 = 600;
+
+fn after(start: Instant, seconds: u64) -> Instant {
+    start + Duration::from_secs(seconds)
+}
+
+/// Returns reports of two crashes under one request.
+fn blocked(start: Instant) -> CrashReports {
+    let mut reports = CrashReports::default();
+    reports.add_crash(CRASHING, 1, start);
+    reports.add_crash(CRASHING, 2, start);
+    reports
+}
+
+#[test]
+fn is_blocked_after_second_crash() {
+    let start = Instant::now();
+    let mut reports = CrashReports::default();
+    assert!(reports.add_crash(CRASHING, 1, start));
+    assert!(!reports.add_crash(CRASHING, 1, start));
+    assert!(!reports.is_blocked(CRASHING, start));
+    assert!(reports.add_crash(CRASHING, 2, start));
+    assert!(reports.is_blocked(CRASHING, start));
+    assert!(!reports.is_blocked(CRASHING + 1, start));
+}
+
+// Guards against: a request that comes again every minute crashes upstreams for ever.
+#[test]
+fn is_blocked_while_the_request_keeps_coming() {
+    let start = Instant::now();
+    let mut reports = blocked(start);
+    for second in (60..7_200).step_by(60) {
+        let now = after(start, second);
+        assert!(reports.is_blocked(CRASHING, now), "at {second} s");
+        reports.record_refusal(CRASHING, now);
+        reports.merge(&[], now);
+    }
+}
+
+#[test]
+fn is_blocked_ends_when_the_request_stops_coming() {
+    let start = Instant::now();
+    let reports = blocked(start);
+    assert!(reports.is_blocked(CRASHING, after(start, BLOCK_S - 1)));
+    assert!(!reports.is_blocked(CRASHING, after(start, BLOCK_S)));
+}
+
+// Guards against: two instances remind each other of a report for ever, until the table is full.
+#[test]
+fn merge_does_not_revive_expired_reports() {
+    let start = Instant::now();
+    let (mut here, mut there) = (CrashReports::default(), CrashReports::default());
+    here.add_crash(1, 1, start);
+    for second in 0..120 {
+        let now = after(start, second);
+        there.merge(&here.to_vec(now), now);
+        here.merge(&there.to_vec(now), now);
+        if second > 0 {
+            here = CrashReports::default();
+            here.merge(&there.to_vec(now), now);
+        }
+    }
+    let end = after(start, 120);
+    assert!(here.to_vec(end).is_empty() && there.to_vec(end).is_empty());
+}
+
+#[test]
+fn merge_keeps_the_newest_age() {
+    let start = Instant::now();
+    let (mut here, mut there) = (blocked(start), blocked(start));
+    there.record_refusal(CRASHING, after(start, 500));
+    let now = after(start, 550);
+    assert!(here.merge(&there.to_vec(now), now).is_empty());
+    assert!(here.is_blocked(CRASHING, after(start, 1_000)));
+}
+
+// Guards against: a table full of requests that were beside crashes takes no further reports.
+#[test]
+fn merge_full_table_keeps_blocked_requests_and_takes_new_ones() {
+    let start = Instant::now();
+    let mut reports = blocked(start);
+    let beside = |number: u64| CrashReport {
+        fingerprint: 1_000 + number,
+        crash: number,
+        age_ms: 0,
+    };
+    let many: Vec<CrashReport> = (0..10_000).map(beside).collect();
+    reports.merge(&many, after(start, 1));
+    assert!(reports.len() <= 2_048);
+    assert!(reports.is_blocked(CRASHING, after(start, 1)));
+    reports.add_crash(7, 1, after(start, 2));
+    reports.add_crash(7, 2, after(start, 2));
+    assert!(reports.is_blocked(7, after(start, 2)));
+}
+
+#[test]
+fn has_other_than_compares_crashes_not_ages() {
+    let start = Instant::now();
+    let mut reports = blocked(start);
+    let known = reports.to_vec(start);
+    assert!(!reports.has_other_than(&known, after(start, 9)));
+    reports.add_crash(7, 1, start);
+    assert!(reports.has_other_than(&known, start));
+}
--- a/policy/tests/steer/main.rs
+++ b/policy/tests/steer/main.rs
@@ -2,6 +2,7 @@
 
 mod choose;
 mod cold;
+mod crash_reports;
 mod load;
 mod routes;
 mod setup;
