Check a request again before each further attempt

Callers of a route with many attempts saw one request crash an upstream with each of them: whether a request is blocked was checked once, when it had arrived, while its own attempts and reports of other instances block it later.

The check is made before each further attempt too. An outcome that may have run stays unknown to the caller, so "not run" is never told of it.

--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -15,7 +15,9 @@
 use crate::roles::HeaderCodec;
 use crate::roles::buffered_body::{BufferedBody, BufferedBodyError};
 use crate::roles::entry_state::EntryState;
-use crate::roles::forwarding::{ForwardOutcome, Forwarding, Progress};
+use crate::roles::forwarding::{
+    BLOCKED_REASON, BLOCKED_RETRY_AFTER, ForwardOutcome, Forwarding, Progress,
+};
 use crate::roles::upstream_attempt::AttemptRequest;
 
 /// Deadline of a request whose caller gives none.
@@ -27,9 +29,6 @@
 /// Retry delay for callers of an instance that has no configuration yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Retry delay for a request that is blocked because it crashed upstreams.
-const BLOCKED_RETRY_AFTER: Duration = Duration::from_secs(5);
-
 /// Forwards requests of callers to upstreams and returns the answers.
 pub(super) struct ForwardHandler<H> {
     state: Arc<EntryState>,
@@ -99,10 +98,7 @@
         let known = self.state.known_crashes(fingerprint);
         if self.state.refuses(fingerprint) {
             self.log_blocked(&parts, routed, fingerprint, known);
-            return unavailable_response::<H>(
-                "the request crashed upstreams before",
-                BLOCKED_RETRY_AFTER,
-            );
+            return unavailable_response::<H>(BLOCKED_REASON, BLOCKED_RETRY_AFTER);
         }
         let attempt = attempt_request::<H>(&parts, routed, path, fingerprint);
         let id = attempt.id.clone();
@@ -186,7 +182,7 @@
             "service" => routed.service, "crashes" => crashes,
             "crash_age_ms" => age.as_millis() as u64, "outcome" => "blocked",
             "status" => StatusCode::SERVICE_UNAVAILABLE.as_u16(),
-            "reason" => "the request crashed upstreams before");
+            "reason" => BLOCKED_REASON);
     }
 
     fn log_rejected(&self, request: &Request<Incoming>, status: StatusCode, reason: &str) {
--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -18,6 +18,12 @@
 /// Default retry delay for a request that is given up without an answer.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Reason for refusing a request that crashed upstreams.
+pub(super) const BLOCKED_REASON: &str = "the request crashed upstreams before";
+
+/// Retry delay for a request that is blocked because it crashed upstreams.
+pub(super) const BLOCKED_RETRY_AFTER: Duration = Duration::from_secs(5);
+
 /// Longest time for which a further attempt waits for the check whether the upstream of the last one
 /// crashed.
 const CRASH_CHECK_WAIT: Duration = Duration::from_millis(150);
@@ -97,6 +103,10 @@
                     return self.give_up("no upstream takes work", DEFAULT_RETRY_AFTER);
                 }
             };
+            // The last attempt, or another instance, may have reported a crash since the arrival.
+            if !self.progress.tried.is_empty() && self.state.refuses(self.request.fingerprint) {
+                return self.give_up(BLOCKED_REASON, BLOCKED_RETRY_AFTER);
+            }
             if self.progress.arrivals > 0 && !self.state.withdraw_retry(self.service) {
                 return self.give_up("no retry is left to spend", DEFAULT_RETRY_AFTER);
             }
