Keep crash reports on the disks of the control instances

Callers saw a request that was blocked run again after all instances had stopped at once, as a loss of power makes them: reports were in memory only.

An entry instance adds the reports of a reply before the configuration and the list that make it ready.

--- a/daemon/src/daemon_error.rs
+++ b/daemon/src/daemon_error.rs
@@ -26,6 +26,15 @@
     /// The settings of a control instance name no data folder.
     #[display("data_folder is missing, but a control instance needs one")]
     NoDataFolder,
+    /// The data folder cannot be used.
+    #[display("cannot use data folder {}: {source}", folder.display())]
+    #[from(skip)]
+    DataFolder {
+        /// Folder from the settings.
+        folder: PathBuf,
+        /// Cause.
+        source: std::io::Error,
+    },
     /// The settings of an entry instance name no address for callers.
     #[display("caller_address is missing, but an entry instance needs one")]
     NoCallerAddress,
--- a/daemon/src/roles/control_node.rs
+++ b/daemon/src/roles/control_node.rs
@@ -11,12 +11,13 @@
 use laburnumdeal_policy::steer::{CrashReport, CrashReports};
 use slog::{Logger, info, warn};
 use tokio::net::UdpSocket;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout};
 
 use crate::daemon_error::DaemonError;
 use crate::http_server::HttpServer;
+use crate::roles::crash_file::{self, CrashFile};
 use crate::roles::fingerprints_text::fingerprints_text;
 use crate::roles::list_history::ListHistory;
 use crate::roles::list_refresher;
@@ -74,6 +75,8 @@
     pub list: watch::Sender<Arc<UpstreamList>>,
     pub list_history: ListHistory,
     pub crashes: Mutex<CrashReports>,
+    /// Notified when crash reports are new and not saved yet.
+    pub crashes_unsaved: Notify,
     pub reports: Mutex<ReportStore>,
     pub metrics: NodeMetrics,
 }
@@ -103,6 +106,7 @@
         if new.is_empty() {
             return;
         }
+        self.crashes_unsaved.notify_one();
         warn!(self.log, "crash reports received"; "source" => source.to_string(),
             "new" => new.len(), "total" => total, "fingerprints" => fingerprints_text(&new));
     }
@@ -125,12 +129,19 @@
         let link = ReplicaLink::new(client.clone(), names.clone(), own_address.to_string());
         let replica_settings = replica_settings(&settings, &names)?;
         let replica = Replica::spawn(replica_settings, link, log.clone()).await?;
+        let crash_file = open_crash_file(&settings)?;
         let now = Instant::now();
+        let mut crashes = CrashReports::default();
+        match crash_file.read().await {
+            Ok(saved) => drop(crashes.merge(&saved, now)),
+            Err(error) => warn!(log, "failed to read saved crash reports"; "error" => %error),
+        }
         let state = Arc::new(ControlState {
             registry: Registry::new(now),
             list: watch::Sender::default(),
             list_history: ListHistory::default(),
-            crashes: Mutex::default(),
+            crashes: Mutex::new(crashes),
+            crashes_unsaved: Notify::new(),
             reports: Mutex::default(),
             metrics: NodeMetrics::new(),
             settings,
@@ -139,6 +150,7 @@
             names,
             client,
         });
+        let saved_reports = state.crashes.lock().expect("no holder panics").len();
         let handler = Arc::new(RpcHandler::new(state.clone()));
         let server = HttpServer::bind(own_address, handler).await?;
         let pages = match state.settings.metrics_address {
@@ -155,8 +167,9 @@
         tasks.spawn(receive_presence(state.clone(), socket));
         tasks.spawn(list_refresher::run(state.clone(), source));
         tasks.spawn(log_leader_changes(state.clone()));
+        tasks.spawn(crash_file::keep(state.clone(), crash_file));
         info!(state.log, "control instance started"; "address" => own_address.to_string(),
-            "first_start" => state.settings.first_start);
+            "first_start" => state.settings.first_start, "crash_reports" => saved_reports);
         Ok(Self {
             state,
             server,
@@ -237,6 +250,15 @@
     }
 }
 
+fn open_crash_file(settings: &NodeSettings) -> Result<CrashFile, DaemonError> {
+    let folder = settings.data_folder.as_ref();
+    let folder = folder.ok_or(DaemonError::NoDataFolder)?;
+    CrashFile::open(folder).map_err(|source| DaemonError::DataFolder {
+        folder: folder.clone(),
+        source,
+    })
+}
+
 fn replica_settings(
     settings: &NodeSettings,
     names: &Arc<InstanceNames>,
--- a/daemon/src/roles/follower.rs
+++ b/daemon/src/roles/follower.rs
@@ -131,6 +131,8 @@
 }
 
 fn apply(state: &EntryState, reply: &FollowReply, source: SocketAddr) {
+    // Before the configuration and the list, which make the instance ready.
+    state.add_crashes(&reply.crashes, source);
     let now = Instant::now();
     let current = state.active().configuration;
     let update = reply.configuration.clone();
@@ -143,5 +145,4 @@
     if let Some((hash, names)) = &reply.roster {
         state.update_roster(*hash, names.clone());
     }
-    state.add_crashes(&reply.crashes, source);
 }
