Count a crash once, and tell each report once

Each notice of a crash had a random number of its own, so one crash that two instances noticed, or that two attempts of one request ran into, counted as two and blocked the request after a single crash. With checks of more attempts this would refuse requests that were only beside a crash. A crash is now identified by its upstream and its time, within 5 s.

Every poll carried all reports both ways, and an instance that could not take a report was told it again with each poll. Reports have revisions now: a poll carries those that the other side lacks, and says up to where it knows the others. A control instance that has started again is told all. Refusals renew a report at most once a minute, at the other instances too.

Found by reading. Tests, on the new interface: add_crash_of_one_upstream_counts_once_until_it_crashes_again, changed_after_returns_new_reports_only, changed_after_returns_renewed_reports_for_relaying.

--- a/daemon/src/roles/control_node.rs
+++ b/daemon/src/roles/control_node.rs
@@ -74,6 +74,8 @@
     pub registry: Registry,
     pub list: watch::Sender<Arc<UpstreamList>>,
     pub list_history: ListHistory,
+    /// Random number of this start.
+    pub start: u64,
     pub crashes: Mutex<CrashReports>,
     /// Notified when crash reports are new and not saved yet.
     pub crashes_unsaved: Notify,
@@ -140,6 +142,7 @@
             registry: Registry::new(now),
             list: watch::Sender::default(),
             list_history: ListHistory::default(),
+            start: rand::random(),
             crashes: Mutex::new(crashes),
             crashes_unsaved: Notify::new(),
             reports: Mutex::default(),
--- a/daemon/src/roles/crash_checks.rs
+++ b/daemon/src/roles/crash_checks.rs
@@ -168,7 +168,7 @@
     };
     if result.is_crash() {
         let fingerprints = attempts.iter().map(|attempt| attempt.fingerprint);
-        state.report_crash(fingerprints.collect());
+        state.report_crash(&name, &fingerprints.collect::<Vec<_>>());
     } else if result == CheckResult::AcceptsConnections {
         let mut undecided = state.crash_checks.undecided();
         for attempt in &attempts {
@@ -223,8 +223,8 @@
         return;
     }
     if let Some(log) = state.log.limited(true) {
-        info!(log, "upstream crashed"; "upstream" => name, "evidence" => evidence,
+        info!(log, "upstream crashed"; "upstream" => &name, "evidence" => evidence,
             "requests" => fingerprints.len(), "fingerprints" => fingerprints_text(&fingerprints));
     }
-    state.report_crash(fingerprints);
+    state.report_crash(&name, &fingerprints);
 }
--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -6,7 +6,7 @@
 
 use laburnumdeal_model::{Configuration, Target, WHOLE_PERMILLE};
 use laburnumdeal_policy::steer::{
-    CrashReport, CrashReports, LoadBalancer, RetryBudgetShare, RouteTable, UpstreamKey,
+    CrashReport, CrashReports, LoadBalancer, RetryBudgetShare, RouteTable, UpstreamKey, hash_of,
 };
 use slog::{Logger, info};
 use tokio::sync::Notify;
@@ -169,13 +169,12 @@
         crashes.known(fingerprint, Instant::now())
     }
 
-    /// Adds a report of one crash for each of the requests that it may have been caused by.
-    pub fn report_crash(&self, mut fingerprints: Vec<u64>) {
-        fingerprints.sort_unstable();
-        fingerprints.dedup();
+    /// Reports a crash of an upstream for each of the requests that may have caused it.
+    pub fn report_crash(&self, upstream: &str, fingerprints: &[u64]) {
+        let upstream = hash_of(&[upstream.as_bytes()]);
         let mut crashes = self.crashes.lock().expect("no holder panics");
         for fingerprint in fingerprints {
-            crashes.add_crash(fingerprint, rand::random(), Instant::now());
+            crashes.add_crash(*fingerprint, upstream, Instant::now());
         }
         self.metrics.set_crash_reports(crashes.len());
     }
--- a/daemon/src/roles/follow_message.rs
+++ b/daemon/src/roles/follow_message.rs
@@ -3,6 +3,7 @@
 use laburnumdeal_policy::steer::{CrashReport, SharedReport};
 use serde::{Deserialize, Serialize};
 
+use crate::roles::crash_exchange::CrashPosition;
 use crate::roles::follow_reply::FollowReply;
 
 /// Message to a control instance.
@@ -59,6 +60,8 @@
     pub roster_hash: u64,
     /// Whether the reply should contain the updates, or only the newest version and hashes.
     pub contents: bool,
+    /// Position up to which the sender knows the crash reports of the receiver.
+    pub crash_position: CrashPosition,
     /// Crash reports that the receiver may not know.
     pub crashes: Vec<CrashReport>,
     /// Longest time to wait for an update.
--- a/daemon/src/roles/follow_reply.rs
+++ b/daemon/src/roles/follow_reply.rs
@@ -8,6 +8,7 @@
 use crate::roles::UpstreamList;
 use crate::roles::configuration_update::ConfigurationUpdate;
 use crate::roles::control_record::ControlRecord;
+use crate::roles::crash_exchange::CrashPosition;
 use crate::roles::list_update::ListUpdate;
 
 /// Updates to the state that the sender of a [`FollowRequest`] knows.
@@ -33,7 +34,9 @@
     pub roster: Option<(u64, Vec<String>)>,
     /// Members of the change log, which are the control instances.
     pub controls: Vec<ControlRecord>,
-    /// Recent crash reports.
+    /// Position in the crash reports after this reply.
+    pub crash_position: CrashPosition,
+    /// Crash reports after the position of the sender.
     pub crashes: Vec<CrashReport>,
 }
 
--- a/daemon/src/roles/follower.rs
+++ b/daemon/src/roles/follower.rs
@@ -11,6 +11,7 @@
 use slog::{info, warn};
 use tokio::time::{Instant, sleep};
 
+use crate::roles::crash_exchange::CrashExchange;
 use crate::roles::entry_state::EntryState;
 use crate::roles::follow_message::{Call, FollowRequest, Reply};
 use crate::roles::follow_reply::FollowReply;
@@ -46,13 +47,14 @@
     let mut followed: Option<SocketAddr> = None;
     let always_contents = index == 0;
     let mut contents = always_contents;
+    let mut exchange = CrashExchange::default();
     loop {
         let known = controls.nearest_first(&settings.region, &settings.instance);
         if position != index && failed_over_at.elapsed() >= FAILBACK_DELAY {
             position = index;
         }
         let target = known[position % known.len()];
-        match poll(&state, &client, target, contents).await {
+        match poll(&state, &client, target, contents, &mut exchange).await {
             Some(reply) if reply.is_led => {
                 if followed != Some(target) {
                     info!(state.log.unlimited(), "following a control instance";
@@ -105,19 +107,24 @@
     client: &RpcClient,
     target: SocketAddr,
     contents: bool,
+    exchange: &mut CrashExchange,
 ) -> Option<FollowReply> {
     let active = state.active().configuration;
     let version = active.map_or(Version(0), |configuration| configuration.version);
     let list = state.list();
     let now = Instant::now();
     let list_age = list.age(now);
-    let crashes = state.crashes.lock().expect("no holder panics").to_vec(now);
+    let (crash_revision, (crash_position, crashes)) = {
+        let crashes = state.crashes.lock().expect("no holder panics");
+        (crashes.revision(), exchange.outgoing(target, &crashes))
+    };
     let request = FollowRequest {
         version: Some(version),
         list_hash: list.hash,
         list_age_ms: list_age.map(|age| age.as_millis() as u64),
         roster_hash: state.roster_hash(),
         contents,
+        crash_position,
         crashes,
         wait_ms: LONG_POLL_WAIT.as_millis() as u64,
     };
@@ -125,7 +132,10 @@
         .call(target, &Call::Follow(request), REPLY_TIMEOUT)
         .await
     {
-        Ok(Reply::Follow(reply)) => Some(*reply),
+        Ok(Reply::Follow(reply)) => {
+            exchange.record_reply(target, crash_revision, reply.crash_position);
+            Some(*reply)
+        }
         Ok(Reply::Control(_) | Reply::Report(_)) | Err(_) => None,
     }
 }
--- a/daemon/src/roles/list_refresher.rs
+++ b/daemon/src/roles/list_refresher.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::roles::control_node::ControlState;
+use crate::roles::crash_exchange::CrashExchange;
 use crate::roles::follow_message::{Call, FollowRequest, Reply};
 use crate::roles::{ListError, UpstreamList, UpstreamSource};
 
@@ -37,12 +38,13 @@
         available: true,
         unreadable: 0,
     };
+    let mut exchange = CrashExchange::default();
     loop {
         let own_address = state.settings.peer_address(state.settings.address);
         let leader = state.replica.leader_name();
         let leader: Option<SocketAddr> = leader.and_then(|name| name.parse().ok());
         let followed = match leader {
-            Some(leader) if leader != own_address => follow(&state, leader).await,
+            Some(leader) if leader != own_address => follow(&state, leader, &mut exchange).await,
             _ => false,
         };
         let age = state.list.borrow().age(Instant::now());
@@ -101,26 +103,28 @@
 }
 
 /// Polls the leader for updates; returns whether the leader's list is recent enough.
-async fn follow(state: &ControlState, leader: SocketAddr) -> bool {
+async fn follow(state: &ControlState, leader: SocketAddr, exchange: &mut CrashExchange) -> bool {
     let current = state.list.borrow().clone();
     let current_age = current.age(Instant::now());
+    let (crash_revision, (crash_position, crashes)) = {
+        let crashes = state.crashes.lock().expect("no holder panics");
+        (crashes.revision(), exchange.outgoing(leader, &crashes))
+    };
     let request = FollowRequest {
         version: None,
         list_hash: current.hash,
         list_age_ms: current_age.map(|age| age.as_millis() as u64),
         roster_hash: 0,
         contents: true,
-        crashes: state
-            .crashes
-            .lock()
-            .expect("no holder panics")
-            .to_vec(Instant::now()),
+        crash_position,
+        crashes,
         wait_ms: LONG_POLL_WAIT.as_millis() as u64,
     };
     let call = Call::Follow(request);
     let Ok(Reply::Follow(reply)) = state.client.call(leader, &call, REPLY_TIMEOUT).await else {
         return false;
     };
+    exchange.record_reply(leader, crash_revision, reply.crash_position);
     let now = Instant::now();
     state.add_crashes(&reply.crashes, leader.ip());
     if let Some(list) = reply.list(&current, now) {
--- a/daemon/src/roles/mod.rs
+++ b/daemon/src/roles/mod.rs
@@ -7,6 +7,7 @@
 mod control_node;
 mod control_record;
 mod crash_checks;
+mod crash_exchange;
 mod crash_file;
 mod entry_node;
 mod entry_state;
--- a/daemon/src/roles/rpc_handler.rs
+++ b/daemon/src/roles/rpc_handler.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use laburnumdeal_control::ControlReply;
 use laburnumdeal_model::Configuration;
-use laburnumdeal_policy::steer::SharedReport;
+use laburnumdeal_policy::steer::{CrashReport, SharedReport};
 use tokio::time::{Instant, sleep_until};
 
 use crate::answer_body::AnswerBody;
@@ -15,6 +15,7 @@
 use crate::packing::{pack, unpack};
 use crate::roles::control_node::ControlState;
 use crate::roles::control_record::ControlRecord;
+use crate::roles::crash_exchange::CrashPosition;
 use crate::roles::follow_message::{Call, FollowRequest, Reply, ReportRequest};
 use crate::roles::follow_reply::FollowReply;
 use crate::roles::known_list::KnownList;
@@ -87,13 +88,10 @@
         let list = self.state.list.borrow();
         let roster = self.state.registry.roster(Instant::now());
         let roster_hash = roster.map_or(request.roster_hash, |(hash, _)| hash);
-        let crashes = self.state.crashes.lock().expect("no holder panics");
-        let has_other_crashes = crashes.has_other_than(&request.crashes, Instant::now());
-        drop(crashes);
         has_newer_version
             || known_list.is_outdated_by(&list)
             || (request.roster_hash != 0 && roster_hash != request.roster_hash)
-            || has_other_crashes
+            || self.crash_position() != request.crash_position
     }
 
     fn reply(&self, request: &FollowRequest, known_list: KnownList) -> FollowReply {
@@ -101,6 +99,7 @@
         let newest = self.state.replica.watch().borrow().clone();
         let list = self.state.list.borrow().clone();
         let roster = self.state.registry.roster(now);
+        let (crash_position, crashes) = self.crashes_after(request.crash_position, now);
         let members = self.state.replica.members().into_iter();
         let controls = members.map(|member| ControlRecord {
             address: member.instance,
@@ -115,15 +114,34 @@
             list: self.list_update(request, known_list, &list),
             roster: roster.filter(|(hash, _)| *hash != request.roster_hash),
             controls: controls.collect(),
-            crashes: self
-                .state
-                .crashes
-                .lock()
-                .expect("no holder panics")
-                .to_vec(now),
+            crash_position,
+            crashes,
+        }
+    }
+
+    fn crash_position(&self) -> CrashPosition {
+        let crashes = self.state.crashes.lock().expect("no holder panics");
+        CrashPosition {
+            start: self.state.start,
+            revision: crashes.revision(),
         }
     }
 
+    fn crashes_after(
+        &self,
+        known: CrashPosition,
+        now: Instant,
+    ) -> (CrashPosition, Vec<CrashReport>) {
+        let crashes = self.state.crashes.lock().expect("no holder panics");
+        let position = CrashPosition {
+            start: self.state.start,
+            revision: crashes.revision(),
+        };
+        let is_known = known.start == position.start;
+        let revision = if is_known { known.revision } else { 0 };
+        (position, crashes.changed_after(revision, now))
+    }
+
     fn configuration_update(
         &self,
         request: &FollowRequest,
--- a/policy/src/steer/crash_reports.rs
+++ b/policy/src/steer/crash_reports.rs
@@ -1,4 +1,4 @@
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -7,8 +7,9 @@
 /// Crashes after which every entry instance refuses a request.
 const CRASHES_TO_BLOCK: usize = 2;
 
-/// Limit on the crashes that are remembered for one request.
-const MAX_CRASHES: usize = 4;
+/// Time within which reports of crashes of one upstream are of the same crash: instances, and
+/// several attempts of one instance, notice it at different times.
+const SAME_CRASH_TIME: Duration = Duration::from_secs(5);
 
 /// Time for which a request is remembered after a crash, if it is not blocked.
 const SUSPECT_RETENTION: Duration = Duration::from_secs(60);
@@ -16,20 +17,24 @@
 /// Time for which a blocked request is remembered after a crash or its last refusal.
 const BLOCK_RETENTION: Duration = Duration::from_secs(600);
 
+/// Minimum interval at which other instances are told that a blocked request still comes.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(60);
+
 /// Limit on the requests that are remembered.
 const MAX_REQUESTS: usize = 2_048;
 
-/// Report that an upstream crashed while it ran a request, as sent to other instances. Its age is
-/// that at the time of sending, so that clocks of different instances are not compared.
+/// Report that an upstream crashed while it ran a request, as sent to other instances. Ages are
+/// those at the time of sending, so that clocks of different instances are not compared.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
     /// Hash of the request, which its repeats share.
     pub fingerprint: u64,
-    /// Random number that distinguishes this crash from others.
-    pub crash: u64,
-    /// Time since the crash, or since the request was last refused because of it, in milliseconds.
-    #[serde(default)]
+    /// Hash of the ID of the upstream.
+    pub upstream: u64,
+    /// Time since the crash, in milliseconds.
     pub age_ms: u64,
+    /// Time since the crash, or since the request was last refused because of it, in milliseconds.
+    pub unused_ms: u64,
 }
 
 /// Crashes of upstreams that an instance knows of, by the request that they ran. A request that two
@@ -52,21 +57,28 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashReports {
     requests: HashMap<u64, Vec<Crash>>,
+    /// Number of changes that other instances need to know of.
+    revision: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Crash {
-    id: u64,
+    upstream: u64,
+    at: Instant,
     /// Time of the crash, or of the last refusal because of it.
     used_at: Instant,
+    /// Revision of the last change of this report.
+    revision: u64,
 }
 
 impl CrashReports {
-    /// Adds a crash under a request; returns whether it is new.
-    pub fn add_crash(&mut self, fingerprint: u64, crash: u64, now: Instant) -> bool {
+    /// Adds a crash of an upstream under a request; returns whether it is new.
+    pub fn add_crash(&mut self, fingerprint: u64, upstream: u64, now: Instant) -> bool {
         let crash = Crash {
-            id: crash,
+            upstream,
+            at: now,
             used_at: now,
+            revision: 0,
         };
         let is_new = self.add(fingerprint, crash);
         self.evict();
@@ -79,13 +91,15 @@
         self.drop_expired(now);
         let mut new = Vec::new();
         for report in reports {
-            let age = Duration::from_millis(report.age_ms);
-            let Some(used_at) = now.checked_sub(age).filter(|_| age < BLOCK_RETENTION) else {
+            if report.unused_ms as u128 >= BLOCK_RETENTION.as_millis() {
                 continue;
-            };
+            }
+            let ago = |ms: u64| now.checked_sub(Duration::from_millis(ms)).unwrap_or(now);
             let crash = Crash {
-                id: report.crash,
-                used_at,
+                upstream: report.upstream,
+                at: ago(report.age_ms),
+                used_at: ago(report.unused_ms),
+                revision: 0,
             };
             if self.add(report.fingerprint, crash) {
                 new.push(report.fingerprint);
@@ -105,8 +119,12 @@
 
     /// Records that a request was refused, so that it stays blocked while it keeps coming.
     pub fn record_refusal(&mut self, fingerprint: u64, now: Instant) {
-        let crashes = self.requests.get_mut(&fingerprint).into_iter().flatten();
-        crashes.for_each(|crash| crash.used_at = now);
+        for crash in self.requests.get_mut(&fingerprint).into_iter().flatten() {
+            if now.saturating_duration_since(crash.used_at) >= RENEWAL_INTERVAL {
+                self.revision += 1;
+                crash.renew(now, self.revision);
+            }
+        }
     }
 
     /// Returns the number of crashes that are known for a request, and the time since the newest
@@ -117,29 +135,34 @@
         (crashes.len(), age)
     }
 
+    /// Returns the number of the last change.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Returns all reports that have not expired.
     pub fn to_vec(&self, now: Instant) -> Vec<CrashReport> {
+        self.changed_after(0, now)
+    }
+
+    /// Returns the reports that changed after a revision and have not expired.
+    pub fn changed_after(&self, revision: u64, now: Instant) -> Vec<CrashReport> {
         let requests = self.requests.iter();
         let current = requests.filter(|(_, crashes)| !is_expired(crashes, now));
+        let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
         let report = |fingerprint: u64, crash: &Crash| CrashReport {
             fingerprint,
-            crash: crash.id,
-            age_ms: now.saturating_duration_since(crash.used_at).as_millis() as u64,
+            upstream: crash.upstream,
+            age_ms: age_ms(crash.at),
+            unused_ms: age_ms(crash.used_at),
         };
         let reports = current.flat_map(|(fingerprint, crashes)| {
-            crashes.iter().map(move |crash| report(*fingerprint, crash))
+            let changed = crashes.iter().filter(|crash| crash.revision > revision);
+            changed.map(move |crash| report(*fingerprint, crash))
         });
         reports.collect()
     }
 
-    /// Returns whether it contains a report that is not in `known`.
-    pub fn has_other_than(&self, known: &[CrashReport], now: Instant) -> bool {
-        let key = |report: &CrashReport| (report.fingerprint, report.crash);
-        let known: HashSet<(u64, u64)> = known.iter().map(key).collect();
-        let reports = self.to_vec(now);
-        reports.iter().any(|report| !known.contains(&key(report)))
-    }
-
     /// Returns the number of requests remembered.
     pub fn len(&self) -> usize {
         self.requests.len()
@@ -152,15 +175,21 @@
 
     fn add(&mut self, fingerprint: u64, crash: Crash) -> bool {
         let crashes = self.requests.entry(fingerprint).or_default();
-        if let Some(known) = crashes.iter_mut().find(|known| known.id == crash.id) {
-            known.used_at = known.used_at.max(crash.used_at);
+        let revision = self.revision + 1;
+        let is_full = crashes.len() >= CRASHES_TO_BLOCK;
+        let known = crashes
+            .iter_mut()
+            .find(|known| is_full || known.is_same(&crash));
+        if let Some(known) = known {
+            if crash.used_at.saturating_duration_since(known.used_at) >= RENEWAL_INTERVAL / 2 {
+                known.renew(crash.used_at, revision);
+                self.revision = revision;
+            }
             return false;
         }
-        let is_new = crashes.len() < MAX_CRASHES;
-        if is_new {
-            crashes.push(crash);
-        }
-        is_new
+        crashes.push(Crash { revision, ..crash });
+        self.revision = revision;
+        true
     }
 
     fn drop_expired(&mut self, now: Instant) {
@@ -185,6 +214,18 @@
     }
 }
 
+impl Crash {
+    fn renew(&mut self, used_at: Instant, revision: u64) {
+        self.used_at = used_at;
+        self.revision = revision;
+    }
+
+    fn is_same(&self, other: &Crash) -> bool {
+        let apart = self.at.max(other.at) - self.at.min(other.at);
+        self.upstream == other.upstream && apart < SAME_CRASH_TIME
+    }
+}
+
 fn is_block(crashes: &[Crash]) -> bool {
     crashes.len() >= CRASHES_TO_BLOCK
 }
--- a/policy/tests/steer/crash_reports.rs
+++ b/policy/tests/steer/crash_reports.rs
@@ -47,6 +47,20 @@
     }
 }
 
+// Guards against: one crash that two instances or two attempts notice blocks a request.
+#[test]
+fn add_crash_of_one_upstream_counts_once_until_it_crashes_again() {
+    let start = Instant::now();
+    let (mut here, mut there) = (CrashReports::default(), CrashReports::default());
+    here.add_crash(CRASHING, 1, start);
+    there.add_crash(CRASHING, 1, after(start, 2));
+    let now = after(start, 3);
+    assert!(here.merge(&there.to_vec(now), now).is_empty());
+    assert!(!here.is_blocked(CRASHING, now));
+    assert!(here.add_crash(CRASHING, 1, after(start, 9)));
+    assert!(here.is_blocked(CRASHING, after(start, 9)));
+}
+
 #[test]
 fn is_blocked_ends_when_the_request_stops_coming() {
     let start = Instant::now();
@@ -91,8 +105,9 @@
     let mut reports = blocked(start);
     let beside = |number: u64| CrashReport {
         fingerprint: 1_000 + number,
-        crash: number,
+        upstream: number,
         age_ms: 0,
+        unused_ms: 0,
     };
     let many: Vec<CrashReport> = (0..10_000).map(beside).collect();
     reports.merge(&many, after(start, 1));
@@ -104,11 +119,31 @@
 }
 
 #[test]
-fn has_other_than_compares_crashes_not_ages() {
+fn changed_after_returns_new_reports_only() {
     let start = Instant::now();
     let mut reports = blocked(start);
-    let known = reports.to_vec(start);
-    assert!(!reports.has_other_than(&known, after(start, 9)));
-    reports.add_crash(7, 1, start);
-    assert!(reports.has_other_than(&known, start));
+    let told = reports.revision();
+    assert_eq!(reports.changed_after(0, start).len(), 2);
+    assert!(reports.changed_after(told, start).is_empty());
+    reports.add_crash(CRASHING, 3, after(start, 9));
+    reports.add_crash(7, 1, after(start, 9));
+    let changed = reports.changed_after(told, after(start, 9));
+    assert_eq!(changed.len(), 1, "two crashes are enough: {changed:?}");
+    assert_eq!(changed[0].fingerprint, 7);
+}
+
+// Guards against: an instance where a blocked request does not come forgets it, though it comes at
+// others.
+#[test]
+fn changed_after_returns_renewed_reports_for_relaying() {
+    let start = Instant::now();
+    let (mut here, mut relay, mut there) = (blocked(start), blocked(start), blocked(start));
+    for minute in 1..30 {
+        let now = after(start, 60 * minute);
+        let told = (here.revision(), relay.revision());
+        here.record_refusal(CRASHING, now);
+        relay.merge(&here.changed_after(told.0, now), now);
+        there.merge(&relay.changed_after(told.1, now), now);
+        assert!(there.is_blocked(CRASHING, now), "at minute {minute}");
+    }
 }
