Check upstreams for a crash while attempts wait for answers

Callers of a route with a long timeout saw repeats of a request that crashes upstreams silently run on until the first of them timed out: only the end of an attempt led to a check. A silent crash is now looked for once a second while an attempt has no answer, at most once a second for each upstream, with the same check: no connection if the upstream answers others.

resend_after_silent_crashes_on_a_route_with_a_long_timeout_is_refused failed before (12 crashes later than 3 s after the third, 3 allowed) and passes now.

--- a/daemon/src/roles/crash_checks.rs
+++ b/daemon/src/roles/crash_checks.rs
@@ -1,5 +1,6 @@
-//! Checks whether an upstream crashed, after attempts at it ended without an answer. A check runs in
-//! a task of its own, so that it does not end with the request of a caller that leaves.
+//! Checks whether an upstream crashed, while attempts at it wait long for an answer or after they
+//! ended without one. A check runs in a task of its own, so that it does not end with the request of
+//! a caller that leaves.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -24,6 +25,9 @@
 /// connection.
 const ANSWER_WAIT: Duration = Duration::from_millis(200);
 
+/// Time after a check that found no crash in which attempts that are still waiting cause no other.
+const MIN_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// Limit on the attempts that one check is for.
 const MAX_ATTEMPTS: usize = 256;
 
@@ -31,6 +35,8 @@
 #[derive(Debug, Default)]
 pub(super) struct CrashChecks {
     running: Mutex<HashMap<UpstreamKey, RunningCheck>>,
+    /// Times of the last checks that found no crash.
+    passed: Mutex<HashMap<UpstreamKey, Instant>>,
     /// Attempts at upstreams whose address accepts connections.
     undecided: Mutex<UnansweredAttempts>,
 }
@@ -42,7 +48,7 @@
     is_urgent: watch::Sender<bool>,
 }
 
-/// Attempt that ended without a whole answer.
+/// Attempt that has no whole answer.
 #[derive(Clone, Debug)]
 pub(super) struct UnansweredAttempt {
     /// ID of the request.
@@ -51,8 +57,8 @@
     pub fingerprint: u64,
     /// Whether the connection broke, rather than that the time was out.
     pub is_broken: bool,
-    /// Time at which the attempt ended.
-    pub ended_at: Instant,
+    /// Time at which it was known to have no answer.
+    pub at: Instant,
 }
 
 /// What a check found.
@@ -117,6 +123,19 @@
     runtime.spawn(run(state.clone(), upstream, urgency));
 }
 
+/// Checks an upstream for a crash while an attempt is waiting for its answer, unless one was made a
+/// short while ago.
+pub(super) fn start_if_due(
+    state: &Arc<EntryState>,
+    upstream: UpstreamKey,
+    attempt: UnansweredAttempt,
+) {
+    let passed_at = state.crash_checks.passed().get(&upstream).copied();
+    if passed_at.is_none_or(|at| at.elapsed() >= MIN_INTERVAL) {
+        start(state, upstream, attempt);
+    }
+}
+
 /// Waits until no check of an upstream is running, or for `timeout`.
 pub(super) async fn wait(state: &EntryState, upstream: UpstreamKey, timeout: Duration) {
     let urgency = match state.crash_checks.running().get(&upstream) {
@@ -136,6 +155,10 @@
         self.running.lock().expect("no holder panics")
     }
 
+    fn passed(&self) -> MutexGuard<'_, HashMap<UpstreamKey, Instant>> {
+        self.passed.lock().expect("no holder panics")
+    }
+
     fn undecided(&self) -> MutexGuard<'_, UnansweredAttempts> {
         self.undecided.lock().expect("no holder panics")
     }
@@ -169,10 +192,15 @@
     if result.is_crash() {
         let fingerprints = attempts.iter().map(|attempt| attempt.fingerprint);
         state.report_crash(&name, &fingerprints.collect::<Vec<_>>());
-    } else if result == CheckResult::AcceptsConnections {
+    } else {
+        let mut passed = state.crash_checks.passed();
+        passed.retain(|_, at| at.elapsed() < MIN_INTERVAL);
+        passed.insert(upstream, Instant::now());
+    }
+    if result == CheckResult::AcceptsConnections {
         let mut undecided = state.crash_checks.undecided();
         for attempt in &attempts {
-            undecided.record(upstream, attempt.fingerprint, attempt.ended_at);
+            undecided.record(upstream, attempt.fingerprint, attempt.at);
         }
     }
     state.metrics.count_crash_check(result.text());
@@ -184,7 +212,7 @@
             "id" => String::from_utf8_lossy(attempt.id.as_bytes()).into_owned(),
             "fingerprint" => format!("{:016x}", attempt.fingerprint), "upstream" => &name,
             "result" => result.text(), "took_ms" => started_at.elapsed().as_millis() as u64,
-            "attempt_age_ms" => attempt.ended_at.elapsed().as_millis() as u64,
+            "attempt_age_ms" => attempt.at.elapsed().as_millis() as u64,
             "reported" => result.is_crash());
     }
 }
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -31,6 +31,9 @@
 /// Longest answer of an upstream.
 const MAX_ANSWER_BYTES: u64 = 1024 * 1024 * 1024;
 
+/// Interval at which an upstream is checked for a crash while an attempt waits for its answer.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// Longest idle time of a connection that is reused for an idempotent request, which can be sent
 /// again if the upstream has closed the connection.
 const MAX_IDLE_REUSE: Duration = Duration::from_millis(3_000);
@@ -113,14 +116,13 @@
         }
     }
 
-    fn check_for_crash(&self) {
-        let attempt = UnansweredAttempt {
+    fn unanswered(&self) -> UnansweredAttempt {
+        UnansweredAttempt {
             id: self.id.clone(),
             fingerprint: self.fingerprint,
             is_broken: self.outcome == AttemptOutcome::Broken,
-            ended_at: Instant::now(),
-        };
-        crash_checks::start(&self.state, self.decision.upstream, attempt);
+            at: Instant::now(),
+        }
     }
 
     /// Logs an attempt that ended without an answer, and checks its upstream for a crash.
@@ -135,7 +137,7 @@
             }
             _ => return,
         };
-        self.check_for_crash();
+        crash_checks::start(&self.state, self.decision.upstream, self.unanswered());
         let Some(log) = self.state.log.limited(true) else {
             return;
         };
@@ -228,7 +230,7 @@
     message: Request<RequestBody>,
 ) -> AttemptResult {
     in_flight.is_sent = true;
-    let sent = guard.connection().send(message, request.wait_until).await;
+    let sent = send(in_flight, &mut guard, message, request.wait_until).await;
     let response = match sent {
         Ok(response) => response,
         Err(ExchangeError::NotSent | ExchangeError::Refused(_)) => {
@@ -289,6 +291,29 @@
     }
 }
 
+/// Sends a request and returns the head of its answer. While there is none, the upstream is checked
+/// for a crash at intervals: one that ended silently is not told from a slow one otherwise before
+/// the timeout of the request.
+async fn send(
+    in_flight: &InFlightAttempt,
+    guard: &mut ExchangeGuard,
+    message: Request<RequestBody>,
+    wait_until: Instant,
+) -> Result<Response<Incoming>, ExchangeError> {
+    let sending = guard.connection().send(message, wait_until);
+    tokio::pin!(sending);
+    loop {
+        match tokio::time::timeout(SILENCE_CHECK_INTERVAL, sending.as_mut()).await {
+            Ok(sent) => return sent,
+            Err(_) => crash_checks::start_if_due(
+                &in_flight.state,
+                in_flight.decision.upstream,
+                in_flight.unanswered(),
+            ),
+        }
+    }
+}
+
 /// Receives the body of an answer. A short body, or one of unknown length, is buffered whole, so
 /// that a truncated answer never looks complete to the caller. The error tells whether it is a
 /// timeout.
