Tell instances that start later of requests that crash upstreams

On the other request path callers saw a request that had crashed two upstreams crash more at an instance that was down or cut off when the others learned of it: heartbeats carried the marks that had changed within 2 s, and nothing told them to an instance that came later.

Each instance now remembers up to when each run of another one has acknowledged its marks. A heartbeat carries the changes since; a run that has not been told anything gets all that are remembered, 1,000 at most.

poison_request_is_refused_by_an_instance_that_starts_later failed before (the request ran) and passes now.

--- a/daemon/src/heartbeat.rs
+++ b/daemon/src/heartbeat.rs
@@ -20,8 +20,8 @@
 /// Number of instances of each other availability zone that get a heartbeat per interval.
 const HEARTBEATS_PER_OTHER_ZONE: usize = 2;
 
-/// Age up to which poison marks, those of requests that were in flight at a crash, are passed on.
-const MAX_POISON_MARK_AGE_MS: u64 = 2_000;
+/// Limit on the poison marks, those of requests that were in flight at a crash, in one message.
+const MAX_POISON_MARKS: usize = 1_000;
 
 /// Sends heartbeats for as long as the process runs, each from its own task.
 pub async fn run(state: Arc<State>) {
@@ -42,9 +42,18 @@
 
 /// Sends one heartbeat to an instance and processes its reply.
 pub async fn send_heartbeat(state: Arc<State>, peer: InstanceId) {
+    let boot = state.membership.boot(peer);
+    let told_until_ms = state.in_flight_requests.now_ms();
     let message = PeerRequest::Beat(Box::new(message_for(&state, peer)));
     match state.peer_client.call(peer, &message).await {
-        Ok(PeerReply::Beat(reply)) => receive(&state, peer, *reply),
+        Ok(PeerReply::Beat(reply)) => {
+            let replied = reply.heartbeat.boot;
+            // A run that started since the message was made has not been told older marks.
+            if boot.is_none_or(|boot| boot == replied) {
+                state.told_marks.record(peer, replied, told_until_ms);
+            }
+            receive(&state, peer, *reply);
+        }
         Ok(PeerReply::Failed { reason }) => {
             let name = &state.topology.instance(peer).name;
             warn!(state.log, "peer refused the heartbeat"; "peer" => name, "reason" => reason);
@@ -83,6 +92,9 @@
 pub fn message_for(state: &State, peer: InstanceId) -> HeartbeatMessage {
     let now = Instant::now();
     let is_same_zone = state.topology.instance(peer).zone == state.own_zone;
+    let marks_since_ms = state
+        .told_marks
+        .next_since_ms(peer, state.membership.boot(peer));
     HeartbeatMessage {
         from: state.own_id,
         topology: state.topology.digest,
@@ -102,7 +114,9 @@
         } else {
             vec![own_zone_load(state)]
         },
-        poison: state.in_flight_requests.marks(MAX_POISON_MARK_AGE_MS),
+        poison: state
+            .in_flight_requests
+            .marks_since(marks_since_ms, MAX_POISON_MARKS),
         members: if is_same_zone {
             Vec::new()
         } else {
--- a/daemon/src/in_flight_requests.rs
+++ b/daemon/src/in_flight_requests.rs
@@ -62,11 +62,12 @@
         self.poison().try_start_suspect(fingerprint, upstream)
     }
 
-    /// Returns the crash marks of the last `within_ms`, to be sent to other instances.
-    pub fn marks(&self, within_ms: u64) -> Vec<PoisonMark> {
-        let now_ms = self.now_ms();
-        self.poison()
-            .marks_since(now_ms.saturating_sub(within_ms), now_ms)
+    /// Returns the newest `limit` crash marks that changed at or after a time, to be sent to other
+    /// instances.
+    pub fn marks_since(&self, since_ms: u64, limit: usize) -> Vec<PoisonMark> {
+        let mut marks = self.poison().marks_since(since_ms, self.now_ms());
+        marks.drain(..marks.len().saturating_sub(limit));
+        marks
     }
 
     /// Merges the crash marks of another instance.
@@ -110,7 +111,8 @@
         self.shared.poison.lock().expect("no panic while locked")
     }
 
-    fn now_ms(&self) -> u64 {
+    /// Returns the time since the register was created, which marks are ordered by.
+    pub fn now_ms(&self) -> u64 {
         self.shared.started_at.elapsed().as_millis() as u64
     }
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -73,6 +73,7 @@
 mod share_borrower;
 mod show;
 mod state;
+mod told_marks;
 mod trace;
 mod upstream_dispatch;
 mod zone_routing;
--- a/daemon/src/state.rs
+++ b/daemon/src/state.rs
@@ -27,6 +27,7 @@
 use crate::peer_client::PeerClient;
 use crate::peer_loads::PeerLoads;
 use crate::peer_proof::PeerProof;
+use crate::told_marks::ToldMarks;
 use crate::trace::TraceLog;
 
 /// Retries and hedges that each request adds to the retry budget, in thousandths.
@@ -68,6 +69,8 @@
     pub pool: Pool,
     /// In-flight requests by upstream.
     pub in_flight_requests: InFlightRequests,
+    /// Up to when other instances know the marks of requests that crashed upstreams.
+    pub told_marks: ToldMarks,
     /// This instance's shares of the caps.
     pub shares: CapShares,
     /// Router that chooses between availability zones.
@@ -142,6 +145,7 @@
                 ..PoolSettings::default()
             }),
             in_flight_requests: InFlightRequests::new(topology.upstreams.len()),
+            told_marks: ToldMarks::new(topology.instances.len()),
             shares,
             router,
             claims: ClaimTable::new(claim_settings(own_id, boot, &topology, &settings)),
--- a/tests/tests/zones.rs
+++ b/tests/tests/zones.rs
@@ -202,6 +202,37 @@
     assert!(crashes <= 2, "{crashes} crashes");
 }
 
+/// Time after a crash for which it counts as recent; marks are passed on for as long, at least.
+const RECENT_CRASH: Duration = Duration::from_millis(2_500);
+
+// Guards against: an instance that was down when others learned of a request that crashes upstreams
+// forwards it.
+#[tokio::test(flavor = "multi_thread")]
+async fn poison_request_is_refused_by_an_instance_that_starts_later() {
+    let mut cluster = Cluster::spawn(two_zones()).await;
+    cluster.wait_members().await;
+    for upstream in cluster.upstreams() {
+        upstream.set(|behavior| behavior.poison_path = Some("poison".to_owned()));
+    }
+    let crashes =
+        |cluster: &Cluster| -> u32 { cluster.upstreams().map(|upstream| upstream.crashes()).sum() };
+    let request = CallerRequest::get("catalog", "/poison").header("x-operation", "poison");
+    cluster.kill("smouha-1").await;
+    wait_until("two crashes", async || {
+        let _ = cluster.send("nasr-1", &request).await;
+        crashes(&cluster) >= 2
+    })
+    .await;
+    tokio::time::sleep(RECENT_CRASH).await;
+    cluster.start("smouha-1").await.unwrap();
+    cluster.wait_members().await;
+    for _ in 0..4 {
+        let response = cluster.send("smouha-1", &request).await.unwrap();
+        assert_eq!(response.outcome(), "not-run");
+    }
+    assert_eq!(crashes(&cluster), 2);
+}
+
 /// Returns the trace of a request from each instance.
 async fn explain_everywhere(cluster: &Cluster, response: &CallerResponse) -> String {
     let command = format!("explain request {}", response.header("laburnum-request-id"));
