--- a/tests/tests/zones.rs
+++ b/tests/tests/zones.rs
@@ -233,6 +233,33 @@
     assert_eq!(crashes(&cluster), 2);
 }
 
+/// Pause after which a connection counts as idle.
+const IDLE_PAUSE: Duration = Duration::from_millis(400);
+
+// Guards against: a crash under a request on a connection that was idle is taken for the close of
+// an idle connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn poison_request_on_idle_connections_crashes_two_upstreams_at_most() {
+    let cluster = Cluster::spawn(two_zones()).await;
+    cluster.wait_members().await;
+    for upstream in cluster.upstreams() {
+        upstream.set(|behavior| behavior.poison_path = Some("poison".to_owned()));
+    }
+    for at in ["nasr-1", "nasr-2", "smouha-1"] {
+        for number in 0..4 {
+            let request = CallerRequest::get("catalog", &format!("/units/{at}-{number}"));
+            send_until_answered(&cluster, at, &request).await;
+        }
+    }
+    tokio::time::sleep(IDLE_PAUSE).await;
+    let request = CallerRequest::get("catalog", "/poison").header("x-operation", "poison");
+    for at in ["nasr-1", "nasr-2", "smouha-1"] {
+        let _ = cluster.send(at, &request).await;
+    }
+    let crashes: u32 = cluster.upstreams().map(|upstream| upstream.crashes()).sum();
+    assert!(crashes <= 2, "{crashes} crashes");
+}
+
 /// Returns the trace of a request from each instance.
 async fn explain_everywhere(cluster: &Cluster, response: &CallerResponse) -> String {
     let command = format!("explain request {}", response.header("laburnum-request-id"));
