Report a crash before those who wait for its check go on

A retry waits for the check of the last upstream, which ended for it when the check was taken out, just before the report was added; on another thread the retry could be sent first. Found by reading; no test fails on it.

--- a/daemon/src/roles/crash_checks.rs
+++ b/daemon/src/roles/crash_checks.rs
@@ -142,7 +142,7 @@
         Some(check) => check.is_urgent.subscribe(),
         None => return,
     };
-    // The sender is dropped when the check ends.
+    // The sender is dropped after the check has reported its result.
     let ended = async {
         let mut urgency = urgency;
         while urgency.changed().await.is_ok() {}
@@ -181,8 +181,10 @@
         true => CheckResult::Answers,
         false => connect(address).await,
     };
-    let check = state.crash_checks.running().remove(&upstream);
-    let attempts = check.map(|check| check.attempts).unwrap_or_default();
+    let Some(check) = state.crash_checks.running().remove(&upstream) else {
+        return;
+    };
+    let attempts = &check.attempts;
     let result = match result {
         CheckResult::AcceptsConnections if state.load_balancer().left_unannounced(upstream) => {
             CheckResult::LeftList
@@ -199,12 +201,12 @@
     }
     if result == CheckResult::AcceptsConnections {
         let mut undecided = state.crash_checks.undecided();
-        for attempt in &attempts {
+        for attempt in attempts {
             undecided.record(upstream, attempt.fingerprint, attempt.at);
         }
     }
     state.metrics.count_crash_check(result.text());
-    for attempt in &attempts {
+    for attempt in attempts {
         let Some(log) = state.log.limited(true) else {
             return;
         };
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -116,6 +116,7 @@
         }
     }
 
+    /// Returns this attempt for a check of its upstream.
     fn unanswered(&self) -> UnansweredAttempt {
         UnansweredAttempt {
             id: self.id.clone(),
