Let polls wait for a configuration while there is no leader

The first poll of an entry instance was answered at once, as its position in the crash reports was not that of the control instance. The reply said that there is no leader, so the entry instance went to the next control instance instead of waiting for the configuration where it was.

A poll is now answered for crash reports only if there are any that the sender lacks, and a leader.

--- a/daemon/src/roles/rpc_handler.rs
+++ b/daemon/src/roles/rpc_handler.rs
@@ -91,7 +91,7 @@
         has_newer_version
             || known_list.is_outdated_by(&list)
             || (request.roster_hash != 0 && roster_hash != request.roster_hash)
-            || self.crash_position() != request.crash_position
+            || self.has_new_crashes(request)
     }
 
     fn reply(&self, request: &FollowRequest, known_list: KnownList) -> FollowReply {
@@ -119,12 +119,13 @@
         }
     }
 
-    fn crash_position(&self) -> CrashPosition {
-        let crashes = self.state.crashes.lock().expect("no holder panics");
-        CrashPosition {
-            start: self.state.start,
-            revision: crashes.revision(),
-        }
+    /// Returns whether there are crash reports for the sender. Without a leader they wait: the
+    /// sender would leave this instance on the reply, instead of waiting for the configuration.
+    fn has_new_crashes(&self, request: &FollowRequest) -> bool {
+        let (position, crashes) = self.crashes_after(request.crash_position, Instant::now());
+        position != request.crash_position
+            && !crashes.is_empty()
+            && self.state.replica.has_live_leader()
     }
 
     fn crashes_after(
