Tell in which region requests run

A change of the regions in which requests run could not be seen: attempts were counted by service only, and the line of a request named an upstream without its region, nor whether it was the first for its object.

--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -139,18 +139,18 @@
         };
         let list_age = self.state.list().age(Instant::now()).unwrap_or_default();
         let last = forwarding.progress.last_decision();
-        let upstream = last.map_or_else(String::new, |decision| {
-            self.state
-                .load_balancer()
-                .endpoint(decision.upstream)
-                .0
-                .to_owned()
+        let (upstream, region) = last.map_or_else(Default::default, |decision| {
+            let load_balancer = self.state.load_balancer();
+            let upstream = load_balancer.endpoint(decision.upstream).0;
+            let region = load_balancer.region(decision.upstream);
+            (upstream.to_owned(), region.to_owned())
         });
         info!(log, "request";
             "id" => String::from_utf8_lossy(id.as_bytes()).into_owned(),
             "fingerprint" => format!("{:016x}", forwarding.request.fingerprint),
             "caller" => routed.peer.ip().to_string(), "route" => &routed.route.name, "route_version" => routed.route.version,
-            "service" => routed.service, "upstream" => upstream,
+            "service" => routed.service, "upstream" => upstream, "region" => region,
+            "rank" => last.map_or(0, |decision| decision.rank),
             "expected_ms" => last.map_or(0, |decision| decision.expected_ms as u64),
             "queue_ms" => last.map_or(0, |decision| decision.queue_ms as u64),
             "load" => last.map_or(0, |decision| decision.load as u64),
--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -148,7 +148,9 @@
             AttemptResult::NotRun { .. } => "not-run",
             AttemptResult::Unknown { .. } => "unknown",
         };
-        self.state.metrics.count_attempt(self.service, outcome);
+        let region = self.state.load_balancer().region(decision.upstream).to_owned();
+        let metrics = &self.state.metrics;
+        metrics.count_attempt(self.service, region, outcome);
         match result {
             AttemptResult::Answer(response) => self.on_answer(response, is_replayable),
             AttemptResult::NotRun { reason, arrived } => {
--- a/daemon/src/roles/node_metrics.rs
+++ b/daemon/src/roles/node_metrics.rs
@@ -22,6 +22,7 @@
     registry: Arc<Registry>,
     requests: Family<OutcomeLabels, Counter>,
     attempts: Family<OutcomeLabels, Counter>,
+    attempts_by_region: Family<RegionLabels, Counter>,
     latency: Family<ServiceLabels, Histogram>,
     retries: Family<ServiceLabels, Counter>,
     changes: Family<ChangeLabels, Counter>,
@@ -45,6 +46,12 @@
     service: String,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct RegionLabels {
+    service: String,
+    region: String,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ResultLabels {
     result: &'static str,
@@ -69,6 +76,12 @@
         registry.register("requests", help, Family::clone(&requests));
         let help = "Attempts at upstreams by outcome";
         registry.register("attempts", help, Family::clone(&attempts));
+        let attempts_by_region = Family::default();
+        registry.register(
+            "attempts_by_region",
+            "Attempts at upstreams by the region of the upstream",
+            Family::clone(&attempts_by_region),
+        );
         let help = "Time until the answer";
         registry.register_with_unit("request_latency", help, Unit::Seconds, latency.clone());
         let help = "Attempts that arrived after the first one of a request";
@@ -111,6 +124,7 @@
             registry: Arc::new(registry),
             requests,
             attempts,
+            attempts_by_region,
             latency,
             retries,
             changes,
@@ -136,11 +150,14 @@
         latency.observe(took.as_secs_f64());
     }
 
-    /// Counts a finished attempt at an upstream.
-    pub fn count_attempt(&self, service: &str, outcome: &'static str) {
+    /// Counts a finished attempt at an upstream of a region.
+    pub fn count_attempt(&self, service: &str, region: String, outcome: &'static str) {
         let service = service.to_owned();
         let labels = OutcomeLabels { service, outcome };
         self.attempts.get_or_create(&labels).inc();
+        let service = labels.service;
+        let labels = RegionLabels { service, region };
+        self.attempts_by_region.get_or_create(&labels).inc();
     }
 
     /// Counts an attempt that reached an upstream after the first one of its request.
--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -194,6 +194,11 @@
         (&record.id, record.address)
     }
 
+    /// Returns the region of an upstream.
+    pub fn region(&self, key: UpstreamKey) -> &str {
+        self.region_of(&self.entry(key).record.zone)
+    }
+
     /// Returns when an upstream last answered this instance.
     pub fn answered_at(&self, key: UpstreamKey) -> Option<Instant> {
         self.entry(key).answered_at
