Test how fast the regions in which requests run may change

Twelve entry instances of one region send to three regions while upstreams join, leave, become cold or fail.

--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -148,7 +148,11 @@
             AttemptResult::NotRun { .. } => "not-run",
             AttemptResult::Unknown { .. } => "unknown",
         };
-        let region = self.state.load_balancer().region(decision.upstream).to_owned();
+        let region = self
+            .state
+            .load_balancer()
+            .region(decision.upstream)
+            .to_owned();
         let metrics = &self.state.metrics;
         metrics.count_attempt(self.service, region, outcome);
         match result {
--- a/policy/tests/steer/main.rs
+++ b/policy/tests/steer/main.rs
@@ -4,6 +4,7 @@
 mod cold;
 mod crash_reports;
 mod load;
+mod region_shares;
 mod routes;
 mod setup;
 mod simulation;
--- /dev/null
+++ b/policy/tests/steer/region_shares.rs
@@ -0,0 +1,279 @@
+//! How fast the regions in which requests run may change, over all instances of one region.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use laburnumdeal_policy::steer::{
+    AttemptOutcome, Decision, LoadBalancer, RequestContext, Selection, UpstreamRecord,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::time::Instant;
+
+use crate::setup::{load_balancer, request, upstream};
+
+/// Entry instances of region a, all of which hear of a change at the same moment.
+const INSTANCES: usize = 12;
+
+/// Entry instances of the two other regions.
+const OTHER_INSTANCES: usize = 24;
+
+/// Upstreams of region a; the two others have more.
+const UPSTREAMS: usize = 10;
+
+/// Requests per second of the callers of region a.
+const REQUESTS_PER_S: f64 = 280.0;
+
+/// Time in which shares are compared with those of the same time before; the platform's rule.
+const WINDOW_MS: u64 = 2_000;
+
+/// Greatest change of the shares between two windows; the platform's rule.
+const MAX_SHIFT: f64 = 0.15;
+
+/// Time of the change that a test makes.
+const CHANGE_MS: u64 = 6_000;
+
+const OBJECTS: u64 = 100_000;
+
+/// Entry instances of region a and the requests that they sent.
+struct RegionRun {
+    start: Instant,
+    balancers: Vec<LoadBalancer>,
+    records: Vec<UpstreamRecord>,
+    generator: ChaCha8Rng,
+    now_ms: u64,
+    /// Time and first letter of the zone of each request that was sent.
+    sent: Vec<(u64, u8)>,
+    refused: Vec<u64>,
+    /// Upstreams that refuse connections.
+    down: BTreeSet<String>,
+}
+
+impl RegionRun {
+    fn new() -> Self {
+        let zone = |number: usize| match number {
+            0..UPSTREAMS => ["a1", "a2"][number % 2],
+            _ if number < UPSTREAMS + 40 => "b1",
+            _ => "c1",
+        };
+        let records: Vec<_> = (0..UPSTREAMS + 87)
+            .map(|number| upstream(number, zone(number), 6))
+            .collect();
+        let start = Instant::now();
+        let name = |number: usize| format!("e-{number}");
+        let names: Vec<String> = (0..INSTANCES + OTHER_INSTANCES).map(name).collect();
+        let balancers = (0..INSTANCES).map(|number| {
+            let mut balancer = load_balancer(&name(number), "a", &records, start);
+            balancer.update_instances(names.clone());
+            balancer
+        });
+        Self {
+            start,
+            balancers: balancers.collect(),
+            records,
+            generator: ChaCha8Rng::seed_from_u64(21),
+            now_ms: 0,
+            sent: Vec::new(),
+            refused: Vec::new(),
+            down: BTreeSet::new(),
+        }
+    }
+
+    fn now(&self) -> Instant {
+        self.start + Duration::from_millis(self.now_ms)
+    }
+
+    /// Lets requests arrive until a time.
+    fn run_until(&mut self, end_ms: u64) {
+        while self.now_ms < end_ms {
+            self.now_ms += 1;
+            if self.generator.random::<f64>() < REQUESTS_PER_S / 1_000.0 {
+                self.arrive();
+            }
+        }
+    }
+
+    /// Sends one request; a further attempt follows when the connection is refused.
+    fn arrive(&mut self) {
+        let (object, now) = (self.generator.random_range(0..OBJECTS), self.now());
+        let instance = self.generator.random_range(0..INSTANCES);
+        let mut tried = Vec::new();
+        loop {
+            let context = RequestContext {
+                tried: &tried,
+                ..request(object)
+            };
+            let Selection::Send(decision) = self.balancers[instance].choose(&context, now) else {
+                self.refused.push(self.now_ms);
+                return;
+            };
+            let (id, zone) = self.zone_of(instance, &decision);
+            let is_down = self.down.contains(&id);
+            let outcome = match is_down {
+                true => AttemptOutcome::ConnectFailed,
+                false => AttemptOutcome::Answered {
+                    took_ms: 100.0,
+                    failed: false,
+                },
+            };
+            let balancer = &mut self.balancers[instance];
+            balancer.begin_attempt(&decision, now);
+            balancer.end_attempt(&decision, "all", object, outcome, now);
+            if !is_down {
+                self.sent.push((self.now_ms, zone));
+                return;
+            }
+            tried.push(decision.upstream);
+        }
+    }
+
+    fn zone_of(&self, instance: usize, decision: &Decision) -> (String, u8) {
+        let id = self.balancers[instance].endpoint(decision.upstream).0;
+        let record = self.records.iter().find(|record| record.id == id);
+        let zone = record.expect("a listed upstream").zone.as_bytes()[0];
+        (id.to_owned(), zone)
+    }
+
+    /// Changes the list of upstreams at all instances.
+    fn change(&mut self, change: impl FnOnce(&mut Vec<UpstreamRecord>)) {
+        change(&mut self.records);
+        let now = self.now();
+        for balancer in &mut self.balancers {
+            balancer.update_upstreams(&self.records, now);
+        }
+    }
+
+    /// Returns the greatest change of the regions' shares from one window to the next.
+    fn greatest_shift(&self) -> f64 {
+        let first = CHANGE_MS - WINDOW_MS;
+        let starts = (first..=self.now_ms - 2 * WINDOW_MS).step_by(100);
+        let shift = |start_ms: u64| {
+            let (before, after) = (self.shares(start_ms), self.shares(start_ms + WINDOW_MS));
+            let regions: BTreeSet<u8> = before.keys().chain(after.keys()).copied().collect();
+            let share = |shares: &HashMap<u8, f64>, region: u8| shares.get(&region).copied();
+            let change = |region: u8| {
+                share(&after, region).unwrap_or(0.0) - share(&before, region).unwrap_or(0.0)
+            };
+            regions
+                .into_iter()
+                .map(|region| change(region).max(0.0))
+                .sum::<f64>()
+        };
+        starts.map(shift).fold(0.0, f64::max)
+    }
+
+    /// Returns the share of each region in the requests that were sent in a window.
+    fn shares(&self, start_ms: u64) -> HashMap<u8, f64> {
+        let window = start_ms..start_ms + WINDOW_MS;
+        let mut counts: HashMap<u8, f64> = HashMap::new();
+        for (_, region) in self.sent.iter().filter(|(at, _)| window.contains(at)) {
+            *counts.entry(*region).or_default() += 1.0;
+        }
+        let total: f64 = counts.values().sum();
+        counts
+            .into_iter()
+            .map(|(region, count)| (region, count / total.max(1.0)))
+            .collect()
+    }
+
+    /// Returns the share of region a in the last window.
+    fn local_share(&self) -> f64 {
+        let shares = self.shares(self.now_ms - WINDOW_MS);
+        shares.get(&b'a').copied().unwrap_or(0.0)
+    }
+}
+
+/// Guards against SHIFT when most upstreams of a region leave: all instances hear of it at once.
+#[test]
+fn choose_region_that_shrinks_changes_shares_slowly() {
+    let mut run = RegionRun::new();
+    run.run_until(CHANGE_MS);
+    run.change(|records| {
+        records[..7]
+            .iter_mut()
+            .for_each(|record| record.leaving = true)
+    });
+    run.run_until(20_000);
+    let shift = run.greatest_shift();
+    assert!(
+        shift <= MAX_SHIFT,
+        "{shift:.3} of the requests changed their region"
+    );
+    assert!(run.refused.is_empty(), "{} were refused", run.refused.len());
+    let share = run.local_share();
+    assert!(
+        (0.16..0.28).contains(&share),
+        "{share:.3} run in their region at the end"
+    );
+}
+
+/// Guards against SHIFT on the way back, and when a region gets more upstreams.
+#[test]
+fn choose_region_that_grows_changes_shares_slowly() {
+    let mut run = RegionRun::new();
+    run.run_until(CHANGE_MS);
+    run.change(|records| {
+        let added = (200..200 + 2 * UPSTREAMS).map(|number| upstream(number, "a1", 6));
+        records.extend(added);
+    });
+    run.run_until(20_000);
+    let shift = run.greatest_shift();
+    assert!(
+        shift <= MAX_SHIFT,
+        "{shift:.3} of the requests changed their region"
+    );
+    let share = run.local_share();
+    assert!(share >= 0.65, "{share:.3} run in their region at the end");
+}
+
+/// Guards against SHIFT when all upstreams of a region become cold at once. Their quotas are enough
+/// for the requests of the region, if the instances of that region have most of them.
+#[test]
+fn choose_region_that_becomes_cold_keeps_its_requests() {
+    let mut run = RegionRun::new();
+    run.run_until(CHANGE_MS);
+    run.change(|records| {
+        records[..UPSTREAMS]
+            .iter_mut()
+            .for_each(|record| record.cold_ms = 3_000);
+    });
+    run.run_until(CHANGE_MS + 1);
+    run.change(|records| records.iter_mut().for_each(|record| record.cold_ms = 0));
+    run.run_until(16_000);
+    let shift = run.greatest_shift();
+    assert!(
+        shift <= MAX_SHIFT,
+        "{shift:.3} of the requests changed their region"
+    );
+    assert!(run.refused.is_empty(), "{} were refused", run.refused.len());
+}
+
+/// A region without any upstream left must not keep its callers waiting for the bound.
+#[test]
+fn choose_region_without_upstreams_is_left_at_once() {
+    let mut run = RegionRun::new();
+    run.run_until(CHANGE_MS);
+    run.change(|records| {
+        records[..UPSTREAMS]
+            .iter_mut()
+            .for_each(|record| record.leaving = true)
+    });
+    run.run_until(10_000);
+    assert!(run.refused.is_empty(), "{} were refused", run.refused.len());
+}
+
+/// Upstreams that cannot be reached are left at once: waiting for the bound would overload the
+/// others of the region.
+#[test]
+fn choose_unreachable_upstreams_are_left_at_once() {
+    let mut run = RegionRun::new();
+    run.run_until(CHANGE_MS);
+    run.down = (0..8).map(|number| format!("u-{number}")).collect();
+    run.run_until(10_000);
+    assert!(run.refused.is_empty(), "{} were refused", run.refused.len());
+    let share = run.local_share();
+    assert!(
+        share <= 0.25,
+        "{share:.3} still run in the region of two upstreams"
+    );
+}
