Bound how fast the shares of regions change

The shares now follow the weights of the regions at a bounded rate, by factors on the weights. Each instance keeps the bound for itself, so their sum does. Failed and evacuated upstreams, and a region without any, are left at once.

--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -6,7 +6,8 @@
 
 use laburnumdeal_model::{Configuration, Target, WHOLE_PERMILLE};
 use laburnumdeal_policy::steer::{
-    CrashReport, CrashReports, LoadBalancer, RetryBudgetShare, RouteTable, UpstreamKey, hash_of,
+    CrashReport, CrashReports, LoadBalancer, RegionShare, RetryBudgetShare, RouteTable,
+    UpstreamKey, hash_of,
 };
 use slog::{Logger, info};
 use tokio::sync::Notify;
@@ -261,7 +262,9 @@
             let mut load_balancer = self.load_balancer();
             load_balancer.update_upstreams(&list.records, now);
             let gone: Vec<UpstreamKey> = load_balancer.removed().collect();
+            let shares = load_balancer.region_shares();
             drop(load_balancer);
+            self.log_moving_shares(&shares);
             let mut pools = self.pools.lock().expect("no holder panics");
             for key in gone {
                 pools.remove(&key);
@@ -278,6 +281,22 @@
         }
     }
 
+    /// Logs the shares of regions that a bound keeps from following the upstreams at once.
+    fn log_moving_shares(&self, shares: &[RegionShare]) {
+        let moving = shares.iter().filter(|share| share.is_moving);
+        let text = |share: &RegionShare| {
+            let RegionShare {
+                service, region, ..
+            } = share;
+            format!("{service} {region} {:.2}", share.share)
+        };
+        let texts: Vec<String> = moving.map(text).collect();
+        if !texts.is_empty() {
+            info!(self.log.unlimited(), "shares of regions are moving";
+                "shares" => texts.join(", "));
+        }
+    }
+
     /// Replaces the names of the entry instances, and adapts the shares of this instance in
     /// system-wide limits to their number.
     pub fn update_roster(&self, hash: u64, names: Vec<String>) {
--- a/daemon/src/roles/node_settings.rs
+++ b/daemon/src/roles/node_settings.rs
@@ -39,6 +39,9 @@
     pub cold_overshoot: f64,
     /// Requests per second by which that rate may exceed it in addition.
     pub cold_slack: f64,
+    /// Largest part of the requests of one region that may change the region in which they run from
+    /// one window of 2 s to the next, over all instances; 1 for no bound.
+    pub max_region_shift: f64,
     /// Allowed retries per request, over all instances.
     pub retry_ratio: f64,
     /// Allowed retries per window in addition, over all instances.
@@ -64,6 +67,7 @@
             zone_regions: self.zone_regions.clone(),
             cold_overshoot: self.cold_overshoot,
             cold_slack: self.cold_slack,
+            max_region_shift: self.max_region_shift,
         }
     }
 }
--- a/policy/src/steer/choosing.rs
+++ b/policy/src/steer/choosing.rs
@@ -5,13 +5,10 @@
 use crate::steer::load_balancer::hash_of;
 use crate::steer::upstream_entry::UpstreamEntry;
 use crate::steer::{
-    ColdStartLimiter, Decision, LoadBalancer, RequestContext, RouteLatency, Selection,
-    ServiceLatency, UpstreamKey,
+    ColdStartLimiter, Decision, LoadBalancer, RegionShares, RequestContext, RouteLatency,
+    Selection, ServiceLatency, UpstreamKey,
 };
 
-/// Weight of an upstream in this instance's region in the rendezvous hash; 1 in other regions.
-const LOCAL_WEIGHT: f64 = 8.0;
-
 /// Latency that a request to another region adds, in milliseconds.
 const CROSS_REGION_MS: f64 = 60.0;
 
@@ -76,11 +73,15 @@
         let Some(keys) = self.by_service.get(request.service) else {
             return Vec::new();
         };
+        // Requests that are bound to regions are not spread by their shares.
+        let service = self.service_keys.get(request.service);
+        let service = service.filter(|_| request.regions.is_empty());
+        let shares = service.map(|key| &self.region_shares[key.0 as usize]);
         let eligible = keys
             .iter()
             .filter(|key| self.is_eligible(request, **key, now));
         eligible
-            .map(|key| (self.score(request.object, *key), *key))
+            .map(|key| (self.score(request.object, shares, *key), *key))
             .collect()
     }
 
@@ -88,7 +89,8 @@
         let entry = self.entry(key);
         let zone = &entry.record.zone;
         let is_allowed = |regions: &[String]| {
-            regions.is_empty() || regions.iter().any(|region| region == self.region_of(zone))
+            let name = self.region_name(entry.region);
+            regions.is_empty() || regions.iter().any(|region| region == name)
         };
         entry.accepts_requests(now)
             && !request.tried.contains(&key)
@@ -133,11 +135,10 @@
 
     /// Returns the score of weighted rendezvous hashing; the upstream with the lowest one is the
     /// first for an object.
-    fn score(&self, object: u64, key: UpstreamKey) -> f64 {
+    fn score(&self, object: u64, shares: Option<&RegionShares>, key: UpstreamKey) -> f64 {
         let entry = self.entry(key);
-        let is_local = self.region_of(&entry.record.zone) == self.settings.region;
-        let weight =
-            f64::from(entry.record.slots.max(1)) * if is_local { LOCAL_WEIGHT } else { 1.0 };
+        let factor = shares.map_or(1.0, |shares| shares.factor(entry.region.0 as usize));
+        let weight = self.weight(entry) * factor;
         let hash = mix_bits(entry.id_hash ^ object.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         let uniform = ((hash >> 11) as f64 + 1.0) / (1_u64 << 53) as f64;
         -uniform.ln() / weight
@@ -161,7 +162,7 @@
         let service_ms = latency.expected_ms(expects_cache_hit) * slowdown;
         let queue_per_slot = entry.queue_per_slot(now);
         let queue_ms = queue_per_slot * latency.expected_ms(true) * slowdown;
-        let is_local = self.region_of(&entry.record.zone) == self.settings.region;
+        let is_local = entry.region == self.own_region;
         let cross_region_ms = if is_local { 0.0 } else { CROSS_REGION_MS };
         let miss_penalty_ms = latency.expected_ms(false) - latency.expected_ms(true);
         let discount_ms = match !expects_cache_hit && has_room_for_miss(entry, now) {
--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -7,8 +7,8 @@
 
 use crate::steer::upstream_entry::UpstreamEntry;
 use crate::steer::{
-    Decision, RouteLatency, ServiceLatency, SharedLoad, SharedObject, SharedReport, UpstreamLoad,
-    UpstreamRecord,
+    Decision, RegionShares, RouteLatency, ServiceLatency, SharedLoad, SharedObject, SharedReport,
+    UpstreamLoad, UpstreamRecord,
 };
 
 /// Requests per second that a cold upstream tolerates, if the configuration does not name its
@@ -30,6 +30,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct UpstreamKey(pub u32);
 
+/// Key of a region in a [`LoadBalancer`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RegionKey(pub u16);
+
+/// Key of a service in a [`LoadBalancer`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(super) struct ServiceKey(pub u16);
+
 /// Settings of a [`LoadBalancer`], which stay the same while the process runs.
 #[derive(Clone, Debug)]
 pub struct LoadBalancerSettings {
@@ -44,6 +52,9 @@
     pub cold_overshoot: f64,
     /// Requests per second that are allowed on top of that.
     pub cold_slack: f64,
+    /// Largest part of the requests of one region that may change the region in which they run from
+    /// one window of 2 s to the next; 1 for no bound.
+    pub max_region_shift: f64,
 }
 
 /// How an attempt at an upstream ended.
@@ -90,13 +101,31 @@
     /// Instances that may send requests to upstreams; empty until they are known.
     pub(super) instances: Vec<String>,
     unreported_objects: Vec<SharedObject>,
+    /// Names of the regions; the first one has no name and holds unknown zones.
+    pub(super) regions: Vec<String>,
+    pub(super) own_region: RegionKey,
+    /// Keys of all services that upstreams were listed for.
+    pub(super) service_keys: HashMap<String, ServiceKey>,
+    /// Shares of the regions, by the key of the service.
+    pub(super) region_shares: Vec<RegionShares>,
+    pub(super) region_shares_at: Option<Instant>,
 }
 
 impl LoadBalancer {
     /// Returns a load balancer without upstreams.
     pub fn new(settings: LoadBalancerSettings) -> Self {
+        let mut regions: Vec<String> = settings.zone_regions.values().cloned().collect();
+        regions.extend([String::new(), settings.region.clone()]);
+        regions.sort();
+        regions.dedup();
+        let own_region = region_key(&regions, &settings.region);
         Self {
             settings,
+            regions,
+            own_region,
+            service_keys: HashMap::new(),
+            region_shares: Vec::new(),
+            region_shares_at: None,
             entries: Vec::new(),
             by_id: HashMap::new(),
             by_hash: HashMap::new(),
@@ -139,6 +168,7 @@
                 keys.push(key);
             }
         }
+        self.update_region_shares(now);
     }
 
     /// Applies the routes and services of the configuration in force.
@@ -172,6 +202,7 @@
                 self.entries[index].mark_cold_until(until + WARM_UP_SLACK);
             }
         }
+        self.update_region_shares(now);
     }
 
     /// Replaces the names of the instances that may send requests to upstreams, and adds this one.
@@ -196,7 +227,7 @@
 
     /// Returns the region of an upstream.
     pub fn region(&self, key: UpstreamKey) -> &str {
-        self.region_of(&self.entry(key).record.zone)
+        self.region_name(self.entry(key).region)
     }
 
     /// Returns when an upstream last answered this instance.
@@ -219,6 +250,7 @@
 
     /// Records the start of an attempt, before the request is sent.
     pub fn begin_attempt(&mut self, decision: &Decision, now: Instant) {
+        self.update_region_shares_if_due(now);
         let is_cold = self.entry(decision.upstream).is_cold(now);
         let entry = self.entry_mut(decision.upstream);
         entry.begin_attempt(now);
@@ -314,13 +346,27 @@
 
     fn add(&mut self, record: &UpstreamRecord) -> UpstreamKey {
         let key = UpstreamKey(self.entries.len() as u32);
-        let entry = UpstreamEntry::new(record.clone());
+        let region = self.settings.zone_regions.get(&record.zone);
+        let region = region_key(&self.regions, region.map_or("", String::as_str));
+        let service = self.service_key(&record.service);
+        let entry = UpstreamEntry::new(record.clone(), service, region);
         self.by_hash.insert(entry.id_hash, key);
         self.entries.push(entry);
         self.by_id.insert(record.id.clone(), key);
         key
     }
 
+    fn service_key(&mut self, service: &str) -> ServiceKey {
+        if let Some(key) = self.service_keys.get(service) {
+            return *key;
+        }
+        let key = ServiceKey(self.region_shares.len() as u16);
+        self.service_keys.insert(service.to_owned(), key);
+        let shares = RegionShares::new(self.settings.max_region_shift);
+        self.region_shares.push(shares);
+        key
+    }
+
     pub(super) fn entry(&self, key: UpstreamKey) -> &UpstreamEntry {
         &self.entries[key.0 as usize]
     }
@@ -329,11 +375,16 @@
         &mut self.entries[key.0 as usize]
     }
 
-    pub(super) fn region_of(&self, zone: &str) -> &str {
-        self.settings
-            .zone_regions
-            .get(zone)
-            .map_or("", String::as_str)
+    pub(super) fn entries(&self) -> &[UpstreamEntry] {
+        &self.entries
+    }
+
+    pub(super) fn entries_mut(&mut self) -> &mut [UpstreamEntry] {
+        &mut self.entries
+    }
+
+    pub(super) fn region_name(&self, key: RegionKey) -> &str {
+        &self.regions[key.0 as usize]
     }
 
     /// Returns the time that an upstream of a service takes to warm up, and the requests per second
@@ -344,6 +395,11 @@
     }
 }
 
+fn region_key(regions: &[String], name: &str) -> RegionKey {
+    let index = regions.iter().position(|region| region == name);
+    RegionKey(index.unwrap_or(0) as u16)
+}
+
 /// Returns a hash of byte strings that is the same on all instances. A separator after each part
 /// keeps, for example, `["ab", "c"]` and `["a", "bc"]` apart.
 pub fn hash_of(parts: &[&[u8]]) -> u64 {
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -1,6 +1,6 @@
 //! Choice of the upstream for each request, while upstreams, services and routes change: the route
-//! table, latency estimates by load and cached objects, limits on cold upstreams, and this
-//! instance's share of limits that span all instances.
+//! table, latency estimates by load and cached objects, limits on cold upstreams, the
+//! shares of regions, and this instance's share of limits that span all instances.
 
 mod cached_objects;
 mod choosing;
@@ -9,6 +9,8 @@
 mod decision;
 mod load_balancer;
 mod load_estimate;
+mod region_shares;
+mod region_weights;
 mod retry_budget_share;
 mod route_latency;
 mod route_table;
@@ -22,8 +24,12 @@
 pub use cold_start_limiter::ColdStartLimiter;
 pub use crash_reports::{CrashReport, CrashReports};
 pub use decision::{Decision, RequestContext, Selection};
-pub use load_balancer::{AttemptOutcome, LoadBalancer, LoadBalancerSettings, UpstreamKey, hash_of};
+pub use load_balancer::{
+    AttemptOutcome, LoadBalancer, LoadBalancerSettings, RegionKey, UpstreamKey, hash_of,
+};
 pub use load_estimate::{LoadEstimate, UpstreamLoad};
+pub use region_shares::{RegionShares, RegionWeight};
+pub use region_weights::RegionShare;
 pub use retry_budget_share::RetryBudgetShare;
 pub use route_latency::RouteLatency;
 pub use route_table::{Route, RouteTable};
--- /dev/null
+++ b/policy/src/steer/region_shares.rs
@@ -0,0 +1,148 @@
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Window in which the bound on changes of the shares holds.
+const BOUND_WINDOW: Duration = Duration::from_secs(2);
+
+/// Fraction of the bound by which the shares change. The rest is left to the randomness of arrivals
+/// and to instances that hear of a change later than others.
+const BOUND_FRACTION: f64 = 0.7;
+
+/// Longest time that one update accounts for, so that shares do not jump after a pause.
+const MAX_STEP: Duration = Duration::from_millis(500);
+
+/// Weight of one region in the choice of upstreams, before and after a change.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RegionWeight {
+    /// Weight that remains of the last one after upstreams failed or were evacuated; it includes
+    /// those that are back from that. The share of the region follows it at once.
+    pub steady: f64,
+    /// Weight now, after upstreams joined, left, became cold or warmed up as well. The share
+    /// follows these changes at the bounded rate.
+    pub current: f64,
+}
+
+/// Share of each region in the requests that an instance sends for a service. The shares follow the
+/// weights of the regions, but no faster than a bound allows, because all instances hear of a
+/// change at the same moment. Since every instance bounds its own shares, the sum over all instances
+/// keeps the bound as well.
+///
+/// # Examples
+///
+/// ```
+/// use laburnumdeal_policy::steer::{RegionShares, RegionWeight};
+/// use std::time::Duration;
+/// use tokio::time::Instant;
+///
+/// let weight = |steady, current| RegionWeight { steady, current };
+/// let start = Instant::now();
+/// let mut shares = RegionShares::new(0.15);
+/// shares.update(&[weight(5.0, 5.0), weight(5.0, 5.0)], start);
+/// // Most of the first region leaves; its share shrinks by a few hundredths only.
+/// shares.update(&[weight(5.0, 1.0), weight(5.0, 5.0)], start + Duration::from_millis(500));
+/// assert!((0.45..0.5).contains(&shares.share(0)));
+/// // The few that remain get more of the requests than their weight would give them.
+/// assert!(shares.factor(0) > 2.0);
+/// ```
+#[derive(Clone, Debug)]
+pub struct RegionShares {
+    max_change_per_s: f64,
+    shares: Vec<f64>,
+    factors: Vec<f64>,
+    updated_at: Option<Instant>,
+}
+
+impl RegionShares {
+    /// Returns shares of which at most `max_shift` (0 to 1) moves to other regions within 2 s.
+    pub fn new(max_shift: f64) -> Self {
+        Self {
+            max_change_per_s: max_shift * BOUND_FRACTION / BOUND_WINDOW.as_secs_f64(),
+            shares: Vec::new(),
+            factors: Vec::new(),
+            updated_at: None,
+        }
+    }
+
+    /// Moves the shares towards the weights of the regions. The first update sets them.
+    pub fn update(&mut self, weights: &[RegionWeight], now: Instant) {
+        let current: Vec<f64> = weights.iter().map(|weight| weight.current).collect();
+        if current.iter().sum::<f64>() <= 0.0 {
+            return;
+        }
+        let targets = normalized(&current);
+        let Some(updated_at) = self.updated_at else {
+            self.set(targets.clone(), &targets, now);
+            return;
+        };
+        let shares = self.steady_shares(weights);
+        let left_behind = |(share, weight): (&f64, &f64)| if *weight > 0.0 { *share } else { 0.0 };
+        let kept: Vec<f64> = shares.iter().zip(&current).map(left_behind).collect();
+        let mut shares = match kept.iter().sum::<f64>() > 0.0 {
+            true => normalized(&kept),
+            false => targets.clone(),
+        };
+        let elapsed = now.saturating_duration_since(updated_at).min(MAX_STEP);
+        let max_change = self.max_change_per_s * elapsed.as_secs_f64();
+        let differences = shares.iter().zip(&targets).map(|(a, b)| (a - b).abs());
+        let distance = differences.sum::<f64>() / 2.0;
+        let fraction = if distance > max_change {
+            max_change / distance
+        } else {
+            1.0
+        };
+        for (share, target) in shares.iter_mut().zip(&targets) {
+            *share += (target - *share) * fraction;
+        }
+        self.set(shares, &targets, now);
+    }
+
+    /// Returns whether the shares were set by a first update.
+    pub fn is_set(&self) -> bool {
+        self.updated_at.is_some()
+    }
+
+    /// Returns the share of a region, from 0 to 1.
+    pub fn share(&self, region: usize) -> f64 {
+        self.shares.get(region).copied().unwrap_or(0.0)
+    }
+
+    /// Returns the factor on the weights of a region's upstreams that gives it its share.
+    pub fn factor(&self, region: usize) -> f64 {
+        self.factors.get(region).copied().unwrap_or(1.0)
+    }
+
+    /// Returns whether the shares are on the way to those that the weights give.
+    pub fn is_moving(&self) -> bool {
+        self.factors
+            .iter()
+            .any(|factor| (factor - 1.0).abs() > 1e-6)
+    }
+
+    /// Returns the shares after the changes that they follow at once: the factors stay as they are.
+    fn steady_shares(&self, weights: &[RegionWeight]) -> Vec<f64> {
+        let steady = weights.iter().enumerate();
+        let weighted: Vec<f64> = steady
+            .map(|(region, weight)| weight.steady * self.factor(region))
+            .collect();
+        match weighted.iter().sum::<f64>() > 0.0 {
+            true => normalized(&weighted),
+            false => self.shares.clone(),
+        }
+    }
+
+    fn set(&mut self, shares: Vec<f64>, targets: &[f64], now: Instant) {
+        let factor = |(share, target): (&f64, &f64)| match *target > 0.0 {
+            true => share / target,
+            false => 1.0,
+        };
+        self.factors = shares.iter().zip(targets).map(factor).collect();
+        self.shares = shares;
+        self.updated_at = Some(now);
+    }
+}
+
+fn normalized(values: &[f64]) -> Vec<f64> {
+    let sum: f64 = values.iter().sum();
+    values.iter().map(|value| value / sum).collect()
+}
--- /dev/null
+++ b/policy/src/steer/region_weights.rs
@@ -0,0 +1,113 @@
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::steer::upstream_entry::UpstreamEntry;
+use crate::steer::{LoadBalancer, RegionWeight};
+
+/// Weight of an upstream in this instance's region in the rendezvous hash; 1 in other regions.
+const LOCAL_WEIGHT: f64 = 8.0;
+
+/// Fraction of its weight with which a cold upstream counts in the weight of its region, because it
+/// takes few requests.
+const COLD_FRACTION: f64 = 0.1;
+
+/// Minimum interval of updates of the regions' shares by requests.
+const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Share of a region in the requests of a service, as a bound lets it follow the upstreams.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RegionShare {
+    /// Name of the service.
+    pub service: String,
+    /// Name of the region.
+    pub region: String,
+    /// Share from 0 to 1.
+    pub share: f64,
+    /// Whether the shares of the service are on the way to those that its upstreams give.
+    pub is_moving: bool,
+}
+
+impl LoadBalancer {
+    /// Returns the shares of the regions with upstreams, by service.
+    pub fn region_shares(&self) -> Vec<RegionShare> {
+        let mut all = Vec::new();
+        for (service, key) in &self.service_keys {
+            let shares = &self.region_shares[key.0 as usize];
+            let regions = self.regions.iter().enumerate();
+            let regions = regions.filter(|(index, _)| shares.share(*index) > 0.0);
+            all.extend(regions.map(|(index, region)| RegionShare {
+                service: service.clone(),
+                region: region.clone(),
+                share: shares.share(index),
+                is_moving: shares.is_moving(),
+            }));
+        }
+        all
+    }
+
+    /// Returns the weight of an upstream in the rendezvous hash.
+    pub(super) fn weight(&self, entry: &UpstreamEntry) -> f64 {
+        let is_local = entry.region == self.own_region;
+        f64::from(entry.record.slots.max(1)) * if is_local { LOCAL_WEIGHT } else { 1.0 }
+    }
+
+    /// Updates the shares of the regions, unless they were updated a short while ago.
+    pub(super) fn update_region_shares_if_due(&mut self, now: Instant) {
+        let is_due = |at: Instant| now.saturating_duration_since(at) >= UPDATE_INTERVAL;
+        if self.region_shares_at.is_none_or(is_due) {
+            self.update_region_shares(now);
+        }
+    }
+
+    /// Updates the shares of the regions from the weights of their upstreams.
+    pub(super) fn update_region_shares(&mut self, now: Instant) {
+        self.region_shares_at = Some(now);
+        let none = vec![RegionWeight::default(); self.regions.len()];
+        let mut by_service = vec![none; self.region_shares.len()];
+        for index in 0..self.entries().len() {
+            let entry = &self.entries()[index];
+            if !entry.is_listed && entry.counted_weight == 0.0 {
+                continue;
+            }
+            let weight = self.region_weight(entry, now);
+            let sum = &mut by_service[entry.service.0 as usize][entry.region.0 as usize];
+            sum.steady += weight.steady;
+            sum.current += weight.current;
+            let is_whole = weight.current >= self.weight(entry);
+            let has_failed = self.has_failed(entry);
+            let entry = &mut self.entries_mut()[index];
+            entry.is_released = has_failed || (entry.is_released && !is_whole);
+            entry.counted_weight = weight.current;
+        }
+        for (shares, weights) in self.region_shares.iter_mut().zip(by_service) {
+            shares.update(&weights, now);
+        }
+    }
+
+    /// Returns what an upstream adds to the weight of its region. Failures, evacuations and the
+    /// return from them change the steady part as well.
+    fn region_weight(&self, entry: &UpstreamEntry, now: Instant) -> RegionWeight {
+        let has_failed = self.has_failed(entry);
+        let is_used = entry.is_listed && !entry.record.leaving && !has_failed;
+        // The first shares are those of instances that run already, so cold upstreams count whole.
+        let is_first = !self.region_shares[entry.service.0 as usize].is_set();
+        let fraction = match is_used {
+            false => 0.0,
+            true if entry.is_cold(now) && !is_first => COLD_FRACTION,
+            true => 1.0,
+        };
+        let current = self.weight(entry) * fraction;
+        let is_steady = has_failed || entry.is_released;
+        let steady = if is_steady {
+            current
+        } else {
+            entry.counted_weight
+        };
+        RegionWeight { steady, current }
+    }
+
+    fn has_failed(&self, entry: &UpstreamEntry) -> bool {
+        entry.has_failed() || self.evacuated_zones.contains(&entry.record.zone)
+    }
+}
--- a/policy/src/steer/upstream_entry.rs
+++ b/policy/src/steer/upstream_entry.rs
@@ -2,9 +2,10 @@
 
 use tokio::time::Instant;
 
-use crate::steer::load_balancer::hash_of;
+use crate::steer::load_balancer::{ServiceKey, hash_of};
 use crate::steer::{
-    AttemptOutcome, CachedObjects, ColdStartLimiter, Decision, LoadEstimate, UpstreamRecord,
+    AttemptOutcome, CachedObjects, ColdStartLimiter, Decision, LoadEstimate, RegionKey,
+    UpstreamRecord,
 };
 
 /// Weight of a new measurement in the moving average of the slowdown.
@@ -44,6 +45,12 @@
     pub load: LoadEstimate,
     pub cached_objects: CachedObjects,
     pub cold_start_limiter: ColdStartLimiter,
+    pub service: ServiceKey,
+    pub region: RegionKey,
+    /// Weight with which the upstream counts in the weight of its region.
+    pub counted_weight: f64,
+    /// Whether the upstream failed or was evacuated, and has not been counted whole since.
+    pub is_released: bool,
     cold_until: Option<Instant>,
     /// Failures to connect since the last answer. Above 0 the upstream may have restarted
     /// unnoticed, so that it counts as cold.
@@ -60,7 +67,7 @@
 }
 
 impl UpstreamEntry {
-    pub fn new(record: UpstreamRecord) -> Self {
+    pub fn new(record: UpstreamRecord, service: ServiceKey, region: RegionKey) -> Self {
         Self {
             id_hash: hash_of(&[record.id.as_bytes()]),
             record,
@@ -68,6 +75,10 @@
             load: LoadEstimate::default(),
             cached_objects: CachedObjects::default(),
             cold_start_limiter: ColdStartLimiter::default(),
+            service,
+            region,
+            counted_weight: 0.0,
+            is_released: false,
             cold_until: None,
             connect_failures: 0,
             backoff_until: None,
@@ -105,6 +116,12 @@
         self.connect_failures > 0 || self.cold_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether the upstream could not be reached since its last answer, or left the list
+    /// without having been shown as leaving before.
+    pub fn has_failed(&self) -> bool {
+        self.connect_failures > 0 || (!self.is_listed && !self.record.leaving)
+    }
+
     pub fn accepts_requests(&self, now: Instant) -> bool {
         self.is_listed
             && !self.record.leaving
--- a/policy/tests/steer/region_shares.rs
+++ b/policy/tests/steer/region_shares.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use laburnumdeal_policy::steer::{
-    AttemptOutcome, Decision, LoadBalancer, RequestContext, Selection, UpstreamRecord,
+    AttemptOutcome, Decision, LoadBalancer, RegionShares, RegionWeight, RequestContext, Selection,
+    UpstreamRecord,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -277,3 +278,75 @@
         "{share:.3} still run in the region of five upstreams"
     );
 }
+
+fn weights(pairs: &[(f64, f64)]) -> Vec<RegionWeight> {
+    let weight = |(steady, current): &(f64, f64)| RegionWeight {
+        steady: *steady,
+        current: *current,
+    };
+    pairs.iter().map(weight).collect()
+}
+
+/// Returns shares of two regions with equal weights, and the time of their first update.
+fn equal_shares() -> (RegionShares, Instant) {
+    let (mut shares, start) = (RegionShares::new(MAX_SHIFT), Instant::now());
+    shares.update(&weights(&[(0.0, 4.0), (0.0, 4.0)]), start);
+    (shares, start)
+}
+
+#[test]
+fn update_any_change_moves_shares_within_the_bound() {
+    let mut generator = ChaCha8Rng::seed_from_u64(1);
+    let (mut shares, start) = equal_shares();
+    let mut history = Vec::new();
+    let mut current = [4.0, 4.0];
+    for step in 0..2_000_u64 {
+        let before = current;
+        if generator.random_range(0..10) == 0 {
+            current = [0.0; 2].map(|_| generator.random_range(0.1..10.0));
+        }
+        let pairs = [(before[0], current[0]), (before[1], current[1])];
+        shares.update(&weights(&pairs), start + Duration::from_millis(step * 100));
+        history.push(shares.share(0));
+    }
+    let steps = (WINDOW_MS / 100) as usize;
+    for (before, after) in history.iter().zip(&history[steps..]) {
+        assert!((before - after).abs() <= MAX_SHIFT, "{before} to {after}");
+    }
+}
+
+#[test]
+fn update_failed_upstreams_move_their_part_at_once() {
+    let (mut shares, start) = equal_shares();
+    let later = start + Duration::from_millis(100);
+    shares.update(&weights(&[(1.0, 1.0), (4.0, 4.0)]), later);
+    assert!((shares.share(0) - 0.2).abs() < 1e-9);
+    assert!(!shares.is_moving());
+}
+
+#[test]
+fn update_region_without_upstreams_is_left_at_once() {
+    let (mut shares, start) = equal_shares();
+    let later = start + Duration::from_millis(100);
+    shares.update(&weights(&[(4.0, 0.0), (4.0, 4.0)]), later);
+    assert_eq!(shares.share(1), 1.0);
+}
+
+/// Guards against a jump after a time without requests.
+#[test]
+fn update_after_a_pause_counts_only_a_part_of_it() {
+    let (mut shares, start) = equal_shares();
+    let later = start + Duration::from_secs(60);
+    shares.update(&weights(&[(4.0, 0.1), (4.0, 4.0)]), later);
+    assert!(shares.share(0) >= 0.45, "{}", shares.share(0));
+}
+
+#[test]
+fn factor_gives_a_region_its_share() {
+    let (mut shares, start) = equal_shares();
+    let later = start + Duration::from_millis(500);
+    shares.update(&weights(&[(4.0, 1.0), (4.0, 4.0)]), later);
+    let weighted = |region: usize, weight: f64| shares.factor(region) * weight;
+    let (first, second) = (weighted(0, 1.0), weighted(1, 4.0));
+    assert!((first / (first + second) - shares.share(0)).abs() < 1e-9);
+}
--- a/policy/tests/steer/setup.rs
+++ b/policy/tests/steer/setup.rs
@@ -18,6 +18,7 @@
         zone_regions: HashMap::from(zones),
         cold_overshoot: 1.5,
         cold_slack: 5.0,
+        max_region_shift: 0.15,
     }
 }
 
