Do not hold back what a full region cannot serve

Refused requests do not run, so the bound gained nothing by them. A region whose slots are in use now gives what it has above its weight to the others within a fraction of a second.

--- a/policy/src/steer/region_shares.rs
+++ b/policy/src/steer/region_shares.rs
@@ -12,6 +12,9 @@
 /// Longest time that one update accounts for, so that shares do not jump after a pause.
 const MAX_STEP: Duration = Duration::from_millis(500);
 
+/// Time in which a region that is full loses half of what it has above its weight.
+const FULL_HALF_LIFE: Duration = Duration::from_millis(200);
+
 /// Weight of one region in the choice of upstreams, before and after a change.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RegionWeight {
@@ -21,11 +24,13 @@
     /// Weight now, after upstreams joined, left, became cold or warmed up as well. The share
     /// follows these changes at the bounded rate.
     pub current: f64,
+    /// Whether its upstreams have no room for more requests.
+    pub is_full: bool,
 }
 
 /// Share of each region in the requests that an instance sends for a service. The shares follow the
 /// weights of the regions, but no faster than a bound allows, because all instances hear of a
-/// change at the same moment. Since every instance bounds its own shares, the sum over all instances
+/// change at the same moment. What a full region cannot serve is not held back. Since every instance bounds its own shares, the sum over all instances
 /// keeps the bound as well.
 ///
 /// # Examples
@@ -35,7 +40,7 @@
 /// use std::time::Duration;
 /// use tokio::time::Instant;
 ///
-/// let weight = |steady, current| RegionWeight { steady, current };
+/// let weight = |steady, current| RegionWeight { steady, current, is_full: false };
 /// let start = Instant::now();
 /// let mut shares = RegionShares::new(0.15);
 /// shares.update(&[weight(5.0, 5.0), weight(5.0, 5.0)], start);
@@ -83,6 +88,7 @@
             false => targets.clone(),
         };
         let elapsed = now.saturating_duration_since(updated_at).min(MAX_STEP);
+        relieve_full_regions(&mut shares, &targets, weights, elapsed);
         let max_change = self.max_change_per_s * elapsed.as_secs_f64();
         let differences = shares.iter().zip(&targets).map(|(a, b)| (a - b).abs());
         let distance = differences.sum::<f64>() / 2.0;
@@ -142,6 +148,32 @@
     }
 }
 
+/// Moves what regions without room have above their targets to the other regions. The bound would
+/// only turn such requests into refused ones.
+fn relieve_full_regions(
+    shares: &mut [f64],
+    targets: &[f64],
+    weights: &[RegionWeight],
+    elapsed: Duration,
+) {
+    let fraction = 1.0 - 0.5_f64.powf(elapsed.as_secs_f64() / FULL_HALF_LIFE.as_secs_f64());
+    let mut freed = 0.0;
+    let mut missing = Vec::new();
+    for ((share, target), weight) in shares.iter_mut().zip(targets).zip(weights) {
+        let excess = if weight.is_full { *share - target } else { 0.0 };
+        let moved = excess.max(0.0) * fraction;
+        *share -= moved;
+        freed += moved;
+        missing.push((target - *share).max(0.0));
+    }
+    let total: f64 = missing.iter().sum();
+    if total > 0.0 {
+        for (share, missing) in shares.iter_mut().zip(&missing) {
+            *share += freed * missing / total;
+        }
+    }
+}
+
 fn normalized(values: &[f64]) -> Vec<f64> {
     let sum: f64 = values.iter().sum();
     values.iter().map(|value| value / sum).collect()
--- a/policy/src/steer/region_weights.rs
+++ b/policy/src/steer/region_weights.rs
@@ -12,6 +12,9 @@
 /// takes few requests.
 const COLD_FRACTION: f64 = 0.1;
 
+/// Fraction of the slots in use at which a region counts as full.
+const FULL_UTILIZATION: f64 = 0.8;
+
 /// Minimum interval of updates of the regions' shares by requests.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -28,6 +31,24 @@
     pub is_moving: bool,
 }
 
+/// Requests and slots of the upstreams of one region.
+#[derive(Clone, Copy, Debug, Default)]
+struct Room {
+    requests: f64,
+    slots: f64,
+}
+
+impl Room {
+    fn add(&mut self, entry: &UpstreamEntry, now: Instant) {
+        self.requests += entry.load.estimated_requests(now);
+        self.slots += f64::from(entry.record.slots.max(1));
+    }
+
+    fn is_full(&self) -> bool {
+        self.slots > 0.0 && self.requests >= self.slots * FULL_UTILIZATION
+    }
+}
+
 impl LoadBalancer {
     /// Returns the shares of the regions with upstreams, by service.
     pub fn region_shares(&self) -> Vec<RegionShare> {
@@ -65,6 +86,8 @@
         self.region_shares_at = Some(now);
         let none = vec![RegionWeight::default(); self.regions.len()];
         let mut by_service = vec![none; self.region_shares.len()];
+        let no_room = vec![Room::default(); self.regions.len()];
+        let mut rooms = vec![no_room; self.region_shares.len()];
         for index in 0..self.entries().len() {
             let entry = &self.entries()[index];
             if !entry.is_listed && entry.counted_weight == 0.0 {
@@ -74,13 +97,20 @@
             let sum = &mut by_service[entry.service.0 as usize][entry.region.0 as usize];
             sum.steady += weight.steady;
             sum.current += weight.current;
+            if weight.current > 0.0 {
+                rooms[entry.service.0 as usize][entry.region.0 as usize].add(entry, now);
+            }
             let is_whole = weight.current >= self.weight(entry);
             let has_failed = self.has_failed(entry);
             let entry = &mut self.entries_mut()[index];
             entry.is_released = has_failed || (entry.is_released && !is_whole);
             entry.counted_weight = weight.current;
         }
-        for (shares, weights) in self.region_shares.iter_mut().zip(by_service) {
+        let services = self.region_shares.iter_mut().zip(by_service).zip(rooms);
+        for ((shares, mut weights), rooms) in services {
+            for (weight, room) in weights.iter_mut().zip(rooms) {
+                weight.is_full = room.is_full();
+            }
             shares.update(&weights, now);
         }
     }
@@ -104,7 +134,11 @@
         } else {
             entry.counted_weight
         };
-        RegionWeight { steady, current }
+        RegionWeight {
+            steady,
+            current,
+            is_full: false,
+        }
     }
 
     fn has_failed(&self, entry: &UpstreamEntry) -> bool {
--- a/policy/tests/steer/region_shares.rs
+++ b/policy/tests/steer/region_shares.rs
@@ -5,7 +5,7 @@
 
 use laburnumdeal_policy::steer::{
     AttemptOutcome, Decision, LoadBalancer, RegionShares, RegionWeight, RequestContext, Selection,
-    UpstreamRecord,
+    UpstreamKey, UpstreamLoad, UpstreamRecord,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -22,6 +22,8 @@
 /// Upstreams of region a; the two others have more.
 const UPSTREAMS: usize = 25;
 
+const SLOTS: u32 = 6;
+
 /// Requests per second of the callers of region a.
 const REQUESTS_PER_S: f64 = 700.0;
 
@@ -48,6 +50,12 @@
     refused: Vec<u64>,
     /// Upstreams that refuse connections.
     down: BTreeSet<String>,
+    /// Time that an upstream needs for a request; 0 for upstreams that are never busy.
+    service_ms: u64,
+    /// Requests that each upstream runs or queues.
+    loads: HashMap<UpstreamKey, u32>,
+    /// Ends of requests: time, instance, and decision.
+    ends: Vec<(u64, usize, Decision)>,
 }
 
 impl RegionRun {
@@ -58,7 +66,7 @@
             _ => "c1",
         };
         let records: Vec<_> = (0..UPSTREAMS + 218)
-            .map(|number| upstream(number, zone(number), 6))
+            .map(|number| upstream(number, zone(number), SLOTS))
             .collect();
         let start = Instant::now();
         let name = |number: usize| format!("e-{number}");
@@ -77,6 +85,9 @@
             sent: Vec::new(),
             refused: Vec::new(),
             down: BTreeSet::new(),
+            service_ms: 0,
+            loads: HashMap::new(),
+            ends: Vec::new(),
         }
     }
 
@@ -88,6 +99,7 @@
     fn run_until(&mut self, end_ms: u64) {
         while self.now_ms < end_ms {
             self.now_ms += 1;
+            self.end_requests();
             if self.generator.random::<f64>() < REQUESTS_PER_S / 1_000.0 {
                 self.arrive();
             }
@@ -119,15 +131,50 @@
             };
             let balancer = &mut self.balancers[instance];
             balancer.begin_attempt(&decision, now);
-            balancer.end_attempt(&decision, "all", object, outcome, now);
             if !is_down {
                 self.sent.push((self.now_ms, zone));
+                if self.service_ms > 0 {
+                    return self.run_request(instance, decision);
+                }
+            }
+            balancer.end_attempt(&decision, "all", object, outcome, now);
+            if !is_down {
                 return;
             }
             tried.push(decision.upstream);
         }
     }
 
+    /// Runs a request at its upstream, whose slots serve the queue in turn.
+    fn run_request(&mut self, instance: usize, decision: Decision) {
+        let load = self.loads.entry(decision.upstream).or_default();
+        *load += 1;
+        let rounds = 1 + u64::from((*load - 1) / SLOTS);
+        let end_ms = self.now_ms + rounds * self.service_ms;
+        self.ends.push((end_ms, instance, decision));
+    }
+
+    /// Ends the requests whose time has come; the answers tell the loads of the upstreams.
+    fn end_requests(&mut self) {
+        let (now, now_ms) = (self.now(), self.now_ms);
+        for (_, instance, decision) in self.ends.extract_if(.., |(at, _, _)| *at <= now_ms) {
+            let load = self.loads.get_mut(&decision.upstream).expect("it is busy");
+            *load -= 1;
+            let report = UpstreamLoad {
+                running: (*load).min(SLOTS),
+                waiting: load.saturating_sub(SLOTS),
+                slots: SLOTS,
+            };
+            let answered = AttemptOutcome::Answered {
+                took_ms: self.service_ms as f64,
+                failed: false,
+            };
+            let balancer = &mut self.balancers[instance];
+            balancer.record_load(decision.upstream, report, now);
+            balancer.end_attempt(&decision, "all", 0, answered, now);
+        }
+    }
+
     fn zone_of(&self, instance: usize, decision: &Decision) -> (String, u8) {
         let id = self.balancers[instance].endpoint(decision.upstream).0;
         let record = self.records.iter().find(|record| record.id == id);
@@ -214,7 +261,7 @@
     let mut run = RegionRun::new();
     run.run_until(CHANGE_MS);
     run.change(|records| {
-        let added = (300..300 + 2 * UPSTREAMS).map(|number| upstream(number, "a1", 6));
+        let added = (300..300 + 2 * UPSTREAMS).map(|number| upstream(number, "a1", SLOTS));
         records.extend(added);
     });
     run.run_until(20_000);
@@ -249,6 +296,26 @@
     assert!(run.refused.is_empty(), "{} were refused", run.refused.len());
 }
 
+/// Guards against refusals for the sake of the bound: the few upstreams that are left cannot serve
+/// the share of the region, so what they have no room for goes elsewhere at once.
+#[test]
+fn choose_region_that_shrinks_below_its_load_refuses_few() {
+    let mut run = RegionRun::new();
+    run.service_ms = 250;
+    run.run_until(CHANGE_MS);
+    let refused_before = run.refused.len();
+    run.change(|records| {
+        records[..UPSTREAMS - 3]
+            .iter_mut()
+            .for_each(|record| record.leaving = true);
+    });
+    run.run_until(14_000);
+    let refused = run.refused.len() - refused_before;
+    let arrived = REQUESTS_PER_S * 8.0;
+    let fraction = refused as f64 / arrived;
+    assert!(fraction <= 0.03, "{fraction:.3} were refused");
+}
+
 /// A region without any upstream left must not keep its callers waiting for the bound.
 #[test]
 fn choose_region_without_upstreams_is_left_at_once() {
@@ -283,6 +350,7 @@
     let weight = |(steady, current): &(f64, f64)| RegionWeight {
         steady: *steady,
         current: *current,
+        is_full: false,
     };
     pairs.iter().map(weight).collect()
 }
@@ -350,3 +418,19 @@
     let (first, second) = (weighted(0, 1.0), weighted(1, 4.0));
     assert!((first / (first + second) - shares.share(0)).abs() < 1e-9);
 }
+
+/// Guards against refusals for the sake of the bound.
+#[test]
+fn update_full_region_above_its_weight_is_relieved() {
+    let (mut shares, start) = equal_shares();
+    let mut changed = weights(&[(4.0, 1.0), (4.0, 4.0)]);
+    changed[0].is_full = true;
+    shares.update(&changed, start + Duration::from_millis(200));
+    assert!(
+        (0.3..0.36).contains(&shares.share(0)),
+        "{}",
+        shares.share(0)
+    );
+    let sum = shares.share(0) + shares.share(1);
+    assert!((sum - 1.0).abs() < 1e-9, "{sum}");
+}
