Give instances in the region of a cold upstream most of its quota

When all upstreams of a region became cold at once, nearly none of its requests ran there (SHIFT): the quota of a cold upstream was divided equally by all instances, although those of its own region send it eight times as many requests, and the weights of the few that still had quota were too small.

Instances in the region of the upstream now count eight times in the division, and regions keep their shares while any of their upstreams is eligible. The entry instances are told with their regions.

The test takes objects that upstreams hold, as callers ask for the same few hundred.

--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -6,8 +6,8 @@
 
 use laburnumdeal_model::{Configuration, Target, WHOLE_PERMILLE};
 use laburnumdeal_policy::steer::{
-    CrashReport, CrashReports, LoadBalancer, RegionShare, RetryBudgetShare, RouteTable,
-    UpstreamKey, hash_of,
+    CrashReport, CrashReports, InstanceRecord, LoadBalancer, RegionShare, RetryBudgetShare,
+    RouteTable, UpstreamKey, hash_of,
 };
 use slog::{Logger, info};
 use tokio::sync::Notify;
@@ -297,12 +297,12 @@
         }
     }
 
-    /// Replaces the names of the entry instances, and adapts the shares of this instance in
+    /// Replaces the known entry instances, and adapts the shares of this instance in
     /// system-wide limits to their number.
-    pub fn update_roster(&self, hash: u64, names: Vec<String>) {
+    pub fn update_roster(&self, hash: u64, instances: Vec<InstanceRecord>) {
         self.roster_hash.store(hash, Ordering::Relaxed);
         let mut load_balancer = self.load_balancer();
-        load_balancer.update_instances(names);
+        load_balancer.update_instances(instances);
         let instances = load_balancer.instance_count() as f64;
         drop(load_balancer);
         let max_balance = self.settings.retry_slack * RETRY_SLACK_USED / instances;
--- a/daemon/src/roles/follow_reply.rs
+++ b/daemon/src/roles/follow_reply.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use laburnumdeal_model::Version;
-use laburnumdeal_policy::steer::CrashReport;
+use laburnumdeal_policy::steer::{CrashReport, InstanceRecord};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
@@ -29,9 +29,9 @@
     pub list_hash: u64,
     /// Update of the list of upstreams.
     pub list: ListUpdate,
-    /// Hash and names of the entry instances; `None` if the sender knows the hash, or some of them
-    /// may not have announced themselves yet.
-    pub roster: Option<(u64, Vec<String>)>,
+    /// Hash of the names of the entry instances, and the instances; `None` if the sender knows the
+    /// hash, or some of them may not have announced themselves yet.
+    pub roster: Option<(u64, Vec<InstanceRecord>)>,
     /// Members of the change log, which are the control instances.
     pub controls: Vec<ControlRecord>,
     /// Position in the crash reports after this reply.
--- a/daemon/src/roles/follower.rs
+++ b/daemon/src/roles/follower.rs
@@ -152,7 +152,7 @@
     if let Some(list) = reply.list(&state.list(), now) {
         state.update_list(list);
     }
-    if let Some((hash, names)) = &reply.roster {
-        state.update_roster(*hash, names.clone());
+    if let Some((hash, instances)) = &reply.roster {
+        state.update_roster(*hash, instances.clone());
     }
 }
--- a/daemon/src/roles/registry.rs
+++ b/daemon/src/roles/registry.rs
@@ -3,7 +3,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use laburnumdeal_policy::steer::hash_of;
+use laburnumdeal_policy::steer::{InstanceRecord, hash_of};
 use tokio::time::Instant;
 
 use crate::roles::{Presence, PresenceState};
@@ -102,16 +102,20 @@
         addresses.take(MAX_ADDRESSES).collect()
     }
 
-    /// Returns the roster: a hash of the names of the entry instances, and the names. Returns
+    /// Returns the roster: a hash of the names of the entry instances, and the instances. Returns
     /// `None` until all have had time to announce themselves.
-    pub fn roster(&self, now: Instant) -> Option<(u64, Vec<String>)> {
+    pub fn roster(&self, now: Instant) -> Option<(u64, Vec<InstanceRecord>)> {
         if now - self.started_at < ROSTER_WARM_UP {
             return None;
         }
         let mut entries = self.entries.lock().expect("no holder panics");
         entries.retain(|_, entry| now - entry.received_at < ROSTER_TIMEOUT);
-        let names: Vec<String> = entries.keys().cloned().collect();
-        let parts: Vec<&[u8]> = names.iter().map(String::as_bytes).collect();
-        Some((hash_of(&parts), names))
+        let parts: Vec<&[u8]> = entries.keys().map(String::as_bytes).collect();
+        let hash = hash_of(&parts);
+        let record = |(name, entry): (&String, &RegistryEntry)| InstanceRecord {
+            name: name.clone(),
+            region: entry.presence.region.clone(),
+        };
+        Some((hash, entries.iter().map(record).collect()))
     }
 }
--- a/daemon/tests/registry.rs
+++ b/daemon/tests/registry.rs
@@ -27,8 +27,10 @@
     assert_eq!(registry.roster(start + Duration::from_millis(500)), None);
     let later = start + Duration::from_secs(2);
     registry.record(presence("e-2", PresenceState::Ready, 1), later);
-    let (_, names) = registry.roster(later).expect("the warm-up is over");
+    let (_, instances) = registry.roster(later).expect("the warm-up is over");
+    let names: Vec<&str> = instances.iter().map(|known| known.name.as_str()).collect();
     assert_eq!(names, ["e-1", "e-2"]);
+    assert!(instances.iter().all(|known| known.region == "cairo"));
 }
 
 /// An entry instance that is partitioned from a control instance keeps sending requests with its
--- a/policy/src/steer/choosing.rs
+++ b/policy/src/steer/choosing.rs
@@ -3,10 +3,11 @@
 use tokio::time::Instant;
 
 use crate::steer::load_balancer::hash_of;
+use crate::steer::region_weights::LOCAL_WEIGHT;
 use crate::steer::upstream_entry::UpstreamEntry;
 use crate::steer::{
-    ColdStartLimiter, Decision, LoadBalancer, RegionShares, RequestContext, RouteLatency,
-    Selection, ServiceLatency, UpstreamKey,
+    Decision, InstanceShare, LoadBalancer, RequestContext, RouteLatency, Selection, ServiceLatency,
+    UpstreamKey,
 };
 
 /// Latency that a request to another region adds, in milliseconds.
@@ -73,16 +74,32 @@
         let Some(keys) = self.by_service.get(request.service) else {
             return Vec::new();
         };
-        // Requests that are bound to regions are not spread by their shares.
-        let service = self.service_keys.get(request.service);
-        let service = service.filter(|_| request.regions.is_empty());
-        let shares = service.map(|key| &self.region_shares[key.0 as usize]);
         let eligible = keys
             .iter()
             .filter(|key| self.is_eligible(request, **key, now));
-        eligible
-            .map(|key| (self.score(request.object, shares, *key), *key))
-            .collect()
+        let eligible: Vec<UpstreamKey> = eligible.copied().collect();
+        let factors = self.region_factors(request, &eligible);
+        let score = |key: UpstreamKey| {
+            let region = self.entry(key).region.0 as usize;
+            let factor = factors.get(region).copied().unwrap_or(1.0);
+            (self.score(request.object, factor, key), key)
+        };
+        eligible.into_iter().map(score).collect()
+    }
+
+    /// Returns the factors on the weights of upstreams by region; none for requests that are bound
+    /// to regions, which are not spread by the shares.
+    fn region_factors(&self, request: &RequestContext<'_>, eligible: &[UpstreamKey]) -> Vec<f64> {
+        let service = self.service_keys.get(request.service);
+        let Some(service) = service.filter(|_| request.regions.is_empty()) else {
+            return Vec::new();
+        };
+        let mut weights = vec![0.0; self.regions.len()];
+        for key in eligible {
+            let entry = self.entry(*key);
+            weights[entry.region.0 as usize] += self.weight(entry);
+        }
+        self.region_shares[service.0 as usize].factors(&weights)
     }
 
     fn is_eligible(&self, request: &RequestContext<'_>, key: UpstreamKey, now: Instant) -> bool {
@@ -114,30 +131,47 @@
     }
 
     /// Returns how many requests per second this instance may send to a cold upstream; none until
-    /// the number of instances that share the limit is known. A hash orders the instances
-    /// differently for each upstream, so that the remainder of the division does not always go to
-    /// the same ones.
+    /// the instances that share the limit are known.
     fn cold_quota(&self, entry: &UpstreamEntry) -> usize {
-        if self.instances.is_empty() {
+        let Some(share) = self.instance_share(entry) else {
             return 0;
-        }
+        };
         let per_s = self.warm_up_of(&entry.record.service).1;
         let limit_per_s = per_s * self.settings.cold_overshoot + self.settings.cold_slack;
+        share.quota(limit_per_s * COLD_LIMIT_FRACTION)
+    }
+
+    /// Returns the share of this instance in a limit on an upstream. Instances in the region of the
+    /// upstream have larger ones, as they send it most of its requests. A hash orders the instances
+    /// differently for each upstream, so that what rounding leaves over does not always go to the
+    /// same ones.
+    fn instance_share(&self, entry: &UpstreamEntry) -> Option<InstanceShare> {
         let order_of = |name: &str| hash_of(&[name.as_bytes(), entry.record.id.as_bytes()]);
-        let own = order_of(&self.settings.instance);
-        let before = self.instances.iter().filter(|name| order_of(name) < own);
-        ColdStartLimiter::quota(
-            limit_per_s * COLD_LIMIT_FRACTION,
-            self.instances.len(),
-            before.count(),
-        )
+        let region = self.region_name(entry.region);
+        let weight = |region_of_instance: &str| match region_of_instance == region {
+            true => LOCAL_WEIGHT,
+            false => 1.0,
+        };
+        let own_order = order_of(&self.settings.instance);
+        let mut share = InstanceShare {
+            before: 0.0,
+            own: weight(&self.settings.region),
+            total: 0.0,
+        };
+        for instance in &self.instances {
+            let weight = weight(&instance.region);
+            share.total += weight;
+            if order_of(&instance.name) < own_order {
+                share.before += weight;
+            }
+        }
+        (share.total > 0.0).then_some(share)
     }
 
     /// Returns the score of weighted rendezvous hashing; the upstream with the lowest one is the
     /// first for an object.
-    fn score(&self, object: u64, shares: Option<&RegionShares>, key: UpstreamKey) -> f64 {
+    fn score(&self, object: u64, factor: f64, key: UpstreamKey) -> f64 {
         let entry = self.entry(key);
-        let factor = shares.map_or(1.0, |shares| shares.factor(entry.region.0 as usize));
         let weight = self.weight(entry) * factor;
         let hash = mix_bits(entry.id_hash ^ object.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         let uniform = ((hash >> 11) as f64 + 1.0) / (1_u64 << 53) as f64;
--- /dev/null
+++ b/policy/src/steer/instance_record.rs
@@ -0,0 +1,10 @@
+use serde::{Deserialize, Serialize};
+
+/// Entry instance that may send requests to upstreams.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct InstanceRecord {
+    /// Name of the instance.
+    pub name: String,
+    /// Region of the instance.
+    pub region: String,
+}
--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -7,8 +7,8 @@
 
 use crate::steer::upstream_entry::UpstreamEntry;
 use crate::steer::{
-    Decision, RegionShares, RouteLatency, ServiceLatency, SharedLoad, SharedObject, SharedReport,
-    UpstreamLoad, UpstreamRecord,
+    Decision, InstanceRecord, RegionShares, RouteLatency, ServiceLatency, SharedLoad, SharedObject,
+    SharedReport, UpstreamLoad, UpstreamRecord,
 };
 
 /// Requests per second that a cold upstream tolerates, if the configuration does not name its
@@ -99,7 +99,7 @@
     /// traffic in one step.
     pub(super) evacuated_zones: BTreeSet<String>,
     /// Instances that may send requests to upstreams; empty until they are known.
-    pub(super) instances: Vec<String>,
+    pub(super) instances: Vec<InstanceRecord>,
     unreported_objects: Vec<SharedObject>,
     /// Names of the regions; the first one has no name and holds unknown zones.
     pub(super) regions: Vec<String>,
@@ -205,13 +205,17 @@
         self.update_region_shares(now);
     }
 
-    /// Replaces the names of the instances that may send requests to upstreams, and adds this one.
-    pub fn update_instances(&mut self, mut names: Vec<String>) {
-        if !names.contains(&self.settings.instance) {
-            names.push(self.settings.instance.clone());
+    /// Replaces the instances that may send requests to upstreams, and adds this one.
+    pub fn update_instances(&mut self, mut instances: Vec<InstanceRecord>) {
+        let own = InstanceRecord {
+            name: self.settings.instance.clone(),
+            region: self.settings.region.clone(),
+        };
+        if !instances.iter().any(|known| known.name == own.name) {
+            instances.push(own);
         }
-        names.sort();
-        self.instances = names;
+        instances.sort();
+        self.instances = instances;
     }
 
     /// Returns the number of instances that may send requests to upstreams; 1 until they are known.
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -7,6 +7,8 @@
 mod cold_start_limiter;
 mod crash_reports;
 mod decision;
+mod instance_record;
+mod instance_share;
 mod load_balancer;
 mod load_estimate;
 mod region_shares;
@@ -24,6 +26,8 @@
 pub use cold_start_limiter::ColdStartLimiter;
 pub use crash_reports::{CrashReport, CrashReports};
 pub use decision::{Decision, RequestContext, Selection};
+pub use instance_record::InstanceRecord;
+pub use instance_share::InstanceShare;
 pub use load_balancer::{
     AttemptOutcome, LoadBalancer, LoadBalancerSettings, RegionKey, UpstreamKey, hash_of,
 };
--- a/policy/src/steer/region_shares.rs
+++ b/policy/src/steer/region_shares.rs
@@ -15,14 +15,17 @@
 /// Time in which a region that is full loses half of what it has above its weight.
 const FULL_HALF_LIFE: Duration = Duration::from_millis(200);
 
+/// Largest difference of a share from its target that is not a change on its way.
+const MIN_DIFFERENCE: f64 = 1e-6;
+
 /// Weight of one region in the choice of upstreams, before and after a change.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RegionWeight {
     /// Weight that remains of the last one after upstreams failed or were evacuated; it includes
     /// those that are back from that. The share of the region follows it at once.
     pub steady: f64,
-    /// Weight now, after upstreams joined, left, became cold or warmed up as well. The share
-    /// follows these changes at the bounded rate.
+    /// Weight now, after upstreams joined or left as well. The share follows these changes at the
+    /// bounded rate.
     pub current: f64,
     /// Whether its upstreams have no room for more requests.
     pub is_full: bool,
@@ -48,13 +51,14 @@
 /// shares.update(&[weight(5.0, 1.0), weight(5.0, 5.0)], start + Duration::from_millis(500));
 /// assert!((0.45..0.5).contains(&shares.share(0)));
 /// // The few that remain get more of the requests than their weight would give them.
-/// assert!(shares.factor(0) > 2.0);
+/// assert!(shares.factors(&[1.0, 5.0])[0] > 2.0);
 /// ```
 #[derive(Clone, Debug)]
 pub struct RegionShares {
     max_change_per_s: f64,
     shares: Vec<f64>,
-    factors: Vec<f64>,
+    /// Shares that the weights give.
+    targets: Vec<f64>,
     updated_at: Option<Instant>,
 }
 
@@ -64,7 +68,7 @@
         Self {
             max_change_per_s: max_shift * BOUND_FRACTION / BOUND_WINDOW.as_secs_f64(),
             shares: Vec::new(),
-            factors: Vec::new(),
+            targets: Vec::new(),
             updated_at: None,
         }
     }
@@ -77,7 +81,7 @@
         }
         let targets = normalized(&current);
         let Some(updated_at) = self.updated_at else {
-            self.set(targets.clone(), &targets, now);
+            self.set(targets.clone(), targets, now);
             return;
         };
         let shares = self.steady_shares(weights);
@@ -100,7 +104,7 @@
         for (share, target) in shares.iter_mut().zip(&targets) {
             *share += (target - *share) * fraction;
         }
-        self.set(shares, &targets, now);
+        self.set(shares, targets, now);
     }
 
     /// Returns whether the shares were set by a first update.
@@ -113,23 +117,33 @@
         self.shares.get(region).copied().unwrap_or(0.0)
     }
 
-    /// Returns the factor on the weights of a region's upstreams that gives it its share.
-    pub fn factor(&self, region: usize) -> f64 {
-        self.factors.get(region).copied().unwrap_or(1.0)
+    /// Returns the factor for each region by which the weights of its eligible upstreams give it its
+    /// share, from the sum of these weights. What a region without eligible upstreams cannot get
+    /// goes to the others in proportion to their shares.
+    pub fn factors(&self, eligible: &[f64]) -> Vec<f64> {
+        let sum: f64 = eligible.iter().sum();
+        let in_use = eligible.iter().enumerate();
+        let in_use = in_use.filter(|(_, weight)| **weight > 0.0);
+        let shares: f64 = in_use.map(|(region, _)| self.share(region)).sum();
+        let factor = |(region, weight): (usize, &f64)| match *weight > 0.0 && shares > 0.0 {
+            true => self.share(region) / shares * sum / weight,
+            false => 1.0,
+        };
+        eligible.iter().enumerate().map(factor).collect()
     }
 
     /// Returns whether the shares are on the way to those that the weights give.
     pub fn is_moving(&self) -> bool {
-        self.factors
-            .iter()
-            .any(|factor| (factor - 1.0).abs() > 1e-6)
+        let pairs = self.shares.iter().zip(&self.targets);
+        let mut differences = pairs.map(|(share, target)| (share - target).abs());
+        differences.any(|difference| difference > MIN_DIFFERENCE)
     }
 
     /// Returns the shares after the changes that they follow at once: the factors stay as they are.
     fn steady_shares(&self, weights: &[RegionWeight]) -> Vec<f64> {
         let steady = weights.iter().enumerate();
         let weighted: Vec<f64> = steady
-            .map(|(region, weight)| weight.steady * self.factor(region))
+            .map(|(region, weight)| weight.steady * self.boost(region))
             .collect();
         match weighted.iter().sum::<f64>() > 0.0 {
             true => normalized(&weighted),
@@ -137,13 +151,17 @@
         }
     }
 
-    fn set(&mut self, shares: Vec<f64>, targets: &[f64], now: Instant) {
-        let factor = |(share, target): (&f64, &f64)| match *target > 0.0 {
-            true => share / target,
-            false => 1.0,
-        };
-        self.factors = shares.iter().zip(targets).map(factor).collect();
+    /// Returns the share of a region as a multiple of the one that its weight gives.
+    fn boost(&self, region: usize) -> f64 {
+        match self.targets.get(region) {
+            Some(target) if *target > 0.0 => self.share(region) / target,
+            _ => 1.0,
+        }
+    }
+
+    fn set(&mut self, shares: Vec<f64>, targets: Vec<f64>, now: Instant) {
         self.shares = shares;
+        self.targets = targets;
         self.updated_at = Some(now);
     }
 }
--- a/policy/src/steer/region_weights.rs
+++ b/policy/src/steer/region_weights.rs
@@ -5,12 +5,9 @@
 use crate::steer::upstream_entry::UpstreamEntry;
 use crate::steer::{LoadBalancer, RegionWeight};
 
-/// Weight of an upstream in this instance's region in the rendezvous hash; 1 in other regions.
-const LOCAL_WEIGHT: f64 = 8.0;
-
-/// Fraction of its weight with which a cold upstream counts in the weight of its region, because it
-/// takes few requests.
-const COLD_FRACTION: f64 = 0.1;
+/// Weight of an upstream in this instance's region in the rendezvous hash, and of an instance in the
+/// limits on upstreams of its region; 1 in other regions.
+pub(super) const LOCAL_WEIGHT: f64 = 8.0;
 
 /// Fraction of the slots in use at which a region counts as full.
 const FULL_UTILIZATION: f64 = 0.8;
@@ -93,17 +90,16 @@
             if !entry.is_listed && entry.counted_weight == 0.0 {
                 continue;
             }
-            let weight = self.region_weight(entry, now);
+            let weight = self.region_weight(entry);
             let sum = &mut by_service[entry.service.0 as usize][entry.region.0 as usize];
             sum.steady += weight.steady;
             sum.current += weight.current;
             if weight.current > 0.0 {
                 rooms[entry.service.0 as usize][entry.region.0 as usize].add(entry, now);
             }
-            let is_whole = weight.current >= self.weight(entry);
             let has_failed = self.has_failed(entry);
             let entry = &mut self.entries_mut()[index];
-            entry.is_released = has_failed || (entry.is_released && !is_whole);
+            entry.is_released = has_failed;
             entry.counted_weight = weight.current;
         }
         let services = self.region_shares.iter_mut().zip(by_service).zip(rooms);
@@ -115,19 +111,12 @@
         }
     }
 
-    /// Returns what an upstream adds to the weight of its region. Failures, evacuations and the
-    /// return from them change the steady part as well.
-    fn region_weight(&self, entry: &UpstreamEntry, now: Instant) -> RegionWeight {
+    /// Returns what an upstream adds to the weight of its region; cold ones count whole. Failures,
+    /// evacuations and the return from them change the steady part as well.
+    fn region_weight(&self, entry: &UpstreamEntry) -> RegionWeight {
         let has_failed = self.has_failed(entry);
         let is_used = entry.is_listed && !entry.record.leaving && !has_failed;
-        // The first shares are those of instances that run already, so cold upstreams count whole.
-        let is_first = !self.region_shares[entry.service.0 as usize].is_set();
-        let fraction = match is_used {
-            false => 0.0,
-            true if entry.is_cold(now) && !is_first => COLD_FRACTION,
-            true => 1.0,
-        };
-        let current = self.weight(entry) * fraction;
+        let current = if is_used { self.weight(entry) } else { 0.0 };
         let is_steady = has_failed || entry.is_released;
         let steady = if is_steady {
             current
--- a/policy/tests/steer/choose.rs
+++ b/policy/tests/steer/choose.rs
@@ -7,7 +7,7 @@
 };
 use tokio::time::Instant;
 
-use crate::setup::{chosen_upstream, load_balancer, request, upstream};
+use crate::setup::{chosen_upstream, instance, load_balancer, request, upstream};
 
 fn upstreams_of_four_zones() -> Vec<laburnumdeal_policy::steer::UpstreamRecord> {
     ["a1", "a2", "b1", "c1"]
@@ -129,7 +129,7 @@
     balancer.end_attempt(&decision, "all", 1, AttemptOutcome::ConnectFailed, now);
     assert_eq!(balancer.choose(&request(1), now), Selection::NoUpstream);
     let later = now + Duration::from_secs(3);
-    balancer.update_instances((0..9).map(|number| format!("e-{number}")).collect());
+    balancer.update_instances((0..9).map(|number| instance(number, "a")).collect());
     let mut sent = 0;
     while let Selection::Send(decision) = balancer.choose(&request(1), later) {
         balancer.begin_attempt(&decision, later);
--- a/policy/tests/steer/cold.rs
+++ b/policy/tests/steer/cold.rs
@@ -1,16 +1,18 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use laburnumdeal_policy::steer::{AttemptOutcome, ColdStartLimiter, LoadBalancer, Selection};
+use laburnumdeal_policy::steer::{
+    AttemptOutcome, InstanceRecord, InstanceShare, LoadBalancer, Selection,
+};
 use tokio::time::Instant;
 
-use crate::setup::{items, load_balancer, request, settings, upstream};
+use crate::setup::{instance, items, load_balancer, request, settings, upstream};
 
 /// Requests per second that a cold upstream may get from all instances: 15 x 1.5 + 5, rounded down.
 const LIMIT_PER_S: usize = 27;
 
-fn instance_names(count: usize) -> Vec<String> {
-    (0..count).map(|number| format!("e-{number}")).collect()
+fn instances(count: usize) -> Vec<InstanceRecord> {
+    (0..count).map(|number| instance(number, "a")).collect()
 }
 
 /// Requests after which an upstream counts as not limited.
@@ -33,10 +35,24 @@
 #[test]
 fn quota_of_all_instances_adds_up_to_the_limit() {
     for instances in 1..80 {
-        let sum: usize = (0..instances)
-            .map(|rank| ColdStartLimiter::quota(27.0, instances, rank))
-            .sum();
-        assert_eq!(sum, 27, "{instances} instances");
+        for local_weight in [1.0, 8.0] {
+            // Every third instance is in the region of the upstream.
+            let weight = |rank: usize| {
+                if rank.is_multiple_of(3) {
+                    local_weight
+                } else {
+                    1.0
+                }
+            };
+            let total: f64 = (0..instances).map(weight).sum();
+            let quota = |rank: usize| {
+                let before = (0..rank).map(weight).sum();
+                let own = weight(rank);
+                InstanceShare { before, own, total }.quota(27.0)
+            };
+            let sum: usize = (0..instances).map(quota).sum();
+            assert_eq!(sum, 27, "{instances} instances");
+        }
     }
 }
 
@@ -47,9 +63,10 @@
         let mut record = upstream(0, "a1", 9);
         record.cold_ms = 3_000;
         let mut sum = 0;
-        for name in instance_names(count) {
-            let mut balancer = load_balancer(&name, "a", std::slice::from_ref(&record), now);
-            balancer.update_instances(instance_names(count));
+        for record_of_instance in instances(count) {
+            let name = &record_of_instance.name;
+            let mut balancer = load_balancer(name, "a", std::slice::from_ref(&record), now);
+            balancer.update_instances(instances(count));
             sum += send_all(&mut balancer, now);
         }
         assert!(
@@ -70,7 +87,7 @@
     balancer.update_items(&items());
     balancer.update_upstreams(&[record], now);
     assert_eq!(send_all(&mut balancer, now), 0);
-    balancer.update_instances(instance_names(9));
+    balancer.update_instances(instances(9));
     assert!((1..=LIMIT_PER_S).contains(&send_all(&mut balancer, now)));
 }
 
@@ -78,7 +95,7 @@
 fn update_evacuated_zones_upstreams_of_a_returning_zone_are_cold() {
     let start = Instant::now();
     let mut balancer = load_balancer("e-0", "a", &[upstream(0, "a1", 9)], start);
-    balancer.update_instances(instance_names(9));
+    balancer.update_instances(instances(9));
     balancer.update_evacuated_zones(BTreeSet::from(["a1".to_owned()]), start);
     let returned_at = start + Duration::from_secs(8);
     balancer.update_evacuated_zones(BTreeSet::new(), returned_at);
--- a/policy/tests/steer/region_shares.rs
+++ b/policy/tests/steer/region_shares.rs
@@ -5,13 +5,13 @@
 
 use laburnumdeal_policy::steer::{
     AttemptOutcome, Decision, LoadBalancer, RegionShares, RegionWeight, RequestContext, Selection,
-    UpstreamKey, UpstreamLoad, UpstreamRecord,
+    SharedReport, UpstreamKey, UpstreamLoad, UpstreamRecord,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
-use crate::setup::{load_balancer, request, upstream};
+use crate::setup::{instance, load_balancer, request, upstream};
 
 /// Entry instances of region a, all of which hear of a change at the same moment.
 const INSTANCES: usize = 12;
@@ -36,8 +36,15 @@
 /// Time of the change that a test makes.
 const CHANGE_MS: u64 = 6_000;
 
+/// Interval at which the instances exchange reports.
+const REPORT_INTERVAL_MS: u64 = 250;
+
+/// Objects that requests concern; so many that each one is new to the upstreams.
 const OBJECTS: u64 = 100_000;
 
+/// Objects that the upstreams hold in their caches after a few seconds.
+const CACHED_OBJECTS: u64 = 300;
+
 /// Entry instances of region a and the requests that they sent.
 struct RegionRun {
     start: Instant,
@@ -48,6 +55,7 @@
     /// Time and first letter of the zone of each request that was sent.
     sent: Vec<(u64, u8)>,
     refused: Vec<u64>,
+    objects: u64,
     /// Upstreams that refuse connections.
     down: BTreeSet<String>,
     /// Time that an upstream needs for a request; 0 for upstreams that are never busy.
@@ -70,10 +78,12 @@
             .collect();
         let start = Instant::now();
         let name = |number: usize| format!("e-{number}");
-        let names: Vec<String> = (0..INSTANCES + OTHER_INSTANCES).map(name).collect();
+        let region = |number: usize| if number < INSTANCES { "a" } else { "b" };
+        let record = |number: usize| instance(number, region(number));
+        let instances: Vec<_> = (0..INSTANCES + OTHER_INSTANCES).map(record).collect();
         let balancers = (0..INSTANCES).map(|number| {
             let mut balancer = load_balancer(&name(number), "a", &records, start);
-            balancer.update_instances(names.clone());
+            balancer.update_instances(instances.clone());
             balancer
         });
         Self {
@@ -84,6 +94,7 @@
             now_ms: 0,
             sent: Vec::new(),
             refused: Vec::new(),
+            objects: OBJECTS,
             down: BTreeSet::new(),
             service_ms: 0,
             loads: HashMap::new(),
@@ -100,15 +111,33 @@
         while self.now_ms < end_ms {
             self.now_ms += 1;
             self.end_requests();
+            if self.now_ms.is_multiple_of(REPORT_INTERVAL_MS) {
+                self.share_reports();
+            }
             if self.generator.random::<f64>() < REQUESTS_PER_S / 1_000.0 {
                 self.arrive();
             }
         }
     }
 
+    /// Tells all instances what each of them has learned since the last time.
+    fn share_reports(&mut self) {
+        let now = self.now();
+        let since = now - Duration::from_millis(2 * REPORT_INTERVAL_MS);
+        let mut all = SharedReport::default();
+        for balancer in &mut self.balancers {
+            let report = balancer.take_report(since, now);
+            all.loads.extend(report.loads);
+            all.objects.extend(report.objects);
+        }
+        for balancer in &mut self.balancers {
+            balancer.merge_report(&all, now);
+        }
+    }
+
     /// Sends one request; a further attempt follows when the connection is refused.
     fn arrive(&mut self) {
-        let (object, now) = (self.generator.random_range(0..OBJECTS), self.now());
+        let (object, now) = (self.generator.random_range(0..self.objects), self.now());
         let instance = self.generator.random_range(0..INSTANCES);
         let mut tried = Vec::new();
         loop {
@@ -279,6 +308,7 @@
 #[test]
 fn choose_region_that_becomes_cold_keeps_its_requests() {
     let mut run = RegionRun::new();
+    run.objects = CACHED_OBJECTS;
     run.run_until(CHANGE_MS);
     run.change(|records| {
         records[..UPSTREAMS]
@@ -410,15 +440,22 @@
 }
 
 #[test]
-fn factor_gives_a_region_its_share() {
+fn factors_give_regions_their_shares() {
     let (mut shares, start) = equal_shares();
     let later = start + Duration::from_millis(500);
     shares.update(&weights(&[(4.0, 1.0), (4.0, 4.0)]), later);
-    let weighted = |region: usize, weight: f64| shares.factor(region) * weight;
-    let (first, second) = (weighted(0, 1.0), weighted(1, 4.0));
+    let factors = shares.factors(&[0.5, 4.0]);
+    let (first, second) = (factors[0] * 0.5, factors[1] * 4.0);
     assert!((first / (first + second) - shares.share(0)).abs() < 1e-9);
 }
 
+#[test]
+fn factors_region_without_eligible_upstreams_leaves_its_share_to_the_others() {
+    let (shares, _) = equal_shares();
+    let factors = shares.factors(&[0.0, 3.0]);
+    assert!((factors[1] - 1.0).abs() < 1e-9);
+}
+
 /// Guards against refusals for the sake of the bound.
 #[test]
 fn update_full_region_above_its_weight_is_relieved() {
--- a/policy/tests/steer/setup.rs
+++ b/policy/tests/steer/setup.rs
@@ -3,7 +3,8 @@
 
 use laburnumdeal_model::{Item, ItemKey, ItemValue, Items, NamedItem, RouteItem, ServiceItem};
 use laburnumdeal_policy::steer::{
-    LoadBalancer, LoadBalancerSettings, RequestContext, Selection, UpstreamKey, UpstreamRecord,
+    InstanceRecord, LoadBalancer, LoadBalancerSettings, RequestContext, Selection, UpstreamKey,
+    UpstreamRecord,
 };
 use tokio::time::Instant;
 
@@ -22,6 +23,13 @@
     }
 }
 
+pub fn instance(number: usize, region: &str) -> InstanceRecord {
+    InstanceRecord {
+        name: format!("e-{number}"),
+        region: region.into(),
+    }
+}
+
 pub fn upstream(number: usize, zone: &str, slots: u32) -> UpstreamRecord {
     UpstreamRecord {
         id: format!("u-{number}"),
@@ -79,7 +87,7 @@
     let mut balancer = LoadBalancer::new(settings(instance, region));
     balancer.update_items(&items());
     balancer.update_upstreams(records, now);
-    balancer.update_instances(vec![instance.to_owned()]);
+    balancer.update_instances(Vec::new());
     balancer
 }
 
