Set the shares of regions at once while no request is sent

The first list that an instance gets is not complete, and without requests the shares followed the next ones in steps of half a second at most, so that they were wrong for seconds when callers came.

Two faults of the same code that were suspected first are mended as well: a region was given the part of its new, cold upstreams before they had warmed up, and the upstreams of a region took the part of one that sheds, instead of all upstreams.

--- a/policy/src/steer/choosing.rs
+++ b/policy/src/steer/choosing.rs
@@ -6,8 +6,8 @@
 use crate::steer::region_weights::LOCAL_WEIGHT;
 use crate::steer::upstream_entry::UpstreamEntry;
 use crate::steer::{
-    Decision, InstanceShare, LoadBalancer, RequestContext, RouteLatency, Selection, ServiceLatency,
-    UpstreamKey,
+    Decision, EligibleWeight, InstanceShare, LoadBalancer, RequestContext, RouteLatency, Selection,
+    ServiceLatency, UpstreamKey,
 };
 
 /// Latency that a request to another region adds, in milliseconds.
@@ -74,11 +74,18 @@
         let Some(keys) = self.by_service.get(request.service) else {
             return Vec::new();
         };
-        let eligible = keys
-            .iter()
-            .filter(|key| self.is_eligible(request, **key, now));
-        let eligible: Vec<UpstreamKey> = eligible.copied().collect();
-        let factors = self.region_factors(request, &eligible);
+        let mut eligible = Vec::with_capacity(keys.len());
+        let mut weights = vec![EligibleWeight::default(); self.regions.len()];
+        for key in keys.iter().filter(|key| self.is_open(request, **key, now)) {
+            let entry = self.entry(*key);
+            let (weight, sum) = (self.weight(entry), &mut weights[entry.region.0 as usize]);
+            sum.open += weight * self.weight_fraction(entry, now);
+            if self.is_within_quota(entry, now) {
+                sum.eligible += weight;
+                eligible.push(*key);
+            }
+        }
+        let factors = self.region_factors(request, &weights);
         let score = |key: UpstreamKey| {
             let region = self.entry(key).region.0 as usize;
             let factor = factors.get(region).copied().unwrap_or(1.0);
@@ -89,20 +96,16 @@
 
     /// Returns the factors on the weights of upstreams by region; none for requests that are bound
     /// to regions, which are not spread by the shares.
-    fn region_factors(&self, request: &RequestContext<'_>, eligible: &[UpstreamKey]) -> Vec<f64> {
+    fn region_factors(&self, request: &RequestContext<'_>, weights: &[EligibleWeight]) -> Vec<f64> {
         let service = self.service_keys.get(request.service);
-        let Some(service) = service.filter(|_| request.regions.is_empty()) else {
-            return Vec::new();
-        };
-        let mut weights = vec![0.0; self.regions.len()];
-        for key in eligible {
-            let entry = self.entry(*key);
-            weights[entry.region.0 as usize] += self.weight(entry);
-        }
-        self.region_shares[service.0 as usize].factors(&weights)
+        let service = service.filter(|_| request.regions.is_empty());
+        service.map_or_else(Vec::new, |key| {
+            self.region_shares[key.0 as usize].factors(weights)
+        })
     }
 
-    fn is_eligible(&self, request: &RequestContext<'_>, key: UpstreamKey, now: Instant) -> bool {
+    /// Returns whether a request may be sent to an upstream, apart from quotas.
+    fn is_open(&self, request: &RequestContext<'_>, key: UpstreamKey, now: Instant) -> bool {
         let entry = self.entry(key);
         let zone = &entry.record.zone;
         let is_allowed = |regions: &[String]| {
@@ -113,7 +116,10 @@
             && !request.tried.contains(&key)
             && !self.evacuated_zones.contains(zone)
             && is_allowed(request.regions)
-            && (!entry.is_cold(now) || entry.cold_start_limiter.allows(self.cold_quota(entry), now))
+    }
+
+    fn is_within_quota(&self, entry: &UpstreamEntry, now: Instant) -> bool {
+        !entry.is_cold(now) || entry.cold_start_limiter.allows(self.cold_quota(entry), now)
     }
 
     /// Returns whether an upstream is considered for an object: the first by rank, any that holds
--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -255,7 +255,9 @@
     /// Records the start of an attempt, before the request is sent.
     pub fn begin_attempt(&mut self, decision: &Decision, now: Instant) {
         self.update_region_shares_if_due(now);
-        let is_cold = self.entry(decision.upstream).is_cold(now);
+        let entry = self.entry(decision.upstream);
+        let (is_cold, service) = (entry.is_cold(now), entry.service);
+        self.region_shares[service.0 as usize].record_request(now);
         let entry = self.entry_mut(decision.upstream);
         entry.begin_attempt(now);
         if is_cold {
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -32,7 +32,7 @@
     AttemptOutcome, LoadBalancer, LoadBalancerSettings, RegionKey, UpstreamKey, hash_of,
 };
 pub use load_estimate::{LoadEstimate, UpstreamLoad};
-pub use region_shares::{RegionShares, RegionWeight};
+pub use region_shares::{EligibleWeight, RegionShares, RegionWeight};
 pub use region_weights::RegionShare;
 pub use retry_budget_share::RetryBudgetShare;
 pub use route_latency::RouteLatency;
--- a/policy/src/steer/region_shares.rs
+++ b/policy/src/steer/region_shares.rs
@@ -24,13 +24,22 @@
     /// Weight that remains of the last one after upstreams failed or were evacuated; it includes
     /// those that are back from that. The share of the region follows it at once.
     pub steady: f64,
-    /// Weight now, after upstreams joined or left as well. The share follows these changes at the
-    /// bounded rate.
+    /// Weight now, after upstreams joined, left, became cold or warmed up as well. The share
+    /// follows these changes at the bounded rate.
     pub current: f64,
     /// Whether its upstreams have no room for more requests.
     pub is_full: bool,
 }
 
+/// Weight of the upstreams of one region that a request may be sent to.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EligibleWeight {
+    /// Of those that accept it, as they count in the weight of the region.
+    pub open: f64,
+    /// Of those among them at which this instance has not used up its quota.
+    pub eligible: f64,
+}
+
 /// Share of each region in the requests that an instance sends for a service. The shares follow the
 /// weights of the regions, but no faster than a bound allows, because all instances hear of a
 /// change at the same moment. What a full region cannot serve is not held back. Since every instance bounds its own shares, the sum over all instances
@@ -39,7 +48,7 @@
 /// # Examples
 ///
 /// ```
-/// use laburnumdeal_policy::steer::{RegionShares, RegionWeight};
+/// use laburnumdeal_policy::steer::{EligibleWeight, RegionShares, RegionWeight};
 /// use std::time::Duration;
 /// use tokio::time::Instant;
 ///
@@ -47,11 +56,13 @@
 /// let start = Instant::now();
 /// let mut shares = RegionShares::new(0.15);
 /// shares.update(&[weight(5.0, 5.0), weight(5.0, 5.0)], start);
+/// shares.record_request(start);
 /// // Most of the first region leaves; its share shrinks by a few hundredths only.
 /// shares.update(&[weight(5.0, 1.0), weight(5.0, 5.0)], start + Duration::from_millis(500));
 /// assert!((0.45..0.5).contains(&shares.share(0)));
 /// // The few that remain get more of the requests than their weight would give them.
-/// assert!(shares.factors(&[1.0, 5.0])[0] > 2.0);
+/// let weights = [1.0, 5.0].map(|weight| EligibleWeight { open: weight, eligible: weight });
+/// assert!(shares.factors(&weights)[0] > 2.0);
 /// ```
 #[derive(Clone, Debug)]
 pub struct RegionShares {
@@ -60,6 +71,7 @@
     /// Shares that the weights give.
     targets: Vec<f64>,
     updated_at: Option<Instant>,
+    requested_at: Option<Instant>,
 }
 
 impl RegionShares {
@@ -70,17 +82,28 @@
             shares: Vec::new(),
             targets: Vec::new(),
             updated_at: None,
+            requested_at: None,
         }
     }
 
-    /// Moves the shares towards the weights of the regions. The first update sets them.
+    /// Records a request that is sent now.
+    pub fn record_request(&mut self, now: Instant) {
+        self.requested_at = Some(now);
+    }
+
+    /// Moves the shares towards the weights of the regions. The first update sets them, and so does
+    /// one after a window without requests, of which none can change its region.
     pub fn update(&mut self, weights: &[RegionWeight], now: Instant) {
         let current: Vec<f64> = weights.iter().map(|weight| weight.current).collect();
         if current.iter().sum::<f64>() <= 0.0 {
             return;
         }
         let targets = normalized(&current);
-        let Some(updated_at) = self.updated_at else {
+        let is_idle = self
+            .requested_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= BOUND_WINDOW);
+        let updated_at = self.updated_at.filter(|_| !is_idle);
+        let Some(updated_at) = updated_at else {
             self.set(targets.clone(), targets, now);
             return;
         };
@@ -117,19 +140,14 @@
         self.shares.get(region).copied().unwrap_or(0.0)
     }
 
-    /// Returns the factor for each region by which the weights of its eligible upstreams give it its
-    /// share, from the sum of these weights. What a region without eligible upstreams cannot get
-    /// goes to the others in proportion to their shares.
-    pub fn factors(&self, eligible: &[f64]) -> Vec<f64> {
-        let sum: f64 = eligible.iter().sum();
-        let in_use = eligible.iter().enumerate();
-        let in_use = in_use.filter(|(_, weight)| **weight > 0.0);
-        let shares: f64 = in_use.map(|(region, _)| self.share(region)).sum();
-        let factor = |(region, weight): (usize, &f64)| match *weight > 0.0 && shares > 0.0 {
-            true => self.share(region) / shares * sum / weight,
+    /// Returns the factor for each region on the weights of its eligible upstreams. It gives the
+    /// region what its open upstreams would get, in proportion to the shares.
+    pub fn factors(&self, weights: &[EligibleWeight]) -> Vec<f64> {
+        let factor = |(region, weight): (usize, &EligibleWeight)| match weight.eligible > 0.0 {
+            true => self.boost(region) * weight.open / weight.eligible,
             false => 1.0,
         };
-        eligible.iter().enumerate().map(factor).collect()
+        weights.iter().enumerate().map(factor).collect()
     }
 
     /// Returns whether the shares are on the way to those that the weights give.
--- a/policy/src/steer/region_weights.rs
+++ b/policy/src/steer/region_weights.rs
@@ -9,6 +9,10 @@
 /// limits on upstreams of its region; 1 in other regions.
 pub(super) const LOCAL_WEIGHT: f64 = 8.0;
 
+/// Fraction of its weight with which a cold upstream counts in the weight of its region. A region
+/// would otherwise send the part of its new upstreams to the others until they have warmed up.
+const COLD_FRACTION: f64 = 0.1;
+
 /// Fraction of the slots in use at which a region counts as full.
 const FULL_UTILIZATION: f64 = 0.8;
 
@@ -70,6 +74,14 @@
         f64::from(entry.record.slots.max(1)) * if is_local { LOCAL_WEIGHT } else { 1.0 }
     }
 
+    /// Returns the fraction of its weight with which an upstream counts in that of its region.
+    pub(super) fn weight_fraction(&self, entry: &UpstreamEntry, now: Instant) -> f64 {
+        match entry.is_cold(now) {
+            true => COLD_FRACTION,
+            false => 1.0,
+        }
+    }
+
     /// Updates the shares of the regions, unless they were updated a short while ago.
     pub(super) fn update_region_shares_if_due(&mut self, now: Instant) {
         let is_due = |at: Instant| now.saturating_duration_since(at) >= UPDATE_INTERVAL;
@@ -90,16 +102,17 @@
             if !entry.is_listed && entry.counted_weight == 0.0 {
                 continue;
             }
-            let weight = self.region_weight(entry);
+            let weight = self.region_weight(entry, now);
             let sum = &mut by_service[entry.service.0 as usize][entry.region.0 as usize];
             sum.steady += weight.steady;
             sum.current += weight.current;
             if weight.current > 0.0 {
                 rooms[entry.service.0 as usize][entry.region.0 as usize].add(entry, now);
             }
-            let has_failed = self.has_failed(entry);
+            let (has_failed, is_whole) =
+                (self.has_failed(entry), weight.current >= self.weight(entry));
             let entry = &mut self.entries_mut()[index];
-            entry.is_released = has_failed;
+            entry.is_released = has_failed || (entry.is_released && !is_whole);
             entry.counted_weight = weight.current;
         }
         let services = self.region_shares.iter_mut().zip(by_service).zip(rooms);
@@ -111,12 +124,19 @@
         }
     }
 
-    /// Returns what an upstream adds to the weight of its region; cold ones count whole. Failures,
-    /// evacuations and the return from them change the steady part as well.
-    fn region_weight(&self, entry: &UpstreamEntry) -> RegionWeight {
+    /// Returns what an upstream adds to the weight of its region. Failures, evacuations and the
+    /// return from them change the steady part as well.
+    fn region_weight(&self, entry: &UpstreamEntry, now: Instant) -> RegionWeight {
         let has_failed = self.has_failed(entry);
         let is_used = entry.is_listed && !entry.record.leaving && !has_failed;
-        let current = if is_used { self.weight(entry) } else { 0.0 };
+        // The first shares are those of instances that run already, so all upstreams count whole.
+        let is_first = !self.region_shares[entry.service.0 as usize].is_set();
+        let fraction = match is_used {
+            false => 0.0,
+            true if is_first => 1.0,
+            true => self.weight_fraction(entry, now),
+        };
+        let current = self.weight(entry) * fraction;
         let is_steady = has_failed || entry.is_released;
         let steady = if is_steady {
             current
--- a/policy/src/steer/upstream_entry.rs
+++ b/policy/src/steer/upstream_entry.rs
@@ -49,7 +49,7 @@
     pub region: RegionKey,
     /// Weight with which the upstream counts in the weight of its region.
     pub counted_weight: f64,
-    /// Whether the upstream had failed or was evacuated when it was last counted.
+    /// Whether the upstream failed or was evacuated, and has not been counted whole since.
     pub is_released: bool,
     cold_until: Option<Instant>,
     /// Failures to connect since the last answer. Above 0 the upstream may have restarted
