Recognize repeats of requests with long bodies

A request that crashes upstreams is known by a fingerprint of its body. It takes the first 128 KiB now.

--- a/daemon/src/roles/buffered_body.rs
+++ b/daemon/src/roles/buffered_body.rs
@@ -1,3 +1,4 @@
+use std::borrow::Cow;
 use std::collections::VecDeque;
 
 use bytes::{Bytes, BytesMut};
@@ -66,13 +67,16 @@
         matches!(self, Self::Whole(_))
     }
 
-    /// Returns the whole body, or the first chunk of a long one, as input of the request
-    /// fingerprint.
-    pub fn prefix(&self) -> &[u8] {
-        match self {
-            Self::Whole(bytes) => bytes,
-            Self::Long(buffered, _) => buffered.front().map_or(&[], |bytes| bytes),
-        }
+    /// Returns the whole body, or the beginning of a long one, as input of the request fingerprint.
+    /// It does not depend on the pieces in which the body arrived.
+    pub fn prefix(&self) -> Cow<'_, [u8]> {
+        let buffered = match self {
+            Self::Whole(bytes) => return Cow::Borrowed(bytes),
+            Self::Long(buffered, _) => buffered,
+        };
+        let mut prefix: Vec<u8> = buffered.iter().flatten().copied().collect();
+        prefix.truncate(MAX_BUFFERED_BYTES);
+        Cow::Owned(prefix)
     }
 
     /// Returns the body for one attempt. A long body can be taken once; after that it is empty.
--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -93,7 +93,7 @@
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         let caller = routed.peer.ip().to_string();
         let method = parts.method.as_str().as_bytes();
-        let content = [caller.as_bytes(), method, path.as_bytes(), body.prefix()];
+        let content = [caller.as_bytes(), method, path.as_bytes(), &body.prefix()];
         let fingerprint = hash_of(&content);
         let known = self.state.known_crashes(fingerprint);
         if self.state.refuses(fingerprint) {
