--- a/policy/src/steer/choosing.rs
+++ b/policy/src/steer/choosing.rs
@@ -119,7 +119,7 @@
     }
 
     fn is_within_quota(&self, entry: &UpstreamEntry, now: Instant) -> bool {
-        !entry.is_cold(now) || entry.cold_start_limiter.allows(self.cold_quota(entry), now)
+        !entry.is_cold(now) || entry.cold_window.allows(self.cold_quota(entry), now)
     }
 
     /// Returns whether an upstream is considered for an object: the first by rank, any that holds
--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -261,7 +261,7 @@
         let entry = self.entry_mut(decision.upstream);
         entry.begin_attempt(now);
         if is_cold {
-            entry.cold_start_limiter.record(now);
+            entry.cold_window.record(now);
         }
     }
 
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -4,7 +4,6 @@
 
 mod cached_objects;
 mod choosing;
-mod cold_start_limiter;
 mod crash_reports;
 mod decision;
 mod instance_record;
@@ -13,6 +12,7 @@
 mod load_estimate;
 mod region_shares;
 mod region_weights;
+mod request_window;
 mod retry_budget_share;
 mod route_latency;
 mod route_table;
@@ -23,7 +23,6 @@
 mod upstream_record;
 
 pub use cached_objects::CachedObjects;
-pub use cold_start_limiter::ColdStartLimiter;
 pub use crash_reports::{CrashReport, CrashReports};
 pub use decision::{Decision, RequestContext, Selection};
 pub use instance_record::InstanceRecord;
@@ -34,6 +33,7 @@
 pub use load_estimate::{LoadEstimate, UpstreamLoad};
 pub use region_shares::{EligibleWeight, RegionShares, RegionWeight};
 pub use region_weights::RegionShare;
+pub use request_window::RequestWindow;
 pub use retry_budget_share::RetryBudgetShare;
 pub use route_latency::RouteLatency;
 pub use route_table::{Route, RouteTable};
--- a/policy/src/steer/upstream_entry.rs
+++ b/policy/src/steer/upstream_entry.rs
@@ -4,8 +4,7 @@
 
 use crate::steer::load_balancer::{ServiceKey, hash_of};
 use crate::steer::{
-    AttemptOutcome, CachedObjects, ColdStartLimiter, Decision, LoadEstimate, RegionKey,
-    UpstreamRecord,
+    AttemptOutcome, CachedObjects, Decision, LoadEstimate, RegionKey, RequestWindow, UpstreamRecord,
 };
 
 /// Weight of a new measurement in the moving average of the slowdown.
@@ -36,6 +35,9 @@
 /// Time without any answer to in-flight requests that adds no cost, in milliseconds.
 const MAX_SILENCE_MS: f64 = 600.0;
 
+/// Window that the limit on cold upstreams refers to.
+const COLD_WINDOW: Duration = Duration::from_secs(1);
+
 /// State of one upstream, as far as this instance knows it.
 #[derive(Debug)]
 pub(super) struct UpstreamEntry {
@@ -44,7 +46,8 @@
     pub is_listed: bool,
     pub load: LoadEstimate,
     pub cached_objects: CachedObjects,
-    pub cold_start_limiter: ColdStartLimiter,
+    /// Requests that were sent while the upstream was cold.
+    pub cold_window: RequestWindow,
     pub service: ServiceKey,
     pub region: RegionKey,
     /// Weight with which the upstream counts in the weight of its region.
@@ -74,7 +77,7 @@
             is_listed: true,
             load: LoadEstimate::default(),
             cached_objects: CachedObjects::default(),
-            cold_start_limiter: ColdStartLimiter::default(),
+            cold_window: RequestWindow::new(COLD_WINDOW),
             service,
             region,
             counted_weight: 0.0,
