Keep the limits that upstreams name on their requests

Each entry instance now keeps a fixed quota of the limit over 4 s, larger in the region of the upstream, so that the quotas of all add up to the limit without a message. The limit holds until an answer does not name it. Instances without a quota send one request from time to time, since only an answer tells that the limit has ended; instances of a region tell each other what answers name. A request goes to another upstream, or is refused at once with the time until the next one is allowed. Values that are no limit change nothing.

--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -151,6 +151,7 @@
             "caller" => routed.peer.ip().to_string(), "route" => &routed.route.name, "route_version" => routed.route.version,
             "service" => routed.service, "upstream" => upstream, "region" => region,
             "rank" => last.map_or(0, |decision| decision.rank),
+            "at_limit" => last.map_or(0, |decision| decision.at_limit),
             "expected_ms" => last.map_or(0, |decision| decision.expected_ms as u64),
             "queue_ms" => last.map_or(0, |decision| decision.queue_ms as u64),
             "load" => last.map_or(0, |decision| decision.load as u64),
--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -99,6 +99,9 @@
                     self.progress.last_decision = Some(decision);
                     return self.give_up("every upstream is busy", retry_after);
                 }
+                Selection::AtLimit { retry_after } => {
+                    return self.give_up("every upstream is at its limit", retry_after);
+                }
                 Selection::NoUpstream => {
                     return self.give_up("no upstream takes work", DEFAULT_RETRY_AFTER);
                 }
--- a/daemon/src/roles/header_codec.rs
+++ b/daemon/src/roles/header_codec.rs
@@ -2,7 +2,7 @@
 
 use http::header::HeaderName;
 use http::{HeaderMap, HeaderValue};
-use laburnumdeal_policy::steer::UpstreamLoad;
+use laburnumdeal_policy::steer::{LimitNotice, UpstreamLoad};
 
 /// Names and value formats of the headers that an entry instance exchanges with callers and
 /// upstreams.
@@ -23,6 +23,9 @@
     /// Returns the load that an upstream reports in the headers of an answer.
     fn load(headers: &HeaderMap) -> Option<UpstreamLoad>;
 
+    /// Returns what the headers of an answer say of the requests that the upstream takes.
+    fn limit(headers: &HeaderMap) -> LimitNotice;
+
     /// Formats the delay after which a caller should retry, as the value of `Retry-After`.
     fn retry_after(delay: Duration) -> HeaderValue;
 }
--- a/daemon/src/roles/node_metrics.rs
+++ b/daemon/src/roles/node_metrics.rs
@@ -33,6 +33,7 @@
     dropped_lines: Counter,
     crash_checks: Family<ResultLabels, Counter>,
     crash_reports: Gauge,
+    limited_upstreams: Gauge,
 }
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
@@ -120,6 +121,12 @@
             "Known crashes of upstreams under requests",
             crash_reports.clone(),
         );
+        let limited_upstreams = Gauge::default();
+        registry.register(
+            "limited_upstreams",
+            "Upstreams that named a limit on their requests",
+            limited_upstreams.clone(),
+        );
         Self {
             registry: Arc::new(registry),
             requests,
@@ -135,6 +142,7 @@
             dropped_lines,
             crash_checks,
             crash_reports,
+            limited_upstreams,
         }
     }
 
@@ -213,6 +221,11 @@
         self.crash_reports.set(reports as i64);
     }
 
+    /// Sets the number of upstreams that named a limit.
+    pub fn set_limited_upstreams(&self, upstreams: usize) {
+        self.limited_upstreams.set(upstreams as i64);
+    }
+
     /// Renders all metrics in the OpenMetrics text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -5,8 +5,8 @@
 use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use laburnumdeal_policy::steer::{AttemptOutcome, Decision};
-use slog::info;
+use laburnumdeal_policy::steer::{AttemptOutcome, Decision, LimitNotice};
+use slog::{info, warn};
 use tokio::time::Instant;
 
 use crate::answer_body::AnswerBody;
@@ -267,6 +267,7 @@
             arrived: true,
         };
     }
+    record_limit::<H>(in_flight, response.headers());
     if H::reports_not_run(response.headers()) && !status.is_success() {
         in_flight.outcome = AttemptOutcome::Shed;
         guard.complete();
@@ -292,6 +293,40 @@
     }
 }
 
+/// Records the limit that an answer names, and logs one that started, changed or ended.
+fn record_limit<H: HeaderCodec>(in_flight: &InFlightAttempt, headers: &HeaderMap) {
+    let (state, key, now) = (
+        &in_flight.state,
+        in_flight.decision.upstream,
+        Instant::now(),
+    );
+    let notice = H::limit(headers);
+    let mut load_balancer = state.load_balancer();
+    let before = load_balancer.limit_per_s(key);
+    let has_changed = load_balancer.record_limit(key, notice, now);
+    if !has_changed && notice != LimitNotice::Unreadable {
+        return;
+    }
+    let upstream = load_balancer.endpoint(key).0.to_owned();
+    let limited = load_balancer.limited_upstreams();
+    drop(load_balancer);
+    state.metrics.set_limited_upstreams(limited);
+    let Some(log) = state.log.limited(true) else {
+        return;
+    };
+    let id = String::from_utf8_lossy(in_flight.id.as_bytes()).into_owned();
+    let text = |per_s: Option<f64>| per_s.map_or_else(|| "none".to_owned(), |p| p.to_string());
+    match notice {
+        LimitNotice::Unreadable => warn!(log, "unreadable limit of an upstream";
+            "upstream" => upstream, "id" => id, "kept_per_s" => text(before)),
+        LimitNotice::Unlimited => info!(log, "limit of an upstream ended";
+            "upstream" => upstream, "id" => id, "before_per_s" => text(before)),
+        LimitNotice::PerSecond(per_s) => info!(log, "limit of an upstream";
+            "upstream" => upstream, "id" => id, "per_s" => per_s,
+            "before_per_s" => text(before)),
+    }
+}
+
 /// Sends a request and returns the head of its answer. While there is none, the upstream is checked
 /// for a crash at intervals: one that ended silently is not told from a slow one otherwise before
 /// the timeout of the request.
--- a/policy/src/steer/choosing.rs
+++ b/policy/src/steer/choosing.rs
@@ -40,18 +40,52 @@
 /// because instances learn of each other with a delay.
 const COLD_LIMIT_FRACTION: f64 = 0.8;
 
+/// Upstreams that may serve a request.
+#[derive(Debug, Default)]
+struct Candidates {
+    /// Those that it may be sent to now, with their score for its object.
+    scored: Vec<(f64, UpstreamKey)>,
+    /// Number of those at their limit.
+    at_limit: usize,
+    /// Shortest time until this instance may send to one of those at their limit.
+    limit_wait: Option<Duration>,
+}
+
+impl Candidates {
+    fn add_at_limit(&mut self, wait: Duration) {
+        self.at_limit += 1;
+        self.limit_wait = Some(self.limit_wait.map_or(wait, |shortest| shortest.min(wait)));
+    }
+}
+
 impl LoadBalancer {
     /// Chooses the upstream with the lowest cost. The cost is the expected latency, plus penalties
     /// for failures and missing answers, less the part of a cache miss that pays off later. Refuses
     /// the request if the answer of even this upstream would be too late, or its queue is too long.
     pub fn choose(&self, request: &RequestContext<'_>, now: Instant) -> Selection {
-        let mut candidates = self.candidates(request, now);
+        let Candidates {
+            scored: mut candidates,
+            at_limit,
+            limit_wait,
+        } = self.candidates(request, now);
         if candidates.is_empty() {
-            return Selection::NoUpstream;
+            return match limit_wait {
+                Some(wait) => Selection::AtLimit {
+                    retry_after: retry_after(wait),
+                },
+                None => Selection::NoUpstream,
+            };
         }
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
         let estimate = |(rank, (_, key)): (usize, &(f64, UpstreamKey))| {
-            self.estimate(request, *key, rank, now)
+            let (decision, cost) = self.estimate(request, *key, rank, now);
+            (
+                Decision {
+                    at_limit,
+                    ..decision
+                },
+                cost,
+            )
         };
         let ranked = candidates.iter().enumerate();
         let considered =
@@ -69,10 +103,11 @@
         }
     }
 
-    /// Returns the upstreams that may serve the request, with their score for its object.
-    fn candidates(&self, request: &RequestContext<'_>, now: Instant) -> Vec<(f64, UpstreamKey)> {
+    /// Returns the upstreams that may serve the request.
+    fn candidates(&self, request: &RequestContext<'_>, now: Instant) -> Candidates {
+        let mut candidates = Candidates::default();
         let Some(keys) = self.by_service.get(request.service) else {
-            return Vec::new();
+            return candidates;
         };
         let mut eligible = Vec::with_capacity(keys.len());
         let mut weights = vec![EligibleWeight::default(); self.regions.len()];
@@ -80,7 +115,10 @@
             let entry = self.entry(*key);
             let (weight, sum) = (self.weight(entry), &mut weights[entry.region.0 as usize]);
             sum.open += weight * self.weight_fraction(entry, now);
-            if self.is_within_quota(entry, now) {
+            let limit_wait = self.limit_wait(entry, now);
+            if !limit_wait.is_zero() {
+                candidates.add_at_limit(limit_wait);
+            } else if self.is_within_quota(entry, now) {
                 sum.eligible += weight;
                 eligible.push(*key);
             }
@@ -91,7 +129,20 @@
             let factor = factors.get(region).copied().unwrap_or(1.0);
             (self.score(request.object, factor, key), key)
         };
-        eligible.into_iter().map(score).collect()
+        candidates.scored = eligible.into_iter().map(score).collect();
+        candidates
+    }
+
+    /// Returns the time until this instance may send to an upstream within the limit that it named.
+    fn limit_wait(&self, entry: &UpstreamEntry, now: Instant) -> Duration {
+        let Some(limit) = &entry.limit else {
+            return Duration::ZERO;
+        };
+        match self.instance_share(entry) {
+            Some(share) => limit.wait(share, now),
+            // The instances that share the limit are not known yet.
+            None => Duration::from_secs_f64(RETRY_AFTER_MS.1 / 1_000.0),
+        }
     }
 
     /// Returns the factors on the weights of upstreams by region; none for requests that are bound
@@ -163,6 +214,7 @@
             before: 0.0,
             own: weight(&self.settings.region),
             total: 0.0,
+            instances: self.instances.len(),
         };
         for instance in &self.instances {
             let weight = weight(&instance.region);
@@ -220,6 +272,7 @@
             load_age: entry.load.report_age(now),
             expects_cache_hit,
             rank,
+            at_limit: 0,
         };
         (decision, expected_ms + penalty_ms - discount_ms)
     }
@@ -237,15 +290,22 @@
 
     /// Refuses a request; the longer the queue, the later it should be retried.
     fn busy(&self, request: &RequestContext<'_>, decision: &Decision) -> Selection {
-        let (min_ms, max_ms) = RETRY_AFTER_MS;
         let excess_ms = decision.queue_ms - queue_limit_ms(request, decision) * 0.5;
+        let excess = Duration::from_secs_f64(excess_ms.max(0.0) / 1_000.0);
         Selection::Busy {
-            retry_after: Duration::from_secs_f64(excess_ms.clamp(min_ms, max_ms) / 1_000.0),
+            retry_after: retry_after(excess),
             decision: *decision,
         }
     }
 }
 
+/// Returns the time after which a caller is told to retry, for the time until there is room.
+fn retry_after(wait: Duration) -> Duration {
+    let (min_ms, max_ms) = RETRY_AFTER_MS;
+    let wait_ms = wait.as_secs_f64() * 1_000.0;
+    Duration::from_secs_f64(wait_ms.clamp(min_ms, max_ms) / 1_000.0)
+}
+
 fn has_room_for_miss(entry: &UpstreamEntry, now: Instant) -> bool {
     entry.load.estimated_requests(now) <= f64::from(entry.record.slots) * MAX_UTILIZATION_FOR_MISS
 }
--- a/policy/src/steer/decision.rs
+++ b/policy/src/steer/decision.rs
@@ -43,6 +43,8 @@
     pub expects_cache_hit: bool,
     /// Position of the upstream in the rendezvous order of the object; 0 is the first.
     pub rank: usize,
+    /// Upstreams that were passed over because this instance has sent its part of their limits.
+    pub at_limit: usize,
 }
 
 /// Result of choosing an upstream for a request.
@@ -57,6 +59,12 @@
         /// Upstream of the lowest cost.
         decision: Decision,
     },
+    /// Every upstream that would accept the request has named a limit, and this instance has sent
+    /// its part of it.
+    AtLimit {
+        /// Time after which this instance may send to one of them.
+        retry_after: Duration,
+    },
     /// No upstream of the service accepts requests.
     NoUpstream,
 }
--- a/policy/src/steer/instance_share.rs
+++ b/policy/src/steer/instance_share.rs
@@ -6,7 +6,7 @@
 /// ```
 /// use laburnumdeal_policy::steer::InstanceShare;
 ///
-/// let share = |before, own| InstanceShare { before, own, total: 9.0 };
+/// let share = |before, own| InstanceShare { before, own, total: 9.0, instances: 2 };
 /// assert_eq!(share(0.0, 1.0).quota(27.0), 3);
 /// assert_eq!(share(1.0, 8.0).quota(27.0), 24);
 /// ```
@@ -18,6 +18,8 @@
     pub own: f64,
     /// Sum of the weights of all instances; above 0.
     pub total: f64,
+    /// Number of all instances.
+    pub instances: usize,
 }
 
 impl InstanceShare {
--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -7,8 +7,8 @@
 
 use crate::steer::upstream_entry::UpstreamEntry;
 use crate::steer::{
-    Decision, InstanceRecord, RegionShares, RouteLatency, ServiceLatency, SharedLoad, SharedObject,
-    SharedReport, UpstreamLoad, UpstreamRecord,
+    Decision, InstanceRecord, LimitNotice, RegionShares, RouteLatency, ServiceLatency, SharedLimit,
+    SharedLoad, SharedObject, SharedReport, UpstreamLimit, UpstreamLoad, UpstreamRecord,
 };
 
 /// Requests per second that a cold upstream tolerates, if the configuration does not name its
@@ -270,7 +270,31 @@
         self.entry_mut(key).load.record_report(load, now);
     }
 
-    /// Returns a report for other instances: the loads that upstreams reported to this instance
+    /// Records what an answer says of the requests that the upstream takes. Returns whether the
+    /// limit started, changed or ended.
+    pub fn record_limit(&mut self, key: UpstreamKey, notice: LimitNotice, now: Instant) -> bool {
+        let per_s = match notice {
+            LimitNotice::Unlimited => None,
+            LimitNotice::PerSecond(per_s) => Some(per_s),
+            LimitNotice::Unreadable => return false,
+        };
+        let before = self.limit_per_s(key);
+        self.entry_mut(key).record_limit(per_s, now);
+        before != per_s
+    }
+
+    /// Returns the limit that an upstream has named, in requests per second.
+    pub fn limit_per_s(&self, key: UpstreamKey) -> Option<f64> {
+        self.entry(key).limit.as_ref().map(UpstreamLimit::per_s)
+    }
+
+    /// Returns the number of listed upstreams that have named a limit.
+    pub fn limited_upstreams(&self) -> usize {
+        let listed = self.entries.iter().filter(|entry| entry.is_listed);
+        listed.filter(|entry| entry.limit.is_some()).count()
+    }
+
+    /// Returns a report for other instances: the limits and loads that upstreams reported to this instance
     /// since a time, and the cached objects that have become known since the last call.
     pub fn take_report(&mut self, since: Instant, now: Instant) -> SharedReport {
         let listed = self.entries.iter().filter(|entry| entry.is_listed);
@@ -282,7 +306,16 @@
                 age_ms: (now - reported_at).as_millis() as u32,
             })
         };
+        let limit = |entry: &UpstreamEntry| {
+            let (per_s, answered_at) = entry.own_limit?;
+            (answered_at >= since).then(|| SharedLimit {
+                upstream: entry.id_hash,
+                per_s,
+                age_ms: (now - answered_at).as_millis() as u32,
+            })
+        };
         SharedReport {
+            limits: listed.clone().filter_map(limit).collect(),
             loads: listed.filter_map(load).collect(),
             objects: std::mem::take(&mut self.unreported_objects),
         }
@@ -300,6 +333,14 @@
                     .record_shared_report(load.requests, reported_at, now);
             }
         }
+        for limit in &report.limits {
+            let age = Duration::from_millis(u64::from(limit.age_ms));
+            let known = self.by_hash.get(&limit.upstream).copied();
+            if let (Some(key), Some(answered_at)) = (known, now.checked_sub(age)) {
+                self.entry_mut(key)
+                    .record_shared_limit(limit.per_s, answered_at);
+            }
+        }
         for shared in &report.objects {
             if let Some(key) = self.by_hash.get(&shared.upstream).copied() {
                 self.entry_mut(key)
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -8,6 +8,7 @@
 mod decision;
 mod instance_record;
 mod instance_share;
+mod limit_notice;
 mod load_balancer;
 mod load_estimate;
 mod region_shares;
@@ -20,6 +21,7 @@
 mod shared_report;
 mod unanswered_attempts;
 mod upstream_entry;
+mod upstream_limit;
 mod upstream_record;
 
 pub use cached_objects::CachedObjects;
@@ -27,6 +29,7 @@
 pub use decision::{Decision, RequestContext, Selection};
 pub use instance_record::InstanceRecord;
 pub use instance_share::InstanceShare;
+pub use limit_notice::LimitNotice;
 pub use load_balancer::{
     AttemptOutcome, LoadBalancer, LoadBalancerSettings, RegionKey, UpstreamKey, hash_of,
 };
@@ -38,6 +41,7 @@
 pub use route_latency::RouteLatency;
 pub use route_table::{Route, RouteTable};
 pub use service_latency::ServiceLatency;
-pub use shared_report::{SharedLoad, SharedObject, SharedReport};
+pub use shared_report::{SharedLimit, SharedLoad, SharedObject, SharedReport};
 pub use unanswered_attempts::UnansweredAttempts;
+pub use upstream_limit::UpstreamLimit;
 pub use upstream_record::UpstreamRecord;
--- a/policy/src/steer/region_weights.rs
+++ b/policy/src/steer/region_weights.rs
@@ -9,9 +9,9 @@
 /// limits on upstreams of its region; 1 in other regions.
 pub(super) const LOCAL_WEIGHT: f64 = 8.0;
 
-/// Fraction of its weight with which a cold upstream counts in the weight of its region. A region
-/// would otherwise send the part of its new upstreams to the others until they have warmed up.
-const COLD_FRACTION: f64 = 0.1;
+/// Fraction of its weight with which an upstream counts in the weight of its region while it is cold
+/// or has named a limit. A region would otherwise send the part of such upstreams to its others.
+const RESTRICTED_FRACTION: f64 = 0.1;
 
 /// Fraction of the slots in use at which a region counts as full.
 const FULL_UTILIZATION: f64 = 0.8;
@@ -76,8 +76,8 @@
 
     /// Returns the fraction of its weight with which an upstream counts in that of its region.
     pub(super) fn weight_fraction(&self, entry: &UpstreamEntry, now: Instant) -> f64 {
-        match entry.is_cold(now) {
-            true => COLD_FRACTION,
+        match entry.is_cold(now) || entry.limit.is_some() {
+            true => RESTRICTED_FRACTION,
             false => 1.0,
         }
     }
--- a/policy/src/steer/request_window.rs
+++ b/policy/src/steer/request_window.rs
@@ -40,8 +40,17 @@
 
     /// Returns whether one more request keeps within `quota` in the current window.
     pub fn allows(&self, quota: usize, now: Instant) -> bool {
-        let recent = self.sent_at.iter().filter(|at| now - **at < self.length);
-        recent.count() < quota
+        quota > 0 && self.wait(quota, now).is_zero()
+    }
+
+    /// Returns the time until one more request keeps within `quota`, which must be above 0.
+    pub fn wait(&self, quota: usize, now: Instant) -> Duration {
+        // The newest of the requests that have to leave the window first.
+        let blocking = self.sent_at.len().checked_sub(quota);
+        let blocking = blocking.and_then(|index| self.sent_at.get(index));
+        blocking.map_or(Duration::ZERO, |at| {
+            (*at + self.length).saturating_duration_since(now)
+        })
     }
 
     /// Records a request that is sent now.
--- a/policy/src/steer/shared_report.rs
+++ b/policy/src/steer/shared_report.rs
@@ -20,10 +20,23 @@
     pub object: u64,
 }
 
-/// Loads and cached objects of upstreams that instances report to each other, since with many
+/// Limit that an upstream named in an answer to one instance, or that such an answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SharedLimit {
+    /// Hash of the upstream's identity.
+    pub upstream: u64,
+    /// Requests per second that it takes from all instances together; `None` for no limit.
+    pub per_s: Option<f64>,
+    /// Time since the answer.
+    pub age_ms: u32,
+}
+
+/// Limits, loads and cached objects of upstreams that instances report to each other, since with many
 /// instances each by itself receives too few answers of an upstream.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct SharedReport {
+    /// Limits that upstreams named or ended.
+    pub limits: Vec<SharedLimit>,
     /// Loads that upstreams reported.
     pub loads: Vec<SharedLoad>,
     /// Objects that upstreams handled.
--- a/policy/src/steer/upstream_entry.rs
+++ b/policy/src/steer/upstream_entry.rs
@@ -4,7 +4,8 @@
 
 use crate::steer::load_balancer::{ServiceKey, hash_of};
 use crate::steer::{
-    AttemptOutcome, CachedObjects, Decision, LoadEstimate, RegionKey, RequestWindow, UpstreamRecord,
+    AttemptOutcome, CachedObjects, Decision, LoadEstimate, RegionKey, RequestWindow, UpstreamLimit,
+    UpstreamRecord,
 };
 
 /// Weight of a new measurement in the moving average of the slowdown.
@@ -54,6 +55,12 @@
     pub counted_weight: f64,
     /// Whether the upstream failed or was evacuated, and has not been counted whole since.
     pub is_released: bool,
+    pub limit: Option<UpstreamLimit>,
+    /// Limit in requests per second, or its end, in the last answer to this instance that named one
+    /// or ended one, for reports to other instances.
+    pub own_limit: Option<(Option<f64>, Instant)>,
+    /// Time of the newest answer to any instance that is known to have named or ended a limit.
+    limit_changed_at: Option<Instant>,
     cold_until: Option<Instant>,
     /// Failures to connect since the last answer. Above 0 the upstream may have restarted
     /// unnoticed, so that it counts as cold.
@@ -82,6 +89,9 @@
             region,
             counted_weight: 0.0,
             is_released: false,
+            limit: None,
+            own_limit: None,
+            limit_changed_at: None,
             cold_until: None,
             connect_failures: 0,
             backoff_until: None,
@@ -156,8 +166,38 @@
         (silence_ms - MAX_SILENCE_MS).max(0.0)
     }
 
+    /// Records the limit in an answer to this instance, or that it names none.
+    pub fn record_limit(&mut self, per_s: Option<f64>, now: Instant) {
+        if per_s.is_some() || self.limit.is_some() {
+            self.own_limit = Some((per_s, now));
+            self.set_limit(per_s, now);
+        }
+    }
+
+    /// Records the limit in an answer to another instance, unless a newer answer is known.
+    pub fn record_shared_limit(&mut self, per_s: Option<f64>, answered_at: Instant) {
+        if self
+            .limit_changed_at
+            .is_none_or(|known| known < answered_at)
+        {
+            self.set_limit(per_s, answered_at);
+        }
+    }
+
+    fn set_limit(&mut self, per_s: Option<f64>, answered_at: Instant) {
+        self.limit_changed_at = Some(answered_at);
+        match (per_s, &mut self.limit) {
+            (Some(per_s), Some(limit)) => limit.update(per_s, answered_at),
+            (Some(per_s), None) => self.limit = Some(UpstreamLimit::new(per_s, answered_at)),
+            (None, _) => self.limit = None,
+        }
+    }
+
     pub fn begin_attempt(&mut self, now: Instant) {
         self.load.begin_request();
+        if let Some(limit) = &mut self.limit {
+            limit.record_request(now);
+        }
         self.unanswered_since.get_or_insert(now);
     }
 
--- a/policy/tests/steer/cold.rs
+++ b/policy/tests/steer/cold.rs
@@ -48,7 +48,13 @@
             let quota = |rank: usize| {
                 let before = (0..rank).map(weight).sum();
                 let own = weight(rank);
-                InstanceShare { before, own, total }.quota(27.0)
+                let share = InstanceShare {
+                    before,
+                    own,
+                    total,
+                    instances,
+                };
+                share.quota(27.0)
             };
             let sum: usize = (0..instances).map(quota).sum();
             assert_eq!(sum, 27, "{instances} instances");
--- a/policy/tests/steer/main.rs
+++ b/policy/tests/steer/main.rs
@@ -3,6 +3,7 @@
 mod choose;
 mod cold;
 mod crash_reports;
+mod limits;
 mod load;
 mod region_shares;
 mod routes;
