Bound what answers without end take

Upstreams in trouble send bytes without end, in a head, interim answers, a body or trailers. An answer without a length was buffered up to 8 MiB, so that 60 of them at once took 231 MB, more than an entry instance has; interim answers were read for as long as they came, and held up all other work of the process, so that callers got their answers after 5.9 s with a timeout of 1 s. Bodies that do end were cut at 8 MiB.

Bodies without a length are streamed from 256 KiB on, as those with one. An attempt whose answer is streamed lasts until its end, so that an end that is missing is logged, counts against the upstream, and leads to a check for a crash.

--- a/daemon/src/answer_body.rs
+++ b/daemon/src/answer_body.rs
@@ -23,6 +23,8 @@
 /// Answer body that is streamed as it arrives, up to a length and a deadline.
 #[derive(Debug)]
 pub struct StreamedAnswer {
+    /// Data that was read before.
+    held: Option<Bytes>,
     inner: Incoming,
     remaining_bytes: u64,
     deadline: Pin<Box<Sleep>>,
@@ -35,14 +37,17 @@
         Self::Whole(Some(bytes.into()))
     }
 
-    /// Returns a body that is streamed until `deadline`; `guard` is completed at its end.
+    /// Returns a body that starts with `held` and is streamed until `deadline`; `guard` is completed
+    /// at its end.
     pub fn stream(
+        held: Bytes,
         inner: Incoming,
         max_bytes: u64,
         deadline: Instant,
         guard: ExchangeGuard,
     ) -> Self {
         let mut streamed = StreamedAnswer {
+            held: Some(held).filter(|bytes| !bytes.is_empty()),
             inner,
             remaining_bytes: max_bytes,
             deadline: Box::pin(tokio::time::sleep_until(deadline)),
@@ -56,9 +61,14 @@
 impl StreamedAnswer {
     fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         if self.deadline.as_mut().poll(cx).is_ready() && self.guard.is_some() {
-            self.fail();
+            if let Some(guard) = self.guard.take() {
+                guard.timed_out();
+            }
             return Poll::Ready(Some(Err(BodyError::TimedOut)));
         }
+        if let Some(held) = self.held.take() {
+            return Poll::Ready(Some(Ok(Frame::data(held))));
+        }
         let frame = match ready!(Pin::new(&mut self.inner).poll_frame(cx)) {
             Some(Ok(frame)) => enforce_limit(frame, &mut self.remaining_bytes),
             Some(Err(error)) => Err(error.into()),
@@ -118,13 +128,14 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
-            Self::Stream(streamed) => streamed.inner.is_end_stream(),
+            Self::Stream(streamed) => streamed.held.is_none() && streamed.inner.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Stream(streamed) if streamed.held.is_some() => SizeHint::default(),
             Self::Stream(streamed) => streamed.inner.size_hint(),
         }
     }
--- a/daemon/src/connection.rs
+++ b/daemon/src/connection.rs
@@ -6,6 +6,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::bounded_head_io::HeadBudget;
 use crate::exchange_error::ExchangeError;
 use crate::request_body::RequestBody;
 
@@ -20,17 +21,23 @@
     driver: JoinHandle<()>,
     opened_at: Instant,
     active_at: Instant,
+    head_budget: HeadBudget,
 }
 
 impl Connection {
     /// Wraps a connection that was just opened.
-    pub fn new(sender: SendRequest<RequestBody>, driver: JoinHandle<()>) -> Self {
+    pub fn new(
+        sender: SendRequest<RequestBody>,
+        driver: JoinHandle<()>,
+        head_budget: HeadBudget,
+    ) -> Self {
         let now = Instant::now();
         Self {
             sender,
             driver,
             opened_at: now,
             active_at: now,
+            head_budget,
         }
     }
 
@@ -73,9 +80,11 @@
             Ok(Ok(())) => {}
             Ok(Err(_)) | Err(_) => return Err(ExchangeError::NotSent),
         }
+        self.head_budget.start();
         let sending = self.sender.try_send_request(request);
         match tokio::time::timeout_at(deadline, sending).await {
             Ok(Ok(response)) => {
+                self.head_budget.stop();
                 self.mark_active();
                 Ok(response)
             }
--- a/daemon/src/connection_pool.rs
+++ b/daemon/src/connection_pool.rs
@@ -2,10 +2,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::bounded_head_io::{BoundedHeadIo, HeadBudget};
 use crate::connection::Connection;
 use crate::exchange_error::ExchangeError;
 use crate::request_body::RequestBody;
@@ -16,6 +16,9 @@
 /// Idle time after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Most bytes of an answer that a connection reads ahead of their receiver.
+const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Pool of connections to one upstream or peer. Each connection carries one exchange at a time.
 #[derive(Clone, Debug)]
 pub struct ConnectionPool {
@@ -140,13 +143,15 @@
             Err(_) => return Err(ExchangeError::NotSent),
         };
         let _ = stream.set_nodelay(true);
-        let handshake = hyper::client::conn::http1::handshake::<_, RequestBody>;
-        let (sender, driver) = handshake(TokioIo::new(stream))
-            .await
-            .map_err(|_| ExchangeError::NotSent)?;
+        let budget = HeadBudget::default();
+        let mut builder = hyper::client::conn::http1::Builder::new();
+        builder.max_buf_size(MAX_READ_BUFFER_BYTES);
+        let io = BoundedHeadIo::new(stream, budget.clone());
+        let handshake = builder.handshake::<_, RequestBody>(io);
+        let (sender, driver) = handshake.await.map_err(|_| ExchangeError::NotSent)?;
         let driver = tokio::spawn(async move {
             let _ = driver.await;
         });
-        Ok(Connection::new(sender, driver))
+        Ok(Connection::new(sender, driver, budget))
     }
 }
--- a/daemon/src/exchange.rs
+++ b/daemon/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One HTTP exchange with an upstream or a peer: a request and its whole answer.
 
+use bytes::Bytes;
 use http::{Request, Response};
 use http_body::Body;
 use http_body_util::BodyExt;
@@ -71,7 +72,7 @@
         .exact()
         .is_none_or(|bytes| bytes > MAX_BUFFERED_ANSWER_BYTES)
     {
-        let body = AnswerBody::stream(incoming, max_bytes, deadline, guard);
+        let body = AnswerBody::stream(Bytes::new(), incoming, max_bytes, deadline, guard);
         return Ok(Response::from_parts(parts, body));
     }
     match tokio::time::timeout_at(deadline, incoming.collect()).await {
--- a/daemon/src/exchange_guard.rs
+++ b/daemon/src/exchange_guard.rs
@@ -4,6 +4,7 @@
 use crate::connection::Connection;
 use crate::connection_pool::ConnectionPool;
 use crate::in_flight_requests::InFlightRequest;
+use crate::roles::{AttemptEnd, InFlightAttempt};
 
 /// Resources that an exchange holds until its answer has arrived whole: a connection, and a slot
 /// when the other side is an upstream. Dropping it closes the connection and aborts the exchange.
@@ -12,6 +13,7 @@
     connection: Connection,
     pool: ConnectionPool,
     upstream_slot: Option<UpstreamSlot>,
+    attempt: Option<Box<InFlightAttempt>>,
     started_at: Instant,
     was_recently_active: bool,
 }
@@ -47,11 +49,17 @@
             connection,
             pool,
             upstream_slot,
+            attempt: None,
             started_at: Instant::now(),
             was_recently_active,
         }
     }
 
+    /// Keeps an attempt in flight until the exchange ends, as its answer is streamed.
+    pub(crate) fn keep_attempt(&mut self, attempt: InFlightAttempt) {
+        self.attempt = Some(Box::new(attempt));
+    }
+
     /// Returns the connection of the exchange.
     pub fn connection(&mut self) -> &mut Connection {
         &mut self.connection
@@ -59,6 +67,9 @@
 
     /// Ends a complete exchange: the connection may carry the next one.
     pub fn complete(self) {
+        if let Some(attempt) = self.attempt {
+            attempt.complete();
+        }
         if let Some(upstream_slot) = self.upstream_slot {
             upstream_slot.in_flight.complete();
             upstream_slot.slot.finish(AttemptOutcome::Answered {
@@ -86,6 +97,9 @@
     /// just because it was idle for long, so only the break of a recently active one counts as a
     /// sign of a crash.
     pub fn fail(self) {
+        if let Some(attempt) = self.attempt {
+            attempt.end(AttemptEnd::Broken);
+        }
         let Some(upstream_slot) = self.upstream_slot else {
             return;
         };
@@ -101,6 +115,9 @@
     /// than this one are retired from the pool.
     pub fn timed_out(self) {
         self.pool.retire(self.connection.opened_at());
+        if let Some(attempt) = self.attempt {
+            attempt.end(AttemptEnd::TimedOut);
+        }
         if let Some(upstream_slot) = self.upstream_slot {
             upstream_slot.release(AttemptOutcome::TimedOut);
         }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 mod answer_body;
 mod attempt;
 mod body_error;
+mod bounded_head_io;
 mod caller_handler;
 mod claim_outcome;
 mod claim_sync;
--- a/daemon/src/roles/mod.rs
+++ b/daemon/src/roles/mod.rs
@@ -45,4 +45,5 @@
 pub use node_settings::NodeSettings;
 pub use presence::{Presence, PresenceState};
 pub use registry::Registry;
+pub(crate) use upstream_attempt::{AttemptEnd, InFlightAttempt};
 pub use upstream_list::{ListError, ListRead, UpstreamList, UpstreamSource};
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -1,9 +1,11 @@
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body::Body;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use laburnumdeal_policy::steer::{AttemptOutcome, Decision, LimitNotice};
 use slog::{info, warn};
@@ -22,11 +24,8 @@
 /// Timeout for opening a connection to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Longest answer of known length that is buffered whole before its first byte goes to the caller.
-const MAX_BUFFERED_BYTES: u64 = 256 * 1024;
-
-/// Longest answer whose length is not known in advance; it is buffered whole.
-const MAX_UNSIZED_BYTES: usize = 8 * 1024 * 1024;
+/// Longest answer that is buffered whole before its first byte goes to the caller.
+const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
 /// Longest answer of an upstream.
 const MAX_ANSWER_BYTES: u64 = 1024 * 1024 * 1024;
@@ -79,9 +78,18 @@
     },
 }
 
+/// How a streamed answer ended that is not whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AttemptEnd {
+    /// The connection broke, or what it carried was no answer.
+    Broken,
+    /// The answer did not end in time.
+    TimedOut,
+}
+
 /// Attempt that counts as in flight until it is dropped. It is recorded as cancelled if the caller
 /// disconnects before there is an outcome.
-struct InFlightAttempt {
+pub(crate) struct InFlightAttempt {
     state: Arc<EntryState>,
     decision: Decision,
     route: String,
@@ -92,9 +100,34 @@
     /// Whether the upstream may have received the request.
     is_sent: bool,
     outcome: AttemptOutcome,
+    /// Time until the head of the answer, and whether it reports a server error, while the body is
+    /// streamed.
+    answered: Option<(f64, bool)>,
+}
+
+impl fmt::Debug for InFlightAttempt {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut shown = formatter.debug_struct("InFlightAttempt");
+        shown.field("id", &self.id).finish_non_exhaustive()
+    }
 }
 
 impl InFlightAttempt {
+    /// Ends the attempt with the whole answer.
+    pub(crate) fn complete(mut self) {
+        if let Some((took_ms, failed)) = self.answered {
+            self.outcome = AttemptOutcome::Answered { took_ms, failed };
+        }
+    }
+
+    /// Ends the attempt without the whole answer.
+    pub(crate) fn end(mut self, end: AttemptEnd) {
+        self.outcome = match end {
+            AttemptEnd::Broken => AttemptOutcome::Broken,
+            AttemptEnd::TimedOut => AttemptOutcome::TimedOut,
+        };
+    }
+
     fn begin(
         state: &Arc<EntryState>,
         decision: Decision,
@@ -113,6 +146,7 @@
             started_at: now,
             is_sent: false,
             outcome: AttemptOutcome::Cancelled,
+            answered: None,
         }
     }
 
@@ -186,7 +220,7 @@
         }
     };
     let message = upstream_request::<H>(request, &id, body);
-    exchange::<H>(&mut in_flight, guard, request, message).await
+    exchange::<H>(in_flight, guard, request, message).await
 }
 
 async fn connect(
@@ -225,13 +259,13 @@
 }
 
 async fn exchange<H: HeaderCodec>(
-    in_flight: &mut InFlightAttempt,
+    mut in_flight: InFlightAttempt,
     mut guard: ExchangeGuard,
     request: &AttemptRequest,
     message: Request<RequestBody>,
 ) -> AttemptResult {
     in_flight.is_sent = true;
-    let sent = send(in_flight, &mut guard, message, request.wait_until).await;
+    let sent = send(&in_flight, &mut guard, message, request.wait_until).await;
     let response = match sent {
         Ok(response) => response,
         Err(ExchangeError::NotSent | ExchangeError::Refused(_)) => {
@@ -267,7 +301,7 @@
             arrived: true,
         };
     }
-    record_limit::<H>(in_flight, response.headers());
+    record_limit::<H>(&in_flight, response.headers());
     if H::reports_not_run(response.headers()) && !status.is_success() {
         in_flight.outcome = AttemptOutcome::Shed;
         guard.complete();
@@ -276,19 +310,33 @@
             arrived: true,
         };
     }
-    match receive(response, guard, request.wait_until).await {
-        Ok(response) => {
+    let took_ms = in_flight.started_at.elapsed().as_secs_f64() * 1_000.0;
+    let failed = status.is_server_error();
+    let (mut parts, incoming) = response.into_parts();
+    parts.headers = header::end_to_end(&parts.headers);
+    match receive(incoming, request.wait_until).await {
+        Ok(ReceivedBody::Whole(bytes)) => {
             let took_ms = in_flight.started_at.elapsed().as_secs_f64() * 1_000.0;
-            let failed = status.is_server_error();
             in_flight.outcome = AttemptOutcome::Answered { took_ms, failed };
-            AttemptResult::Answer(response)
+            guard.complete();
+            let body = AnswerBody::whole(bytes);
+            AttemptResult::Answer(Response::from_parts(parts, body))
         }
-        Err(timed_out) => {
-            in_flight.outcome = match timed_out {
-                true => AttemptOutcome::TimedOut,
-                false => AttemptOutcome::Broken,
-            };
-            unknown("the answer broke off", timed_out, !timed_out)
+        Ok(ReceivedBody::Long(held, incoming)) => {
+            in_flight.answered = Some((took_ms, failed));
+            guard.keep_attempt(in_flight);
+            let wait_until = request.wait_until;
+            let body = AnswerBody::stream(held, incoming, MAX_ANSWER_BYTES, wait_until, guard);
+            AttemptResult::Answer(Response::from_parts(parts, body))
+        }
+        Err(AttemptEnd::TimedOut) => {
+            guard.timed_out();
+            in_flight.outcome = AttemptOutcome::TimedOut;
+            unknown("the answer broke off", true, false)
+        }
+        Err(AttemptEnd::Broken) => {
+            in_flight.outcome = AttemptOutcome::Broken;
+            unknown("the answer broke off", false, true)
         }
     }
 }
@@ -350,32 +398,32 @@
     }
 }
 
-/// Receives the body of an answer. A short body, or one of unknown length, is buffered whole, so
-/// that a truncated answer never looks complete to the caller. The error tells whether it is a
-/// timeout.
-async fn receive(
-    response: Response<Incoming>,
-    guard: ExchangeGuard,
-    wait_until: Instant,
-) -> Result<Response<AnswerBody>, bool> {
-    let (mut parts, incoming) = response.into_parts();
-    parts.headers = header::end_to_end(&parts.headers);
+/// Body of an answer, as far as it was received before its first byte goes to the caller.
+enum ReceivedBody {
+    Whole(Bytes),
+    /// Beginning of a long body, and the rest as it arrives.
+    Long(Bytes, Incoming),
+}
+
+/// Receives the body of an answer. A short one is buffered whole, so that a truncated answer can be
+/// asked for again elsewhere.
+async fn receive(mut incoming: Incoming, wait_until: Instant) -> Result<ReceivedBody, AttemptEnd> {
     let length = incoming.size_hint().exact();
-    if length.is_some_and(|bytes| bytes > MAX_BUFFERED_BYTES) {
-        let body = AnswerBody::stream(incoming, MAX_ANSWER_BYTES, wait_until, guard);
-        return Ok(Response::from_parts(parts, body));
+    if length.is_some_and(|bytes| bytes > MAX_BUFFERED_BYTES as u64) {
+        return Ok(ReceivedBody::Long(Bytes::new(), incoming));
     }
-    let limited = Limited::new(incoming, MAX_UNSIZED_BYTES);
-    match tokio::time::timeout_at(wait_until, limited.collect()).await {
-        Ok(Ok(collected)) => {
-            guard.complete();
-            let body = AnswerBody::whole(collected.to_bytes());
-            Ok(Response::from_parts(parts, body))
+    let mut held = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout_at(wait_until, incoming.frame()).await;
+        let Some(frame) = frame.map_err(|_| AttemptEnd::TimedOut)? else {
+            return Ok(ReceivedBody::Whole(held.freeze()));
+        };
+        let frame = frame.map_err(|_| AttemptEnd::Broken)?;
+        if let Ok(bytes) = frame.into_data() {
+            held.extend_from_slice(&bytes);
         }
-        Ok(Err(_)) => Err(false),
-        Err(_) => {
-            guard.timed_out();
-            Err(true)
+        if held.len() > MAX_BUFFERED_BYTES {
+            return Ok(ReceivedBody::Long(held.freeze(), incoming));
         }
     }
 }
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -60,6 +60,11 @@
         Ok(Self { child })
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     ///
     /// # Errors
