--- a/policy/src/steer/region_shares.rs
+++ b/policy/src/steer/region_shares.rs
@@ -42,8 +42,8 @@
 
 /// Share of each region in the requests that an instance sends for a service. The shares follow the
 /// weights of the regions, but no faster than a bound allows, because all instances hear of a
-/// change at the same moment. What a full region cannot serve is not held back. Since every instance bounds its own shares, the sum over all instances
-/// keeps the bound as well.
+/// change at the same moment. Since every instance bounds its own shares, the sum over all
+/// instances keeps the bound as well. What a full region cannot serve is not held back.
 ///
 /// # Examples
 ///
