--- a/policy/tests/steer/region_shares.rs
+++ b/policy/tests/steer/region_shares.rs
@@ -303,12 +303,11 @@
     assert!(share >= 0.65, "{share:.3} run in their region at the end");
 }
 
-/// Guards against SHIFT when all upstreams of a region become cold at once. Their quotas are enough
-/// for the requests of the region, if the instances of that region have most of them.
-#[test]
-fn choose_region_that_becomes_cold_keeps_its_requests() {
+/// Makes all upstreams of a region cold at once. Their quotas are enough for the requests of the
+/// region, if the instances of that region have most of them.
+fn assert_cold_region_keeps_its_requests(objects: u64) {
     let mut run = RegionRun::new();
-    run.objects = CACHED_OBJECTS;
+    run.objects = objects;
     run.run_until(CHANGE_MS);
     run.change(|records| {
         records[..UPSTREAMS]
@@ -326,6 +325,19 @@
     assert!(run.refused.is_empty(), "{} were refused", run.refused.len());
 }
 
+/// Guards against SHIFT when all upstreams of a region become cold at once, for objects that they
+/// hold.
+#[test]
+fn choose_region_that_becomes_cold_keeps_its_requests() {
+    assert_cold_region_keeps_its_requests(CACHED_OBJECTS);
+}
+
+/// The same, for objects that no upstream holds.
+#[test]
+fn choose_region_that_becomes_cold_keeps_its_requests_for_new_objects() {
+    assert_cold_region_keeps_its_requests(OBJECTS);
+}
+
 /// Guards against refusals for the sake of the bound: the few upstreams that are left cannot serve
 /// the share of the region, so what they have no room for goes elsewhere at once.
 #[test]
