Log how many upstreams of a service cannot be reached

Lines of requests that no upstream takes did not tell whether the upstreams had refused requests, could not be reached or were not listed, so that an instance that has lost its links was not told from one whose upstreams are full.

--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -139,6 +139,10 @@
         };
         let list_age = self.state.list().age(Instant::now()).unwrap_or_default();
         let last = forwarding.progress.last_decision();
+        let reach = self
+            .state
+            .load_balancer()
+            .service_reach(routed.service, Instant::now());
         let (upstream, region) = last.map_or_else(Default::default, |decision| {
             let load_balancer = self.state.load_balancer();
             let upstream = load_balancer.endpoint(decision.upstream).0;
@@ -160,6 +164,7 @@
                 .map_or(-1, |age| age.as_millis() as i64),
             "warm" => last.is_some_and(|decision| decision.expects_cache_hit),
             "arrivals" => forwarding.progress.arrivals(), "list_age_ms" => list_age.as_millis() as u64,
+            "listed" => reach.listed, "avoided" => reach.avoided, "unreached" => reach.unreached,
             "took_ms" => took.as_millis() as u64, "outcome" => outcome,
             "status" => status, "reason" => reason);
     }
--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -7,8 +7,9 @@
 
 use crate::steer::upstream_entry::UpstreamEntry;
 use crate::steer::{
-    Decision, InstanceRecord, LimitNotice, RegionShares, RouteLatency, ServiceLatency, SharedLimit,
-    SharedLoad, SharedObject, SharedReport, UpstreamLimit, UpstreamLoad, UpstreamRecord,
+    Decision, InstanceRecord, LimitNotice, RegionShares, RouteLatency, ServiceLatency,
+    ServiceReach, SharedLimit, SharedLoad, SharedObject, SharedReport, UpstreamLimit, UpstreamLoad,
+    UpstreamRecord,
 };
 
 /// Requests per second that a cold upstream tolerates, if the configuration does not name its
@@ -245,6 +246,20 @@
         !entry.is_listed && !entry.record.leaving
     }
 
+    /// Returns how many upstreams of a service are listed, and how many of them get no requests.
+    pub fn service_reach(&self, service: &str, now: Instant) -> ServiceReach {
+        let keys = self.by_service.get(service).map_or(&[][..], |keys| keys);
+        let entries = keys.iter().map(|key| self.entry(*key));
+        let listed = entries.filter(|entry| entry.is_listed && !entry.record.leaving);
+        let mut reach = ServiceReach::default();
+        for entry in listed {
+            reach.listed += 1;
+            reach.avoided += usize::from(!entry.accepts_requests(now));
+            reach.unreached += usize::from(entry.is_unreached());
+        }
+        reach
+    }
+
     /// Returns the keys of upstreams that have left the list.
     pub fn removed(&self) -> impl Iterator<Item = UpstreamKey> + '_ {
         let entries = self.entries.iter().enumerate();
--- a/policy/src/steer/upstream_entry.rs
+++ b/policy/src/steer/upstream_entry.rs
@@ -135,6 +135,11 @@
         self.connect_failures > 0 || (!self.is_listed && !self.record.leaving)
     }
 
+    /// Returns whether the upstream could not be reached since its last answer.
+    pub fn is_unreached(&self) -> bool {
+        self.connect_failures > 0
+    }
+
     pub fn accepts_requests(&self, now: Instant) -> bool {
         self.is_listed
             && !self.record.leaving
--- a/policy/tests/steer/choose.rs
+++ b/policy/tests/steer/choose.rs
@@ -280,3 +280,20 @@
     let local = (0..1_000).filter(is_local).count();
     assert!((700..950).contains(&local), "{local} of 1000");
 }
+
+#[test]
+fn service_reach_upstream_without_a_connection_is_unreached_and_avoided() {
+    let now = Instant::now();
+    let mut records = upstreams_of_four_zones();
+    records[0].leaving = true;
+    let mut balancer = load_balancer("e-1", "a", &records, now);
+    let Selection::Send(decision) = balancer.choose(&request(1), now) else {
+        panic!("all upstreams are idle");
+    };
+    balancer.begin_attempt(&decision, now);
+    balancer.end_attempt(&decision, "all", 1, AttemptOutcome::ConnectFailed, now);
+    let reach = balancer.service_reach("catalog", now);
+    assert_eq!((reach.listed, reach.avoided, reach.unreached), (3, 1, 1));
+    let later = balancer.service_reach("catalog", now + Duration::from_secs(10));
+    assert_eq!((later.listed, later.avoided, later.unreached), (3, 0, 1));
+}
