Let tests cut the links from entry instances to upstreams

Entry instances find upstreams in a list that all share, so tests could not cut the links of one of them.

--- a/daemon/src/connection_pool.rs
+++ b/daemon/src/connection_pool.rs
@@ -2,11 +2,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use crate::bounded_head_io::{BoundedHeadIo, HeadBudget};
 use crate::connection::Connection;
+use crate::dialer::Dialer;
 use crate::exchange_error::ExchangeError;
 use crate::request_body::RequestBody;
 
@@ -28,6 +28,7 @@
 #[derive(Debug)]
 struct Shared {
     address: SocketAddr,
+    dialer: Dialer,
     max_idle: usize,
     idle: Mutex<Vec<Connection>>,
     retired_until: Mutex<Option<Instant>>,
@@ -49,10 +50,16 @@
 impl ConnectionPool {
     /// Creates an empty pool.
     pub fn new(address: SocketAddr, max_idle: usize) -> Self {
+        Self::with_dialer(address, max_idle, Dialer::default())
+    }
+
+    /// Creates an empty pool whose connections are opened by `dialer`.
+    pub fn with_dialer(address: SocketAddr, max_idle: usize, dialer: Dialer) -> Self {
         let (idle, retired_until) = (Mutex::default(), Mutex::default());
         Self {
             shared: Arc::new(Shared {
                 address,
+                dialer,
                 max_idle,
                 idle,
                 retired_until,
@@ -136,7 +143,7 @@
 
     async fn open(&self, deadline: Instant) -> Result<Connection, ExchangeError> {
         let connect_deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        let connecting = TcpStream::connect(self.shared.address);
+        let connecting = self.shared.dialer.connect(self.shared.address);
         let stream = match tokio::time::timeout_at(connect_deadline, connecting).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(ExchangeError::Refused(error)),
--- a/daemon/src/roles/crash_checks.rs
+++ b/daemon/src/roles/crash_checks.rs
@@ -9,7 +9,6 @@
 use http::HeaderValue;
 use laburnumdeal_policy::steer::{UnansweredAttempts, UpstreamKey};
 use slog::info;
-use tokio::net::TcpStream;
 use tokio::runtime::Handle;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -179,7 +178,7 @@
     };
     let result = match answered_at.is_some_and(|at| at > started_at) && !is_urgent {
         true => CheckResult::Answers,
-        false => connect(address).await,
+        false => connect(&state, address).await,
     };
     let Some(check) = state.crash_checks.running().remove(&upstream) else {
         return;
@@ -219,8 +218,8 @@
     }
 }
 
-async fn connect(address: std::net::SocketAddr) -> CheckResult {
-    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+async fn connect(state: &EntryState, address: std::net::SocketAddr) -> CheckResult {
+    match tokio::time::timeout(CONNECT_TIMEOUT, state.dialer.connect(address)).await {
         Ok(Ok(_)) => CheckResult::AcceptsConnections,
         Ok(Err(_)) => CheckResult::RefusesConnections,
         Err(_) => CheckResult::NoReply,
--- a/daemon/src/roles/entry_node.rs
+++ b/daemon/src/roles/entry_node.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::daemon_error::DaemonError;
+use crate::dialer::Dialer;
 use crate::http_server::HttpServer;
 use crate::roles::entry_state::EntryState;
 use crate::roles::follower;
@@ -51,12 +52,25 @@
     pub async fn spawn<H: HeaderCodec>(
         settings: NodeSettings,
         log: Logger,
+    ) -> Result<Self, DaemonError> {
+        Self::spawn_with_dialer::<H>(settings, Dialer::default(), log).await
+    }
+
+    /// Starts an entry instance whose connections to upstreams are opened by `dialer`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the settings have no caller address, or an address cannot be bound.
+    pub async fn spawn_with_dialer<H: HeaderCodec>(
+        settings: NodeSettings,
+        dialer: Dialer,
+        log: Logger,
     ) -> Result<Self, DaemonError> {
         let address = settings
             .caller_address
             .ok_or(DaemonError::NoCallerAddress)?;
         let metrics = NodeMetrics::new();
-        let state = Arc::new(EntryState::new(settings, log, metrics.clone()));
+        let state = Arc::new(EntryState::new(settings, dialer, log, metrics.clone()));
         let seeds = state.settings.seeds.iter();
         let seeds: Vec<SocketAddr> = seeds
             .map(|seed| state.settings.peer_address(*seed))
--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use crate::connection_pool::ConnectionPool;
+use crate::dialer::Dialer;
 use crate::roles::crash_checks::{self, CrashChecks};
 use crate::roles::fingerprints_text::fingerprints_text;
 use crate::roles::node_metrics::NodeMetrics;
@@ -54,6 +55,8 @@
     pub settings: NodeSettings,
     pub log: RateLimitedLog,
     pub metrics: NodeMetrics,
+    /// Opens connections to upstreams.
+    pub dialer: Dialer,
     load_balancer: Mutex<LoadBalancer>,
     pools: Mutex<HashMap<UpstreamKey, ConnectionPool>>,
     retries: Mutex<RetryBudgets>,
@@ -68,7 +71,7 @@
 }
 
 impl EntryState {
-    pub fn new(settings: NodeSettings, log: Logger, metrics: NodeMetrics) -> Self {
+    pub fn new(settings: NodeSettings, dialer: Dialer, log: Logger, metrics: NodeMetrics) -> Self {
         let retries = RetryBudgets {
             by_service: HashMap::new(),
             max_balance: INITIAL_MAX_RETRIES,
@@ -84,6 +87,7 @@
             roster_hash: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             readiness: Notify::new(),
+            dialer,
             log: RateLimitedLog::new(log, metrics.clone()),
             metrics,
             settings,
@@ -129,8 +133,10 @@
     pub fn pool(&self, key: UpstreamKey, address: std::net::SocketAddr) -> ConnectionPool {
         let mut pools = self.pools.lock().expect("no holder panics");
         let pool = pools.entry(key);
-        pool.or_insert_with(|| ConnectionPool::new(address, IDLE_CONNECTIONS))
-            .clone()
+        pool.or_insert_with(|| {
+            ConnectionPool::with_dialer(address, IDLE_CONNECTIONS, self.dialer.clone())
+        })
+        .clone()
     }
 
     /// Returns the active configuration and its routes.
