Blame no request for upstreams that cannot be reached together

Callers saw requests that had ended nothing refused as crashing, at all instances and for 10 minutes, after they had been sent by an entry instance that was partitioned from the upstreams.

Cause: a check took an upstream that does not reply or refuses connections for crashed. To an instance behind a partition, every upstream looks so, and a request that was at two of them was blocked. The class: the state of another process inferred from one's own link to it.

A check that finds an upstream unreachable now connects to its neighbors in the same zone, and blames nobody when none of them can be reached either. An instance that reaches no upstream at all forgets the attempts that were still undecided. report_crash_by_an_instance_without_upstreams_is_not_made failed before (status 503 at the first of five instances) and passes; the tests of requests that do crash upstreams pass as before.

--- a/daemon/src/roles/crash_checks.rs
+++ b/daemon/src/roles/crash_checks.rs
@@ -15,6 +15,7 @@
 
 use crate::roles::entry_state::EntryState;
 use crate::roles::fingerprints_text::fingerprints_text;
+use crate::roles::reach_probes;
 
 /// Timeout of the connection that checks an upstream. An upstream that ended with its machine does
 /// not refuse connections, it does not reply.
@@ -73,6 +74,8 @@
     RefusesConnections,
     /// It does not reply.
     NoReply,
+    /// Neither it nor its neighbors can be connected to.
+    NotAlone,
 }
 
 impl CheckResult {
@@ -90,6 +93,7 @@
             Self::LeftList => "left the list",
             Self::RefusesConnections => "refuses connections",
             Self::NoReply => "no reply",
+            Self::NotAlone => "not alone",
         }
     }
 }
@@ -180,16 +184,28 @@
         true => CheckResult::Answers,
         false => connect(&state, address).await,
     };
-    let Some(check) = state.crash_checks.running().remove(&upstream) else {
-        return;
-    };
-    let attempts = &check.attempts;
     let result = match result {
         CheckResult::AcceptsConnections if state.load_balancer().left_unannounced(upstream) => {
             CheckResult::LeftList
         }
+        // A partition or the loss of a zone looks the same, and no request causes these.
+        CheckResult::RefusesConnections | CheckResult::NoReply
+            if !reach_probes::is_alone(&state, upstream).await =>
+        {
+            CheckResult::NotAlone
+        }
         result => result,
     };
+    let Some(check) = state.crash_checks.running().remove(&upstream) else {
+        return;
+    };
+    let attempts = &check.attempts;
+    if matches!(
+        result,
+        CheckResult::RefusesConnections | CheckResult::NoReply | CheckResult::NotAlone
+    ) {
+        reach_probes::record_failed(&state, upstream);
+    }
     if result.is_crash() {
         let fingerprints = attempts.iter().map(|attempt| attempt.fingerprint);
         state.report_crash(&name, &fingerprints.collect::<Vec<_>>());
@@ -226,6 +242,11 @@
     }
 }
 
+/// Forgets the attempts at upstreams that accepted connections when they were checked.
+pub(super) fn forget_undecided(state: &EntryState) {
+    *state.crash_checks.undecided() = UnansweredAttempts::default();
+}
+
 /// Reports the crashes of upstreams that accepted connections when they were checked, but have
 /// since left the list unannounced.
 pub(super) fn report_unannounced(state: &EntryState) {
--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -7,7 +7,7 @@
 use laburnumdeal_model::{Configuration, Target, WHOLE_PERMILLE};
 use laburnumdeal_policy::steer::{
     CrashReport, CrashReports, InstanceRecord, LoadBalancer, RegionShare, RetryBudgetShare,
-    RouteTable, UpstreamKey, hash_of,
+    RouteTable, UpstreamKey, UpstreamReach, hash_of,
 };
 use slog::{Logger, info};
 use tokio::sync::Notify;
@@ -63,6 +63,7 @@
     active: RwLock<ActiveConfiguration>,
     pub crashes: Mutex<CrashReports>,
     pub crash_checks: CrashChecks,
+    reach: Mutex<UpstreamReach>,
     list: Mutex<UpstreamList>,
     roster_hash: AtomicU64,
     leaving: AtomicBool,
@@ -83,6 +84,7 @@
             active: RwLock::default(),
             crashes: Mutex::default(),
             crash_checks: CrashChecks::default(),
+            reach: Mutex::default(),
             list: Mutex::default(),
             roster_hash: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
@@ -99,6 +101,11 @@
         self.load_balancer.lock().expect("no holder panics")
     }
 
+    /// Locks what is known of whether upstreams can be reached.
+    pub fn reach(&self) -> MutexGuard<'_, UpstreamReach> {
+        self.reach.lock().expect("no holder panics")
+    }
+
     /// Deposits the share of one request into the retry budget of its service.
     pub fn deposit_retry(&self, service: &str) {
         self.with_retry_budget(service, RetryBudgetShare::deposit);
@@ -139,6 +146,12 @@
         .clone()
     }
 
+    /// Retires all connections to upstreams that were opened by a time.
+    pub fn retire_connections(&self, opened_by: Instant) {
+        let pools = self.pools.lock().expect("no holder panics");
+        pools.values().for_each(|pool| pool.retire(opened_by));
+    }
+
     /// Returns the active configuration and its routes.
     pub fn active(&self) -> ActiveConfiguration {
         self.active.read().expect("no holder panics").clone()
--- a/daemon/src/roles/mod.rs
+++ b/daemon/src/roles/mod.rs
@@ -29,6 +29,7 @@
 mod page_handler;
 mod presence;
 mod rate_limited_log;
+mod reach_probes;
 mod registry;
 mod report_exchange;
 mod report_store;
--- a/daemon/src/roles/node_metrics.rs
+++ b/daemon/src/roles/node_metrics.rs
@@ -34,6 +34,7 @@
     crash_checks: Family<ResultLabels, Counter>,
     crash_reports: Gauge,
     limited_upstreams: Gauge,
+    reaches_upstreams: Gauge,
 }
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
@@ -127,6 +128,13 @@
             "Upstreams that named a limit on their requests",
             limited_upstreams.clone(),
         );
+        let reaches_upstreams = Gauge::default();
+        reaches_upstreams.set(1);
+        registry.register(
+            "reaches_upstreams",
+            "0 while no upstream can be connected to",
+            reaches_upstreams.clone(),
+        );
         Self {
             registry: Arc::new(registry),
             requests,
@@ -143,6 +151,7 @@
             crash_checks,
             crash_reports,
             limited_upstreams,
+            reaches_upstreams,
         }
     }
 
@@ -226,6 +235,11 @@
         self.limited_upstreams.set(upstreams as i64);
     }
 
+    /// Sets whether upstreams can be connected to.
+    pub fn set_reaches_upstreams(&self, reaches: bool) {
+        self.reaches_upstreams.set(i64::from(reaches));
+    }
+
     /// Renders all metrics in the OpenMetrics text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -20,6 +20,7 @@
 use crate::roles::HeaderCodec;
 use crate::roles::crash_checks::{self, UnansweredAttempt};
 use crate::roles::entry_state::EntryState;
+use crate::roles::reach_probes;
 
 /// Timeout for opening a connection to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -209,16 +210,21 @@
     };
     let mut in_flight = InFlightAttempt::begin(state, decision, route, request);
     let pool = state.pool(decision.upstream, address);
-    let guard = match connect(&pool, request).await {
+    let started_at = Instant::now();
+    let mut guard = match connect(&pool, request).await {
         Ok(guard) => guard,
         Err(reason) => {
             in_flight.outcome = AttemptOutcome::ConnectFailed;
+            reach_probes::record_failed(state, decision.upstream);
             return AttemptResult::NotRun {
                 reason,
                 arrived: false,
             };
         }
     };
+    if guard.connection().opened_at() >= started_at {
+        state.reach().record_opened();
+    }
     let message = upstream_request::<H>(request, &id, body);
     exchange::<H>(in_flight, guard, request, message).await
 }
--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use laburnumdeal_model::Items;
+use rand::Rng;
+use rand::seq::SliceRandom;
 use tokio::time::Instant;
 
 use crate::steer::upstream_entry::UpstreamEntry;
@@ -23,6 +25,9 @@
 /// delay.
 const WARM_UP_SLACK: Duration = Duration::from_millis(700);
 
+/// Fewest other upstreams of a zone that tell whether one of it failed alone.
+const MIN_NEIGHBORS: usize = 2;
+
 /// Most cached objects that wait for the next report. An object beyond them is reported when it is
 /// handled again later.
 const MAX_UNREPORTED_OBJECTS: usize = 1_024;
@@ -260,6 +265,28 @@
         reach
     }
 
+    /// Returns all listed upstreams in random order.
+    pub fn sample(&self, rng: &mut impl Rng) -> Vec<UpstreamKey> {
+        let entries = self.entries.iter().enumerate();
+        let listed = entries.filter(|(_, entry)| entry.is_listed);
+        let mut keys: Vec<_> = listed.map(|(index, _)| UpstreamKey(index as u32)).collect();
+        keys.shuffle(rng);
+        keys
+    }
+
+    /// Returns the other listed upstreams in the availability zone of one, in random order; all
+    /// others if its zone has fewer than [`MIN_NEIGHBORS`].
+    pub fn neighbors(&self, key: UpstreamKey, rng: &mut impl Rng) -> Vec<UpstreamKey> {
+        let mut others = self.sample(rng);
+        others.retain(|other| *other != key);
+        let zone = &self.entry(key).record.zone;
+        let is_near = |other: &UpstreamKey| self.entry(*other).record.zone == *zone;
+        if others.iter().filter(|other| is_near(other)).count() >= MIN_NEIGHBORS {
+            others.retain(is_near);
+        }
+        others
+    }
+
     /// Returns the keys of upstreams that have left the list.
     pub fn removed(&self) -> impl Iterator<Item = UpstreamKey> + '_ {
         let entries = self.entries.iter().enumerate();
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -23,6 +23,7 @@
 mod unanswered_attempts;
 mod upstream_entry;
 mod upstream_limit;
+mod upstream_reach;
 mod upstream_record;
 
 pub use cached_objects::CachedObjects;
@@ -46,4 +47,5 @@
 pub use shared_report::{SharedLimit, SharedLoad, SharedObject, SharedReport};
 pub use unanswered_attempts::UnansweredAttempts;
 pub use upstream_limit::UpstreamLimit;
+pub use upstream_reach::{ReachChange, UpstreamReach};
 pub use upstream_record::UpstreamRecord;
--- a/policy/tests/steer/main.rs
+++ b/policy/tests/steer/main.rs
@@ -5,6 +5,7 @@
 mod crash_reports;
 mod limits;
 mod load;
+mod reach;
 mod region_shares;
 mod routes;
 mod setup;
