Forward through other entry instances while no upstream can be reached

Cause: an instance had no way to upstreams but its own, and stayed named and ready without it. The class: a single path to a dependency that others still have.

An instance that can connect to no upstream now sends requests to another entry instance, which forwards them to upstreams, never on to a third one.

--- a/daemon/src/header.rs
+++ b/daemon/src/header.rs
@@ -25,6 +25,8 @@
 pub const ROLE: HeaderName = HeaderName::from_static("laburnum-role");
 /// Address of the caller of a forwarded request.
 pub const CALLER: HeaderName = HeaderName::from_static("laburnum-caller");
+/// Version of the configuration that the sender of a forwarded request has in force.
+pub const CONFIGURATION: HeaderName = HeaderName::from_static("laburnum-configuration");
 /// Name of the instance that sends a message or forwards a request.
 pub const PEER: HeaderName = HeaderName::from_static("laburnum-peer");
 /// Proof that the sender knows the secret shared by the peers.
--- a/daemon/src/roles/entry_node.rs
+++ b/daemon/src/roles/entry_node.rs
@@ -14,6 +14,7 @@
 use crate::roles::entry_state::EntryState;
 use crate::roles::follower;
 use crate::roles::forward_handler::ForwardHandler;
+use crate::roles::helper_handler::HelperHandler;
 use crate::roles::known_controls::KnownControls;
 use crate::roles::node_metrics::NodeMetrics;
 use crate::roles::page_handler::PageHandler;
@@ -38,6 +39,8 @@
 pub struct EntryNode {
     state: Arc<EntryState>,
     server: HttpServer,
+    /// Server of requests from other entry instances.
+    helper_server: HttpServer,
     _pages: Vec<HttpServer>,
     tasks: JoinSet<()>,
     presence: Arc<PresenceSender>,
@@ -77,7 +80,10 @@
             .collect();
         let controls = Arc::new(KnownControls::new(seeds));
         let handler = Arc::new(ForwardHandler::<H>::new(state.clone()));
-        let server = HttpServer::bind(address, handler).await?;
+        let server = HttpServer::bind(address, handler.clone()).await?;
+        let helper_address = state.settings.peer_address(state.settings.address);
+        let helper = Arc::new(HelperHandler::new(state.clone(), handler));
+        let helper_server = HttpServer::bind(helper_address, helper).await?;
         let mut pages = Vec::new();
         if let Some(address) = state.settings.readiness_address {
             let entry_state = state.clone();
@@ -111,6 +117,7 @@
         Ok(Self {
             state,
             server,
+            helper_server,
             _pages: pages,
             tasks,
             presence,
@@ -135,7 +142,10 @@
         self.presence.send().await;
         sleep_until(Instant::now() + stop_time.mul_f64(SERVE_FRACTION)).await;
         let remaining = stops_at.saturating_duration_since(Instant::now());
-        self.server.stop(remaining).await;
+        tokio::join!(
+            self.server.stop(remaining),
+            self.helper_server.stop(remaining)
+        );
         self.tasks.abort_all();
         info!(self.state.log.unlimited(), "entry instance stopped");
     }
--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -1,13 +1,13 @@
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Duration;
 
 use laburnumdeal_model::{Configuration, Target, WHOLE_PERMILLE};
 use laburnumdeal_policy::steer::{
-    CrashReport, CrashReports, InstanceRecord, LoadBalancer, RegionShare, RetryBudgetShare,
-    RouteTable, UpstreamKey, UpstreamReach, hash_of,
+    CrashReport, CrashReports, HelperInstances, InstanceRecord, LoadBalancer, RegionShare,
+    RetryBudgetShare, RouteTable, UpstreamKey, UpstreamReach, hash_of,
 };
 use slog::{Logger, info};
 use tokio::sync::Notify;
@@ -24,6 +24,9 @@
 /// Idle connections that are kept to each upstream.
 const IDLE_CONNECTIONS: usize = 16;
 
+/// Idle connections that are kept to each other entry instance.
+const HELPER_IDLE_CONNECTIONS: usize = 32;
+
 /// Fraction of the allowed retry ratio that the instances use together.
 const RETRY_RATIO_USED: f64 = 0.75;
 
@@ -64,6 +67,8 @@
     pub crashes: Mutex<CrashReports>,
     pub crash_checks: CrashChecks,
     reach: Mutex<UpstreamReach>,
+    helpers: Mutex<HelperInstances>,
+    helper_pools: Mutex<HashMap<IpAddr, ConnectionPool>>,
     list: Mutex<UpstreamList>,
     roster_hash: AtomicU64,
     leaving: AtomicBool,
@@ -77,6 +82,7 @@
             by_service: HashMap::new(),
             max_balance: INITIAL_MAX_RETRIES,
         };
+        let helpers = HelperInstances::new(&settings.instance, &settings.region);
         Self {
             load_balancer: Mutex::new(LoadBalancer::new(settings.load_balancer_settings())),
             pools: Mutex::default(),
@@ -85,6 +91,8 @@
             crashes: Mutex::default(),
             crash_checks: CrashChecks::default(),
             reach: Mutex::default(),
+            helpers: Mutex::new(helpers),
+            helper_pools: Mutex::default(),
             list: Mutex::default(),
             roster_hash: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
@@ -106,6 +114,11 @@
         self.reach.lock().expect("no holder panics")
     }
 
+    /// Locks the other entry instances that forward requests while no upstream can be reached.
+    pub fn helpers(&self) -> MutexGuard<'_, HelperInstances> {
+        self.helpers.lock().expect("no holder panics")
+    }
+
     /// Deposits the share of one request into the retry budget of its service.
     pub fn deposit_retry(&self, service: &str) {
         self.with_retry_budget(service, RetryBudgetShare::deposit);
@@ -146,6 +159,18 @@
         .clone()
     }
 
+    /// Returns the connection pool of another entry instance. The other one identifies this one by
+    /// the address that its connections come from.
+    pub fn helper_pool(&self, address: IpAddr) -> ConnectionPool {
+        let mut pools = self.helper_pools.lock().expect("no holder panics");
+        let open = || {
+            let dialer = Dialer::from_address(self.settings.address);
+            let address = self.settings.peer_address(address);
+            ConnectionPool::with_dialer(address, HELPER_IDLE_CONNECTIONS, dialer)
+        };
+        pools.entry(address).or_insert_with(open).clone()
+    }
+
     /// Retires all connections to upstreams that were opened by a time.
     pub fn retire_connections(&self, opened_by: Instant) {
         let pools = self.pools.lock().expect("no holder panics");
@@ -320,6 +345,7 @@
     /// system-wide limits to their number.
     pub fn update_roster(&self, hash: u64, instances: Vec<InstanceRecord>) {
         self.roster_hash.store(hash, Ordering::Relaxed);
+        self.helpers().update(&instances);
         let mut load_balancer = self.load_balancer();
         load_balancer.update_instances(instances);
         let instances = load_balancer.instance_count() as f64;
--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -1,5 +1,5 @@
 use std::marker::PhantomData;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,7 +16,7 @@
 use crate::roles::buffered_body::{BufferedBody, BufferedBodyError};
 use crate::roles::entry_state::EntryState;
 use crate::roles::forwarding::{
-    BLOCKED_REASON, BLOCKED_RETRY_AFTER, ForwardOutcome, Forwarding, Progress,
+    BLOCKED_REASON, BLOCKED_RETRY_AFTER, ForwardOutcome, Forwarding, Origin, Progress,
 };
 use crate::roles::upstream_attempt::AttemptRequest;
 
@@ -29,6 +29,10 @@
 /// Retry delay for callers of an instance that has no configuration yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Marks a response of this instance to a request that did not run.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct NotRun;
+
 /// Forwards requests of callers to upstreams and returns the answers.
 pub(super) struct ForwardHandler<H> {
     state: Arc<EntryState>,
@@ -39,7 +43,8 @@
 struct RoutedRequest<'a> {
     route: &'a Route,
     service: &'a str,
-    peer: SocketAddr,
+    caller: IpAddr,
+    origin: Origin,
     started_at: Instant,
     max_body_bytes: u64,
 }
@@ -52,7 +57,27 @@
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<AnswerBody> {
+    /// Returns the answer to a request, with the id of the request.
+    pub async fn answer_with_id(
+        &self,
+        request: Request<Incoming>,
+        caller: IpAddr,
+        origin: Origin,
+    ) -> Response<AnswerBody> {
+        let id = request.headers().get(H::REQUEST_ID).cloned();
+        let mut response = self.answer(request, caller, origin).await;
+        if let Some(id) = id {
+            response.headers_mut().insert(H::REQUEST_ID, id);
+        }
+        response
+    }
+
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        caller: IpAddr,
+        origin: Origin,
+    ) -> Response<AnswerBody> {
         let started_at = Instant::now();
         let active = self.state.active();
         if active.configuration.is_none() {
@@ -67,7 +92,8 @@
         let routed = RoutedRequest {
             route,
             service,
-            peer,
+            caller,
+            origin,
             started_at,
             max_body_bytes: active.routes.limits().max_body_bytes,
         };
@@ -91,7 +117,7 @@
             }
         };
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-        let caller = routed.peer.ip().to_string();
+        let caller = routed.caller.to_string();
         let method = parts.method.as_str().as_bytes();
         let content = [caller.as_bytes(), method, path.as_bytes(), &body.prefix()];
         let fingerprint = hash_of(&content);
@@ -111,6 +137,7 @@
             max_body_bytes: routed.max_body_bytes,
             started_at: routed.started_at,
             progress: Progress::default(),
+            origin: routed.origin,
         };
         let forward_outcome = forwarding.run::<H>().await;
         self.log_outcome(&id, routed, &forwarding, &forward_outcome);
@@ -152,7 +179,7 @@
         info!(log, "request";
             "id" => String::from_utf8_lossy(id.as_bytes()).into_owned(),
             "fingerprint" => format!("{:016x}", forwarding.request.fingerprint),
-            "caller" => routed.peer.ip().to_string(), "route" => &routed.route.name, "route_version" => routed.route.version,
+            "caller" => routed.caller.to_string(), "route" => &routed.route.name, "route_version" => routed.route.version,
             "service" => routed.service, "upstream" => upstream, "region" => region,
             "rank" => last.map_or(0, |decision| decision.rank),
             "at_limit" => last.map_or(0, |decision| decision.at_limit),
@@ -163,6 +190,7 @@
                 .and_then(|decision| decision.load_age)
                 .map_or(-1, |age| age.as_millis() as i64),
             "warm" => last.is_some_and(|decision| decision.expects_cache_hit),
+            "helper" => forwarding.progress.helper().unwrap_or_default(),
             "arrivals" => forwarding.progress.arrivals(), "list_age_ms" => list_age.as_millis() as u64,
             "listed" => reach.listed, "avoided" => reach.avoided, "unreached" => reach.unreached,
             "took_ms" => took.as_millis() as u64, "outcome" => outcome,
@@ -184,7 +212,7 @@
         let id = header::text(&parts.headers, &H::REQUEST_ID);
         info!(log, "request"; "id" => id.unwrap_or("none").to_owned(),
             "fingerprint" => format!("{fingerprint:016x}"),
-            "caller" => routed.peer.ip().to_string(), "route" => &routed.route.name,
+            "caller" => routed.caller.to_string(), "route" => &routed.route.name,
             "service" => routed.service, "crashes" => crashes,
             "crash_age_ms" => age.as_millis() as u64, "outcome" => "blocked",
             "status" => StatusCode::SERVICE_UNAVAILABLE.as_u16(),
@@ -204,15 +232,13 @@
 
 impl<H: HeaderCodec> HttpHandler for ForwardHandler<H> {
     async fn handle(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<AnswerBody> {
-        let id = request.headers().get(H::REQUEST_ID).cloned();
-        let mut response = self.answer(request, peer).await;
-        let headers = response.headers_mut();
-        if let Some(id) = id {
-            headers.insert(H::REQUEST_ID, id);
-        }
+        let origin = Origin::Caller;
+        let mut response = self.answer_with_id(request, peer.ip(), origin).await;
         if self.state.is_leaving() {
             let close = HeaderValue::from_static("close");
-            headers.insert(http::header::CONNECTION, close);
+            response
+                .headers_mut()
+                .insert(http::header::CONNECTION, close);
         }
         response
     }
@@ -242,6 +268,7 @@
         uri: path.parse::<Uri>().unwrap_or_else(|_| parts.uri.clone()),
         headers,
         id: request_id::<H>(parts),
+        caller: routed.caller,
         fingerprint,
         object,
         idempotent: routed.route.item.idempotent,
@@ -268,7 +295,11 @@
         ForwardOutcome::NotRun {
             reason,
             retry_after,
-        } => unavailable_response::<H>(reason, retry_after),
+        } => {
+            let mut response = unavailable_response::<H>(reason, retry_after);
+            response.extensions_mut().insert(NotRun);
+            response
+        }
         ForwardOutcome::Unknown { reason, timed_out } => {
             let status = match timed_out {
                 true => StatusCode::GATEWAY_TIMEOUT,
--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -10,11 +10,15 @@
 use crate::roles::buffered_body::BufferedBody;
 use crate::roles::crash_checks;
 use crate::roles::entry_state::EntryState;
+use crate::roles::helper_request::{self, HelperResult};
 use crate::roles::upstream_attempt::{self, AttemptRequest, AttemptResult};
 
 /// Limit on the attempts of one request that do not reach an upstream.
 const MAX_UNREACHED_ATTEMPTS: usize = 6;
 
+/// Limit on the other entry instances that one request is sent to.
+const MAX_HELPERS: usize = 3;
+
 /// Default retry delay for a request that is given up without an answer.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -59,6 +63,16 @@
     pub started_at: Instant,
     /// Results of the attempts so far.
     pub progress: Progress,
+    pub origin: Origin,
+}
+
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Origin {
+    /// A caller.
+    Caller,
+    /// Another entry instance, which has lost the upstreams.
+    Instance,
 }
 
 /// Results of the attempts of a request so far.
@@ -71,6 +85,10 @@
     /// Answer with status 500 to an earlier attempt, returned if no further attempt is made.
     failure: Option<Response<AnswerBody>>,
     last_decision: Option<Decision>,
+    /// Whether the share of the request was deposited in the retry budget.
+    has_deposited: bool,
+    /// Name of the last other instance that the request was sent to.
+    helper: Option<String>,
 }
 
 impl Progress {
@@ -79,6 +97,11 @@
         self.arrivals
     }
 
+    /// Returns the name of the last other instance that the request was sent to.
+    pub fn helper(&self) -> Option<&str> {
+        self.helper.as_deref()
+    }
+
     /// Returns the last choice of an upstream, with the estimates behind it.
     pub fn last_decision(&self) -> Option<Decision> {
         self.last_decision
@@ -88,8 +111,18 @@
 impl Forwarding<'_> {
     /// Sends the request until an upstream answers or no further attempt is allowed.
     pub async fn run<H: HeaderCodec>(&mut self) -> ForwardOutcome {
-        self.state.deposit_retry(self.service);
         loop {
+            if self.origin == Origin::Caller
+                && self.progress.arrivals == 0
+                && self.state.reach().is_lost()
+                && let Some(outcome) = self.send_to_helpers::<H>().await
+            {
+                return outcome;
+            }
+            // The instance that sends a request to upstreams may repeat it.
+            if !std::mem::replace(&mut self.progress.has_deposited, true) {
+                self.state.deposit_retry(self.service);
+            }
             let decision = match self.choose_upstream() {
                 Selection::Send(decision) => decision,
                 Selection::Busy {
@@ -120,6 +153,36 @@
         }
     }
 
+    /// Sends the request to other entry instances until one forwards it. Returns `None` if it did
+    /// not run and none is left.
+    async fn send_to_helpers<H: HeaderCodec>(&mut self) -> Option<ForwardOutcome> {
+        let mut tried = Vec::new();
+        while tried.len() < MAX_HELPERS {
+            let now = Instant::now();
+            let regions = &self.route.item.regions;
+            let key = self.state.helpers().choose(regions, &tried, now)?;
+            tried.push(key);
+            let name = self.state.helpers().name(key).to_owned();
+            self.progress.helper = Some(name);
+            let body = self.body.take(self.max_body_bytes);
+            let result = helper_request::send::<H>(self.state, key, &self.request, body).await;
+            self.state.metrics.count_helped(result.outcome());
+            match result {
+                HelperResult::Answer(response) => return Some(ForwardOutcome::Answer(response)),
+                HelperResult::Unknown { timed_out } => {
+                    let reason = "no answer of the other instance";
+                    return Some(ForwardOutcome::Unknown { reason, timed_out });
+                }
+                HelperResult::CannotForward if !self.body.is_replayable() => {
+                    let reason = "the other instance cannot forward";
+                    return Some(self.give_up(reason, DEFAULT_RETRY_AFTER));
+                }
+                HelperResult::CannotForward => {}
+            }
+        }
+        None
+    }
+
     fn choose_upstream(&self) -> Selection {
         let now = Instant::now();
         let request = RequestContext {
--- /dev/null
+++ b/daemon/src/roles/helper_handler.rs
@@ -0,0 +1,87 @@
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+
+use http::{HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use crate::answer_body::AnswerBody;
+use crate::header;
+use crate::http_server::HttpHandler;
+use crate::roles::HeaderCodec;
+use crate::roles::PresenceState;
+use crate::roles::entry_state::EntryState;
+use crate::roles::forward_handler::{ForwardHandler, NotRun};
+use crate::roles::forwarding::Origin;
+use crate::roles::helper_request::CANNOT_FORWARD;
+
+/// Forwards requests of other entry instances that have lost the upstreams. Such a request goes to
+/// upstreams only, not on to a further instance.
+pub(super) struct HelperHandler<H> {
+    state: Arc<EntryState>,
+    forward: Arc<ForwardHandler<H>>,
+}
+
+impl<H: HeaderCodec> HelperHandler<H> {
+    pub fn new(state: Arc<EntryState>, forward: Arc<ForwardHandler<H>>) -> Self {
+        Self { state, forward }
+    }
+
+    /// Returns why this instance does not forward a request; `Ok` is the address of its caller.
+    fn check(&self, request: &Request<Incoming>, peer: SocketAddr) -> Result<IpAddr, &'static str> {
+        if !self.state.helpers().is_known(peer.ip()) {
+            return Err("not from an entry instance");
+        }
+        let caller = header::text(request.headers(), &header::CALLER);
+        let caller = caller.and_then(|text| text.parse().ok());
+        let caller = caller.ok_or("no address of a caller")?;
+        if self.state.presence() != PresenceState::Ready {
+            return Err("not ready");
+        }
+        if self.state.reach().is_lost() {
+            return Err("no upstream can be reached");
+        }
+        let known = header::text(request.headers(), &header::CONFIGURATION);
+        let known = known.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+        let active = self.state.active().configuration;
+        if active.is_none_or(|configuration| configuration.version.0 < known) {
+            return Err("older configuration");
+        }
+        Ok(caller)
+    }
+}
+
+impl<H: HeaderCodec> HttpHandler for HelperHandler<H> {
+    async fn handle(
+        &self,
+        mut request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> Response<AnswerBody> {
+        let caller = match self.check(&request, peer) {
+            Ok(caller) => caller,
+            Err(reason) => {
+                self.state.metrics.count_help_refused(reason);
+                return cannot_forward(reason);
+            }
+        };
+        for name in [header::CALLER, header::CONFIGURATION] {
+            request.headers_mut().remove(name);
+        }
+        let origin = Origin::Instance;
+        let mut response = self.forward.answer_with_id(request, caller, origin).await;
+        let did_not_run = response.extensions().get::<NotRun>().is_some();
+        if did_not_run && self.state.reach().is_lost() {
+            return cannot_forward("no upstream can be reached");
+        }
+        let outcome = HeaderValue::from_static("answer");
+        response.headers_mut().insert(header::OUTCOME, outcome);
+        response
+    }
+}
+
+fn cannot_forward(reason: &str) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(format!("{reason}\n")));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let outcome = HeaderValue::from_static(CANNOT_FORWARD);
+    response.headers_mut().insert(header::OUTCOME, outcome);
+    response
+}
--- /dev/null
+++ b/daemon/src/roles/helper_request.rs
@@ -0,0 +1,173 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderValue, Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use laburnumdeal_policy::steer::HelperKey;
+use tokio::time::Instant;
+
+use crate::answer_body::AnswerBody;
+use crate::connection_pool::Freshness;
+use crate::exchange_error::ExchangeError;
+use crate::exchange_guard::ExchangeGuard;
+use crate::header;
+use crate::request_body::RequestBody;
+use crate::roles::HeaderCodec;
+use crate::roles::entry_state::EntryState;
+use crate::roles::upstream_attempt::{
+    AttemptEnd, AttemptRequest, MAX_ANSWER_BYTES, ReceivedBody, receive,
+};
+
+/// Value of [`header::OUTCOME`] by which an instance says that it cannot forward requests of others,
+/// so that the request did not run.
+pub(super) const CANNOT_FORWARD: &str = "cannot-forward";
+
+/// Timeout for opening a connection to another instance.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Longest idle time of a connection that is reused for an idempotent request.
+const MAX_IDLE_REUSE: Duration = Duration::from_secs(3);
+
+/// Time after the end of the wait of the other instance for which its answer is still awaited.
+const ANSWER_GRACE: Duration = Duration::from_millis(100);
+
+/// How a request to another entry instance ended.
+pub(super) enum HelperResult {
+    /// Its answer, which is that of an upstream or its own.
+    Answer(Response<AnswerBody>),
+    /// The instance could not forward the request, which did not run.
+    CannotForward,
+    /// The request may have run.
+    Unknown {
+        /// Whether the cause is a timeout.
+        timed_out: bool,
+    },
+}
+
+/// Request in flight at another entry instance, until it is dropped.
+struct HelperInFlight<'a> {
+    state: &'a EntryState,
+    key: HelperKey,
+    could_forward: bool,
+}
+
+impl HelperResult {
+    /// Returns the outcome for metrics.
+    pub fn outcome(&self) -> &'static str {
+        match self {
+            Self::Answer(_) => "answer",
+            Self::CannotForward => "not-run",
+            Self::Unknown { .. } => "unknown",
+        }
+    }
+}
+
+impl Drop for HelperInFlight<'_> {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        self.state.helpers().end(self.key, self.could_forward, now);
+    }
+}
+
+/// Sends a request to another entry instance, which forwards it to an upstream.
+pub(super) async fn send<H: HeaderCodec>(
+    state: &Arc<EntryState>,
+    key: HelperKey,
+    request: &AttemptRequest,
+    body: RequestBody,
+) -> HelperResult {
+    state.helpers().begin(key);
+    let mut in_flight = HelperInFlight {
+        state,
+        key,
+        could_forward: true,
+    };
+    let result = exchange::<H>(state, key, request, body).await;
+    in_flight.could_forward = matches!(result, HelperResult::Answer(_));
+    result
+}
+
+async fn exchange<H: HeaderCodec>(
+    state: &Arc<EntryState>,
+    key: HelperKey,
+    request: &AttemptRequest,
+    body: RequestBody,
+) -> HelperResult {
+    let address = state.helpers().address(key);
+    let pool = state.helper_pool(address);
+    let freshness = match request.idempotent {
+        true => Freshness::ActiveWithin(MAX_IDLE_REUSE),
+        false => Freshness::RecentlyActive,
+    };
+    let until = request.deadline.min(Instant::now() + CONNECT_TIMEOUT);
+    let Ok(connection) = pool.acquire(freshness, until).await else {
+        return HelperResult::CannotForward;
+    };
+    let mut guard = ExchangeGuard::new(connection, pool, None);
+    let message = message::<H>(state, request, body);
+    let wait_until = request.wait_until + ANSWER_GRACE;
+    match guard.connection().send(message, wait_until).await {
+        Ok(response) => answer::<H>(response, guard, request, wait_until).await,
+        Err(ExchangeError::NotSent | ExchangeError::Refused(_)) => HelperResult::CannotForward,
+        Err(ExchangeError::Broken(_)) => HelperResult::Unknown { timed_out: false },
+        Err(ExchangeError::TimedOut) => {
+            guard.timed_out();
+            HelperResult::Unknown { timed_out: true }
+        }
+    }
+}
+
+fn message<H: HeaderCodec>(
+    state: &EntryState,
+    request: &AttemptRequest,
+    body: RequestBody,
+) -> Request<RequestBody> {
+    let mut message = Request::new(body);
+    *message.method_mut() = request.method.clone();
+    *message.uri_mut() = request.uri.clone();
+    let headers = message.headers_mut();
+    headers.clone_from(&request.headers);
+    headers.insert(H::DEADLINE_MS, request.remaining_ms());
+    headers.insert(header::CALLER, header::value(&request.caller.to_string()));
+    let active = state.active().configuration;
+    let version = active.map_or(0, |configuration| configuration.version.0);
+    headers.insert(header::CONFIGURATION, HeaderValue::from(version));
+    message
+}
+
+async fn answer<H: HeaderCodec>(
+    response: Response<Incoming>,
+    guard: ExchangeGuard,
+    request: &AttemptRequest,
+    wait_until: Instant,
+) -> HelperResult {
+    if header::text(response.headers(), &header::OUTCOME) == Some(CANNOT_FORWARD) {
+        if response.into_body().collect().await.is_ok() {
+            guard.complete();
+        }
+        return HelperResult::CannotForward;
+    }
+    if response.headers().get(H::REQUEST_ID) != Some(&request.id) {
+        return HelperResult::Unknown { timed_out: false };
+    }
+    let (mut parts, incoming) = response.into_parts();
+    parts.headers = header::end_to_end(&parts.headers);
+    parts.headers.remove(header::OUTCOME);
+    match receive(incoming, wait_until).await {
+        Ok(ReceivedBody::Whole(bytes)) => {
+            guard.complete();
+            let body = AnswerBody::whole(bytes);
+            HelperResult::Answer(Response::from_parts(parts, body))
+        }
+        Ok(ReceivedBody::Long(held, incoming)) => {
+            let body = AnswerBody::stream(held, incoming, MAX_ANSWER_BYTES, wait_until, guard);
+            HelperResult::Answer(Response::from_parts(parts, body))
+        }
+        Err(AttemptEnd::TimedOut) => {
+            guard.timed_out();
+            HelperResult::Unknown { timed_out: true }
+        }
+        Err(AttemptEnd::Broken) => HelperResult::Unknown { timed_out: false },
+    }
+}
--- a/daemon/src/roles/mod.rs
+++ b/daemon/src/roles/mod.rs
@@ -18,6 +18,8 @@
 mod forward_handler;
 mod forwarding;
 mod header_codec;
+mod helper_handler;
+mod helper_request;
 mod known_controls;
 mod known_list;
 mod list_changes;
--- a/daemon/src/roles/node_metrics.rs
+++ b/daemon/src/roles/node_metrics.rs
@@ -35,6 +35,18 @@
     crash_reports: Gauge,
     limited_upstreams: Gauge,
     reaches_upstreams: Gauge,
+    helped: Family<HelpLabels, Counter>,
+    help_refused: Family<ReasonLabels, Counter>,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct HelpLabels {
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ReasonLabels {
+    reason: &'static str,
 }
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
@@ -135,6 +147,17 @@
             "0 while no upstream can be connected to",
             reaches_upstreams.clone(),
         );
+        let (helped, help_refused) = (Family::default(), Family::default());
+        registry.register(
+            "helped_requests",
+            "Requests sent to other entry instances, by outcome",
+            Family::clone(&helped),
+        );
+        registry.register(
+            "help_refused",
+            "Requests of other entry instances that were not forwarded, by reason",
+            Family::clone(&help_refused),
+        );
         Self {
             registry: Arc::new(registry),
             requests,
@@ -152,6 +175,8 @@
             crash_reports,
             limited_upstreams,
             reaches_upstreams,
+            helped,
+            help_refused,
         }
     }
 
@@ -240,6 +265,18 @@
         self.reaches_upstreams.set(i64::from(reaches));
     }
 
+    /// Counts a request that was sent to another entry instance.
+    pub fn count_helped(&self, outcome: &'static str) {
+        let labels = HelpLabels { outcome };
+        self.helped.get_or_create(&labels).inc();
+    }
+
+    /// Counts a request of another entry instance that was not forwarded.
+    pub fn count_help_refused(&self, reason: &'static str) {
+        let labels = ReasonLabels { reason };
+        self.help_refused.get_or_create(&labels).inc();
+    }
+
     /// Renders all metrics in the OpenMetrics text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
--- a/daemon/src/roles/reach_probes.rs
+++ b/daemon/src/roles/reach_probes.rs
@@ -64,7 +64,9 @@
         ReachChange::Lost => {
             // What these attempts were at did not necessarily end.
             crash_checks::forget_undecided(state);
-            warn!(state.log.unlimited(), "no upstream can be reached"; "probed" => probed);
+            let helpers = state.helpers().count();
+            warn!(state.log.unlimited(), "no upstream can be reached"; "probed" => probed,
+                "helpers" => helpers);
         }
         ReachChange::Regained => {
             // Connections from before may be silent for good.
--- a/daemon/src/roles/registry.rs
+++ b/daemon/src/roles/registry.rs
@@ -102,7 +102,7 @@
         addresses.take(MAX_ADDRESSES).collect()
     }
 
-    /// Returns the roster: a hash of the names of the entry instances, and the instances. Returns
+    /// Returns the roster: a hash of the names and addresses of the entry instances, and the instances. Returns
     /// `None` until all have had time to announce themselves.
     pub fn roster(&self, now: Instant) -> Option<(u64, Vec<InstanceRecord>)> {
         if now - self.started_at < ROSTER_WARM_UP {
@@ -110,11 +110,17 @@
         }
         let mut entries = self.entries.lock().expect("no holder panics");
         entries.retain(|_, entry| now - entry.received_at < ROSTER_TIMEOUT);
-        let parts: Vec<&[u8]> = entries.keys().map(String::as_bytes).collect();
+        let parts = entries.iter().map(|(name, entry)| {
+            let address = entry.presence.caller_address.ip();
+            format!("{name} {address}")
+        });
+        let parts: Vec<String> = parts.collect();
+        let parts: Vec<&[u8]> = parts.iter().map(String::as_bytes).collect();
         let hash = hash_of(&parts);
         let record = |(name, entry): (&String, &RegistryEntry)| InstanceRecord {
             name: name.clone(),
             region: entry.presence.region.clone(),
+            address: Some(entry.presence.caller_address.ip()),
         };
         Some((hash, entries.iter().map(record).collect()))
     }
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -1,4 +1,5 @@
 use std::fmt;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -29,7 +30,7 @@
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
 /// Longest answer of an upstream.
-const MAX_ANSWER_BYTES: u64 = 1024 * 1024 * 1024;
+pub(super) const MAX_ANSWER_BYTES: u64 = 1024 * 1024 * 1024;
 
 /// Interval at which an upstream is checked for a crash while an attempt waits for its answer.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -45,6 +46,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub id: HeaderValue,
+    /// Address of the caller.
+    pub caller: IpAddr,
     /// Hash that repeats of the request share; crash reports name it.
     pub fingerprint: u64,
     /// Hash of the affinity key, or of the path if the request has no key.
@@ -56,6 +59,15 @@
     pub wait_until: Instant,
 }
 
+impl AttemptRequest {
+    /// Returns the time left until the deadline in whole milliseconds, at least one, as a header.
+    pub fn remaining_ms(&self) -> HeaderValue {
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+        HeaderValue::from(remaining_ms.max(1))
+    }
+}
+
 /// How an attempt ended.
 pub(super) enum AttemptResult {
     /// The answer of the upstream.
@@ -255,11 +267,7 @@
     *message.uri_mut() = request.uri.clone();
     let headers = message.headers_mut();
     headers.clone_from(&request.headers);
-    let remaining = request.deadline.saturating_duration_since(Instant::now());
-    let remaining_ms = u64::try_from(remaining.as_millis())
-        .unwrap_or(u64::MAX)
-        .max(1);
-    headers.insert(H::DEADLINE_MS, HeaderValue::from(remaining_ms));
+    headers.insert(H::DEADLINE_MS, request.remaining_ms());
     headers.insert(H::EXPECTED_UPSTREAM, header::value(upstream));
     message
 }
@@ -405,7 +413,8 @@
 }
 
 /// Body of an answer, as far as it was received before its first byte goes to the caller.
-enum ReceivedBody {
+pub(super) enum ReceivedBody {
+    /// The whole body.
     Whole(Bytes),
     /// Beginning of a long body, and the rest as it arrives.
     Long(Bytes, Incoming),
@@ -413,7 +422,10 @@
 
 /// Receives the body of an answer. A short one is buffered whole, so that a truncated answer can be
 /// asked for again elsewhere.
-async fn receive(mut incoming: Incoming, wait_until: Instant) -> Result<ReceivedBody, AttemptEnd> {
+pub(super) async fn receive(
+    mut incoming: Incoming,
+    wait_until: Instant,
+) -> Result<ReceivedBody, AttemptEnd> {
     let length = incoming.size_hint().exact();
     if length.is_some_and(|bytes| bytes > MAX_BUFFERED_BYTES as u64) {
         return Ok(ReceivedBody::Long(Bytes::new(), incoming));
--- a/policy/src/steer/instance_record.rs
+++ b/policy/src/steer/instance_record.rs
@@ -1,3 +1,5 @@
+use std::net::IpAddr;
+
 use serde::{Deserialize, Serialize};
 
 /// Entry instance that may send requests to upstreams.
@@ -7,4 +9,6 @@
     pub name: String,
     /// Region of the instance.
     pub region: String,
+    /// Address at which other instances reach it; `None` if it is not known.
+    pub address: Option<IpAddr>,
 }
--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -216,6 +216,7 @@
         let own = InstanceRecord {
             name: self.settings.instance.clone(),
             region: self.settings.region.clone(),
+            address: None,
         };
         if !instances.iter().any(|known| known.name == own.name) {
             instances.push(own);
--- a/policy/tests/steer/main.rs
+++ b/policy/tests/steer/main.rs
@@ -3,6 +3,7 @@
 mod choose;
 mod cold;
 mod crash_reports;
+mod helpers;
 mod limits;
 mod load;
 mod reach;
--- a/policy/tests/steer/setup.rs
+++ b/policy/tests/steer/setup.rs
@@ -27,6 +27,7 @@
     InstanceRecord {
         name: format!("e-{number}"),
         region: region.into(),
+        address: None,
     }
 }
 
