Do not take upstreams for cold after a partition of this instance

Cause: an upstream that cannot be connected to may have restarted, so that it counts as cold until it has warmed up; after a partition this holds for all of them, and the quotas of one instance are small. The failures of a partition are now forgotten when it ends. An upstream that did restart is in the list as cold, or under a new id.

--- a/daemon/src/roles/reach_probes.rs
+++ b/daemon/src/roles/reach_probes.rs
@@ -69,6 +69,7 @@
                 "helpers" => helpers);
         }
         ReachChange::Regained => {
+            state.load_balancer().end_partition();
             // Connections from before may be silent for good.
             state.retire_connections(now);
             info!(state.log.unlimited(), "upstreams can be reached again";
--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -266,6 +266,14 @@
         reach
     }
 
+    /// Records that this instance was partitioned from all upstreams until now, which is why they
+    /// could not be connected to.
+    pub fn end_partition(&mut self) {
+        self.entries
+            .iter_mut()
+            .for_each(UpstreamEntry::forget_connect_failures);
+    }
+
     /// Returns all listed upstreams in random order.
     pub fn sample(&self, rng: &mut impl Rng) -> Vec<UpstreamKey> {
         let entries = self.entries.iter().enumerate();
--- a/policy/src/steer/upstream_entry.rs
+++ b/policy/src/steer/upstream_entry.rs
@@ -140,6 +140,15 @@
         self.connect_failures > 0
     }
 
+    /// Forgets failures to connect whose cause was a partition of this instance: the upstream did
+    /// not restart, so it is not cold.
+    pub fn forget_connect_failures(&mut self) {
+        if self.connect_failures > 0 {
+            self.connect_failures = 0;
+            self.backoff_until = None;
+        }
+    }
+
     pub fn accepts_requests(&self, now: Instant) -> bool {
         self.is_listed
             && !self.record.leaving
--- a/policy/tests/steer/reach.rs
+++ b/policy/tests/steer/reach.rs
@@ -1,11 +1,13 @@
 use std::time::Duration;
 
-use laburnumdeal_policy::steer::{ReachChange, UpstreamKey, UpstreamReach};
+use laburnumdeal_policy::steer::{
+    AttemptOutcome, ReachChange, Selection, UpstreamKey, UpstreamReach,
+};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
-use crate::setup::{load_balancer, upstream};
+use crate::setup::{instance, load_balancer, request, upstream};
 
 #[test]
 fn record_failed_same_upstream_again_probes_no_others() {
@@ -99,3 +101,34 @@
     assert_eq!(balancer.neighbors(UpstreamKey(3), &mut rng).len(), 4);
     assert_eq!(balancer.sample(&mut rng).len(), 5);
 }
+
+// Guards against: an instance whose partition ended takes all upstreams for cold, and refuses most
+// requests until they have warmed up.
+#[test]
+fn end_partition_upstreams_that_were_unreachable_are_not_cold() {
+    let now = Instant::now();
+    let records: Vec<_> = (0..4).map(|number| upstream(number, "a1", 4)).collect();
+    let mut balancer = load_balancer("e-1", "a", &records, now);
+    balancer.update_instances((2..40).map(|number| instance(number, "a")).collect());
+    for object in 0..40 {
+        if let Selection::Send(decision) = balancer.choose(&request(object), now) {
+            balancer.begin_attempt(&decision, now);
+            let outcome = AttemptOutcome::ConnectFailed;
+            balancer.end_attempt(&decision, "all", object, outcome, now);
+        }
+    }
+    assert_eq!(balancer.service_reach("catalog", now).unreached, 4);
+    balancer.end_partition();
+    assert_eq!(balancer.service_reach("catalog", now).avoided, 0);
+    for object in 0..40 {
+        let Selection::Send(decision) = balancer.choose(&request(object), now) else {
+            panic!("request {object} is refused");
+        };
+        balancer.begin_attempt(&decision, now);
+        let outcome = AttemptOutcome::Answered {
+            took_ms: 20.0,
+            failed: false,
+        };
+        balancer.end_attempt(&decision, "all", object, outcome, now);
+    }
+}
