Recognize requests that crash upstreams whatever address they come from

Cause: the fingerprint of a request began with the caller's address, so that repeats from another address were other requests, and none was blocked.

A content, without the caller, is now blocked after three crashes of different upstreams. The caller's own request is blocked after two crashes as before.

The bounds of the tables stay; each request takes two places.

--- a/daemon/src/roles/crash_checks.rs
+++ b/daemon/src/roles/crash_checks.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use http::HeaderValue;
-use laburnumdeal_policy::steer::{UnansweredAttempts, UpstreamKey};
+use laburnumdeal_policy::steer::{RequestFingerprints, UnansweredAttempts, UpstreamKey};
 use slog::info;
 use tokio::runtime::Handle;
 use tokio::sync::watch;
@@ -53,8 +53,8 @@
 pub(super) struct UnansweredAttempt {
     /// ID of the request.
     pub id: HeaderValue,
-    /// Hash that repeats of the request share.
-    pub fingerprint: u64,
+    /// Hashes that repeats of the request share.
+    pub fingerprints: RequestFingerprints,
     /// Whether the connection broke, rather than that the time was out.
     pub is_broken: bool,
     /// Time at which it was known to have no answer.
@@ -207,7 +207,9 @@
         reach_probes::record_failed(&state, upstream);
     }
     if result.is_crash() {
-        let fingerprints = attempts.iter().map(|attempt| attempt.fingerprint);
+        let fingerprints = attempts
+            .iter()
+            .flat_map(|attempt| attempt.fingerprints.both());
         state.report_crash(&name, &fingerprints.collect::<Vec<_>>());
     } else {
         let mut passed = state.crash_checks.passed();
@@ -217,7 +219,9 @@
     if result == CheckResult::AcceptsConnections {
         let mut undecided = state.crash_checks.undecided();
         for attempt in attempts {
-            undecided.record(upstream, attempt.fingerprint, attempt.at);
+            for fingerprint in attempt.fingerprints.both() {
+                undecided.record(upstream, fingerprint, attempt.at);
+            }
         }
     }
     state.metrics.count_crash_check(result.text());
@@ -227,7 +231,7 @@
         };
         info!(log, "checked an upstream for a crash";
             "id" => String::from_utf8_lossy(attempt.id.as_bytes()).into_owned(),
-            "fingerprint" => format!("{:016x}", attempt.fingerprint), "upstream" => &name,
+            "fingerprint" => format!("{:016x}", attempt.fingerprints.by_caller), "upstream" => &name,
             "result" => result.text(), "took_ms" => started_at.elapsed().as_millis() as u64,
             "attempt_age_ms" => attempt.at.elapsed().as_millis() as u64,
             "reported" => result.is_crash());
--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -6,8 +6,9 @@
 
 use laburnumdeal_model::{Configuration, Target, WHOLE_PERMILLE};
 use laburnumdeal_policy::steer::{
-    CrashReport, CrashReports, HelperInstances, InstanceRecord, LoadBalancer, RegionShare,
-    RetryBudgetShare, RouteTable, UpstreamKey, UpstreamReach, hash_of,
+    CompletedRequests, CrashReport, CrashReports, HelperInstances, InstanceRecord, LoadBalancer,
+    RegionShare, RequestFingerprints, RetryBudgetShare, RouteTable, UpstreamKey, UpstreamReach,
+    hash_of,
 };
 use slog::{Logger, info};
 use tokio::sync::Notify;
@@ -66,6 +67,7 @@
     active: RwLock<ActiveConfiguration>,
     pub crashes: Mutex<CrashReports>,
     pub crash_checks: CrashChecks,
+    completed: Mutex<CompletedRequests>,
     reach: Mutex<UpstreamReach>,
     helpers: Mutex<HelperInstances>,
     helper_pools: Mutex<HashMap<IpAddr, ConnectionPool>>,
@@ -90,6 +92,7 @@
             active: RwLock::default(),
             crashes: Mutex::default(),
             crash_checks: CrashChecks::default(),
+            completed: Mutex::default(),
             reach: Mutex::default(),
             helpers: Mutex::new(helpers),
             helper_pools: Mutex::default(),
@@ -196,22 +199,45 @@
         }
     }
 
-    /// Returns whether a request must be refused, because it crashed upstreams.
-    pub fn refuses(&self, fingerprint: u64) -> bool {
+    /// Returns whether a request must be refused, because it crashed upstreams. A content that
+    /// upstreams completed a short while ago is not refused for the crashes of several callers.
+    pub fn refuses(&self, fingerprints: RequestFingerprints) -> bool {
         let now = Instant::now();
+        let RequestFingerprints {
+            by_caller,
+            by_content,
+        } = fingerprints;
         let mut crashes = self.crashes.lock().expect("no holder panics");
-        let is_blocked = crashes.is_blocked(fingerprint, now);
-        if is_blocked {
+        let blocked = fingerprints.both().into_iter().find(|fingerprint| {
+            crashes.is_blocked(*fingerprint, now)
+                && (*fingerprint == by_caller || !self.is_completed(by_content, now))
+        });
+        if let Some(fingerprint) = blocked {
             crashes.record_refusal(fingerprint, now);
         }
-        is_blocked
+        blocked.is_some()
+    }
+
+    /// Records that an upstream completed a request.
+    pub fn record_completed(&self, fingerprints: RequestFingerprints) {
+        let mut completed = self.completed.lock().expect("no holder panics");
+        completed.record(fingerprints.by_content, Instant::now());
+    }
+
+    fn is_completed(&self, by_content: u64, now: Instant) -> bool {
+        let completed = self.completed.lock().expect("no holder panics");
+        completed.is_recent(by_content, now)
     }
 
     /// Returns how many crashes of upstreams are known for a request, and the time since the newest
     /// one or the last refusal.
-    pub fn known_crashes(&self, fingerprint: u64) -> (usize, Duration) {
-        let crashes = self.crashes.lock().expect("no holder panics");
-        crashes.known(fingerprint, Instant::now())
+    pub fn known_crashes(&self, fingerprints: RequestFingerprints) -> (usize, Duration) {
+        let (crashes, now) = (
+            self.crashes.lock().expect("no holder panics"),
+            Instant::now(),
+        );
+        let known = fingerprints.both().map(|key| crashes.known(key, now));
+        known[0].max(known[1])
     }
 
     /// Reports a crash of an upstream for each of the requests that may have caused it.
--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -5,7 +5,7 @@
 
 use http::{HeaderValue, Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
-use laburnumdeal_policy::steer::{Route, hash_of};
+use laburnumdeal_policy::steer::{RequestFingerprints, Route, hash_of};
 use slog::info;
 use tokio::time::Instant;
 
@@ -43,6 +43,7 @@
 struct RoutedRequest<'a> {
     route: &'a Route,
     service: &'a str,
+    host: &'a str,
     caller: IpAddr,
     origin: Origin,
     started_at: Instant,
@@ -92,6 +93,7 @@
         let routed = RoutedRequest {
             route,
             service,
+            host: &host,
             caller,
             origin,
             started_at,
@@ -119,14 +121,16 @@
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
         let caller = routed.caller.to_string();
         let method = parts.method.as_str().as_bytes();
-        let content = [caller.as_bytes(), method, path.as_bytes(), &body.prefix()];
-        let fingerprint = hash_of(&content);
-        let known = self.state.known_crashes(fingerprint);
-        if self.state.refuses(fingerprint) {
-            self.log_blocked(&parts, routed, fingerprint, known);
+        let prefix = body.prefix();
+        let content = [routed.host.as_bytes(), method, path.as_bytes(), &*prefix];
+        let fingerprints = RequestFingerprints::new(caller.as_bytes(), &content);
+        drop(prefix);
+        let known = self.state.known_crashes(fingerprints);
+        if self.state.refuses(fingerprints) {
+            self.log_blocked(&parts, routed, fingerprints, known);
             return unavailable_response::<H>(BLOCKED_REASON, BLOCKED_RETRY_AFTER);
         }
-        let attempt = attempt_request::<H>(&parts, routed, path, fingerprint);
+        let attempt = attempt_request::<H>(&parts, routed, path, fingerprints);
         let id = attempt.id.clone();
         let mut forwarding = Forwarding {
             state: &self.state,
@@ -178,7 +182,7 @@
         });
         info!(log, "request";
             "id" => String::from_utf8_lossy(id.as_bytes()).into_owned(),
-            "fingerprint" => format!("{:016x}", forwarding.request.fingerprint),
+            "fingerprint" => format!("{:016x}", forwarding.request.fingerprints.by_caller),
             "caller" => routed.caller.to_string(), "route" => &routed.route.name, "route_version" => routed.route.version,
             "service" => routed.service, "upstream" => upstream, "region" => region,
             "rank" => last.map_or(0, |decision| decision.rank),
@@ -201,7 +205,7 @@
         &self,
         parts: &http::request::Parts,
         routed: &RoutedRequest<'_>,
-        fingerprint: u64,
+        fingerprints: RequestFingerprints,
         (crashes, age): (usize, Duration),
     ) {
         let metrics = &self.state.metrics;
@@ -211,7 +215,8 @@
         };
         let id = header::text(&parts.headers, &H::REQUEST_ID);
         info!(log, "request"; "id" => id.unwrap_or("none").to_owned(),
-            "fingerprint" => format!("{fingerprint:016x}"),
+            "fingerprint" => format!("{:016x}", fingerprints.by_caller),
+            "content" => format!("{:016x}", fingerprints.by_content),
             "caller" => routed.caller.to_string(), "route" => &routed.route.name,
             "service" => routed.service, "crashes" => crashes,
             "crash_age_ms" => age.as_millis() as u64, "outcome" => "blocked",
@@ -248,7 +253,7 @@
     parts: &http::request::Parts,
     routed: &RoutedRequest<'_>,
     path: &str,
-    fingerprint: u64,
+    fingerprints: RequestFingerprints,
 ) -> AttemptRequest {
     let header_ms = header::text(&parts.headers, &H::DEADLINE_MS);
     let header_ms = header_ms.and_then(|text| text.trim().parse::<f64>().ok());
@@ -269,7 +274,7 @@
         headers,
         id: request_id::<H>(parts),
         caller: routed.caller,
-        fingerprint,
+        fingerprints,
         object,
         idempotent: routed.route.item.idempotent,
         deadline,
--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -140,7 +140,7 @@
                 }
             };
             // The last attempt, or another instance, may have reported a crash since the arrival.
-            if !self.progress.tried.is_empty() && self.state.refuses(self.request.fingerprint) {
+            if !self.progress.tried.is_empty() && self.state.refuses(self.request.fingerprints) {
                 return self.give_up(BLOCKED_REASON, BLOCKED_RETRY_AFTER);
             }
             if self.progress.arrivals > 0 && !self.state.withdraw_retry(self.service) {
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -8,7 +8,7 @@
 use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use laburnumdeal_policy::steer::{AttemptOutcome, Decision, LimitNotice};
+use laburnumdeal_policy::steer::{AttemptOutcome, Decision, LimitNotice, RequestFingerprints};
 use slog::{info, warn};
 use tokio::time::Instant;
 
@@ -48,8 +48,8 @@
     pub id: HeaderValue,
     /// Address of the caller.
     pub caller: IpAddr,
-    /// Hash that repeats of the request share; crash reports name it.
-    pub fingerprint: u64,
+    /// Hashes that repeats of the request share; crash reports name them.
+    pub fingerprints: RequestFingerprints,
     /// Hash of the affinity key, or of the path if the request has no key.
     pub object: u64,
     pub idempotent: bool,
@@ -108,7 +108,7 @@
     route: String,
     object: u64,
     id: HeaderValue,
-    fingerprint: u64,
+    fingerprints: RequestFingerprints,
     started_at: Instant,
     /// Whether the upstream may have received the request.
     is_sent: bool,
@@ -155,7 +155,7 @@
             route: route.to_owned(),
             object: request.object,
             id: request.id.clone(),
-            fingerprint: request.fingerprint,
+            fingerprints: request.fingerprints,
             started_at: now,
             is_sent: false,
             outcome: AttemptOutcome::Cancelled,
@@ -167,7 +167,7 @@
     fn unanswered(&self) -> UnansweredAttempt {
         UnansweredAttempt {
             id: self.id.clone(),
-            fingerprint: self.fingerprint,
+            fingerprints: self.fingerprints,
             is_broken: self.outcome == AttemptOutcome::Broken,
             at: Instant::now(),
         }
@@ -191,7 +191,7 @@
         };
         info!(log, "attempt ended without an answer";
             "id" => String::from_utf8_lossy(self.id.as_bytes()).into_owned(),
-            "fingerprint" => format!("{:016x}", self.fingerprint), "upstream" => upstream,
+            "fingerprint" => format!("{:016x}", self.fingerprints.by_caller), "upstream" => upstream,
             "outcome" => outcome, "took_ms" => self.started_at.elapsed().as_millis() as u64);
     }
 }
@@ -203,6 +203,9 @@
         load_balancer.end_attempt(&self.decision, &self.route, self.object, self.outcome, now);
         let upstream = load_balancer.endpoint(self.decision.upstream).0.to_owned();
         drop(load_balancer);
+        if matches!(self.outcome, AttemptOutcome::Answered { failed: false, .. }) {
+            self.state.record_completed(self.fingerprints);
+        }
         self.handle_unanswered(&upstream);
     }
 }
--- a/policy/src/steer/crash_reports.rs
+++ b/policy/src/steer/crash_reports.rs
@@ -4,9 +4,14 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-/// Crashes after which every entry instance refuses a request.
+use crate::steer::request_fingerprints::is_of_content;
+
+/// Crashes after which every entry instance refuses a request of one caller.
 const CRASHES_TO_BLOCK: usize = 2;
 
+/// Crashes after which every entry instance refuses requests with a content, whoever sends them.
+const CRASHES_TO_BLOCK_CONTENT: usize = 3;
+
 /// Time within which reports of crashes of one upstream are of the same crash: instances, and
 /// several attempts of one instance, notice it at different times.
 const SAME_CRASH_TIME: Duration = Duration::from_secs(5);
@@ -37,8 +42,11 @@
     pub unused_ms: u64,
 }
 
-/// Crashes of upstreams that an instance knows of, by the request that they ran. A request that two
-/// crashes are known for is blocked until it has not come for 10 minutes.
+/// Crashes of upstreams that an instance knows of, by the request that they ran. A request of one
+/// caller that two crashes are known for is blocked until it has not come for 10 minutes, and so is
+/// a content that three are known for (see [`RequestFingerprints`]).
+///
+/// [`RequestFingerprints`]: crate::steer::RequestFingerprints
 ///
 /// # Examples
 ///
@@ -114,7 +122,9 @@
     /// Returns whether a request crashed so many upstreams that it is no longer forwarded.
     pub fn is_blocked(&self, fingerprint: u64, now: Instant) -> bool {
         let crashes = self.requests.get(&fingerprint);
-        crashes.is_some_and(|crashes| is_block(crashes) && !is_expired(crashes, now))
+        crashes.is_some_and(|crashes| {
+            is_block(fingerprint, crashes) && !is_expired(fingerprint, crashes, now)
+        })
     }
 
     /// Records that a request was refused, so that it stays blocked while it keeps coming.
@@ -148,7 +158,7 @@
     /// Returns the reports that changed after a revision and have not expired.
     pub fn changed_after(&self, revision: u64, now: Instant) -> Vec<CrashReport> {
         let requests = self.requests.iter();
-        let current = requests.filter(|(_, crashes)| !is_expired(crashes, now));
+        let current = requests.filter(|(key, crashes)| !is_expired(**key, crashes, now));
         let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
         let report = |fingerprint: u64, crash: &Crash| CrashReport {
             fingerprint,
@@ -176,7 +186,7 @@
     fn add(&mut self, fingerprint: u64, crash: Crash) -> bool {
         let crashes = self.requests.entry(fingerprint).or_default();
         let revision = self.revision + 1;
-        let is_full = crashes.len() >= CRASHES_TO_BLOCK;
+        let is_full = is_block(fingerprint, crashes);
         let known = crashes
             .iter_mut()
             .find(|known| is_full || known.is_same(&crash));
@@ -194,7 +204,7 @@
 
     fn drop_expired(&mut self, now: Instant) {
         self.requests
-            .retain(|_, crashes| !crashes.is_empty() && !is_expired(crashes, now));
+            .retain(|key, crashes| !crashes.is_empty() && !is_expired(*key, crashes, now));
     }
 
     /// Drops requests beyond the limit: those that are not blocked first, and the oldest of them.
@@ -204,7 +214,8 @@
             return;
         }
         let order = |(fingerprint, crashes): (&u64, &Vec<Crash>)| {
-            (is_block(crashes), last_use(crashes), *fingerprint)
+            let is_block = is_block(*fingerprint, crashes);
+            (is_block, last_use(crashes), *fingerprint)
         };
         let mut ordered: Vec<_> = self.requests.iter().map(order).collect();
         ordered.sort_unstable();
@@ -226,16 +237,20 @@
     }
 }
 
-fn is_block(crashes: &[Crash]) -> bool {
-    crashes.len() >= CRASHES_TO_BLOCK
+fn is_block(fingerprint: u64, crashes: &[Crash]) -> bool {
+    let crashes_to_block = match is_of_content(fingerprint) {
+        true => CRASHES_TO_BLOCK_CONTENT,
+        false => CRASHES_TO_BLOCK,
+    };
+    crashes.len() >= crashes_to_block
 }
 
 fn last_use(crashes: &[Crash]) -> Option<Instant> {
     crashes.iter().map(|crash| crash.used_at).max()
 }
 
-fn is_expired(crashes: &[Crash], now: Instant) -> bool {
-    let retention = match is_block(crashes) {
+fn is_expired(fingerprint: u64, crashes: &[Crash], now: Instant) -> bool {
+    let retention = match is_block(fingerprint, crashes) {
         true => BLOCK_RETENTION,
         false => SUSPECT_RETENTION,
     };
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -4,6 +4,7 @@
 
 mod cached_objects;
 mod choosing;
+mod completed_requests;
 mod crash_reports;
 mod decision;
 mod helper_instances;
@@ -14,6 +15,7 @@
 mod load_estimate;
 mod region_shares;
 mod region_weights;
+mod request_fingerprints;
 mod request_window;
 mod retry_budget_share;
 mod route_latency;
@@ -28,6 +30,7 @@
 mod upstream_record;
 
 pub use cached_objects::CachedObjects;
+pub use completed_requests::CompletedRequests;
 pub use crash_reports::{CrashReport, CrashReports};
 pub use decision::{Decision, RequestContext, Selection};
 pub use helper_instances::{HelperInstances, HelperKey};
@@ -40,6 +43,7 @@
 pub use load_estimate::{LoadEstimate, UpstreamLoad};
 pub use region_shares::{EligibleWeight, RegionShares, RegionWeight};
 pub use region_weights::RegionShare;
+pub use request_fingerprints::RequestFingerprints;
 pub use request_window::RequestWindow;
 pub use retry_budget_share::RetryBudgetShare;
 pub use route_latency::RouteLatency;
--- a/policy/tests/steer/crash_reports.rs
+++ b/policy/tests/steer/crash_reports.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use laburnumdeal_policy::steer::{CrashReport, CrashReports};
+use laburnumdeal_policy::steer::{CrashReport, CrashReports, RequestFingerprints};
 use tokio::time::Instant;
 
 const CRASHING: u64 = 666;
@@ -147,3 +147,34 @@
         assert!(there.is_blocked(CRASHING, now), "at minute {minute}");
     }
 }
+
+fn fingerprints(caller: u8) -> RequestFingerprints {
+    RequestFingerprints::new(&[caller], &[b"shop.example", b"GET", b"/1", b""])
+}
+
+// Guards against: a caller whose address changes counts as another one, and its request is never
+// blocked.
+#[test]
+fn add_crash_content_of_several_callers_is_blocked_after_three() {
+    let now = Instant::now();
+    let mut reports = CrashReports::default();
+    for caller in 0..3 {
+        let content = fingerprints(caller).by_content;
+        assert!(!reports.is_blocked(content, now));
+        for fingerprint in fingerprints(caller).both() {
+            reports.add_crash(fingerprint, u64::from(caller), now);
+        }
+    }
+    assert!(reports.is_blocked(fingerprints(9).by_content, now));
+    assert!(!reports.is_blocked(fingerprints(0).by_caller, now));
+}
+
+#[test]
+fn add_crash_of_one_upstream_under_several_callers_counts_once() {
+    let now = Instant::now();
+    let mut reports = CrashReports::default();
+    for caller in 0..9 {
+        reports.add_crash(fingerprints(caller).by_content, 1, now);
+    }
+    assert!(!reports.is_blocked(fingerprints(0).by_content, now));
+}
--- a/policy/tests/steer/main.rs
+++ b/policy/tests/steer/main.rs
@@ -2,6 +2,7 @@
 
 mod choose;
 mod cold;
+mod completed_requests;
 mod crash_reports;
 mod helpers;
 mod limits;
