--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -2,13 +2,11 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
-use std::time::Duration;
 
 use laburnumdeal_model::{Configuration, Target, WHOLE_PERMILLE};
 use laburnumdeal_policy::steer::{
-    CompletedRequests, CrashReport, CrashReports, HelperInstances, InstanceRecord, LoadBalancer,
-    RegionShare, RequestFingerprints, RetryBudgetShare, RouteTable, UpstreamKey, UpstreamReach,
-    hash_of,
+    CrashReport, HelperInstances, InstanceRecord, LoadBalancer, RegionShare, RequestBlocks,
+    RetryBudgetShare, RouteTable, UpstreamKey, UpstreamReach, hash_of,
 };
 use slog::{Logger, info};
 use tokio::sync::Notify;
@@ -65,9 +63,8 @@
     pools: Mutex<HashMap<UpstreamKey, ConnectionPool>>,
     retries: Mutex<RetryBudgets>,
     active: RwLock<ActiveConfiguration>,
-    pub crashes: Mutex<CrashReports>,
+    blocks: Mutex<RequestBlocks>,
     pub crash_checks: CrashChecks,
-    completed: Mutex<CompletedRequests>,
     reach: Mutex<UpstreamReach>,
     helpers: Mutex<HelperInstances>,
     helper_pools: Mutex<HashMap<IpAddr, ConnectionPool>>,
@@ -90,9 +87,8 @@
             pools: Mutex::default(),
             retries: Mutex::new(retries),
             active: RwLock::default(),
-            crashes: Mutex::default(),
+            blocks: Mutex::default(),
             crash_checks: CrashChecks::default(),
-            completed: Mutex::default(),
             reach: Mutex::default(),
             helpers: Mutex::new(helpers),
             helper_pools: Mutex::default(),
@@ -199,63 +195,29 @@
         }
     }
 
-    /// Returns whether a request must be refused, because it crashed upstreams. A content that
-    /// upstreams completed a short while ago is not refused for the crashes of several callers.
-    pub fn refuses(&self, fingerprints: RequestFingerprints) -> bool {
-        let now = Instant::now();
-        let RequestFingerprints {
-            by_caller,
-            by_content,
-        } = fingerprints;
-        let mut crashes = self.crashes.lock().expect("no holder panics");
-        let blocked = fingerprints.both().into_iter().find(|fingerprint| {
-            crashes.is_blocked(*fingerprint, now)
-                && (*fingerprint == by_caller || !self.is_completed(by_content, now))
-        });
-        if let Some(fingerprint) = blocked {
-            crashes.record_refusal(fingerprint, now);
-        }
-        blocked.is_some()
-    }
-
-    /// Records that an upstream completed a request.
-    pub fn record_completed(&self, fingerprints: RequestFingerprints) {
-        let mut completed = self.completed.lock().expect("no holder panics");
-        completed.record(fingerprints.by_content, Instant::now());
-    }
-
-    fn is_completed(&self, by_content: u64, now: Instant) -> bool {
-        let completed = self.completed.lock().expect("no holder panics");
-        completed.is_recent(by_content, now)
-    }
-
-    /// Returns how many crashes of upstreams are known for a request, and the time since the newest
-    /// one or the last refusal.
-    pub fn known_crashes(&self, fingerprints: RequestFingerprints) -> (usize, Duration) {
-        let (crashes, now) = (
-            self.crashes.lock().expect("no holder panics"),
-            Instant::now(),
-        );
-        let known = fingerprints.both().map(|key| crashes.known(key, now));
-        known[0].max(known[1])
+    /// Locks what is known of requests that crash upstreams.
+    pub fn blocks(&self) -> MutexGuard<'_, RequestBlocks> {
+        self.blocks.lock().expect("no holder panics")
     }
 
     /// Reports a crash of an upstream for each of the requests that may have caused it.
     pub fn report_crash(&self, upstream: &str, fingerprints: &[u64]) {
         let upstream = hash_of(&[upstream.as_bytes()]);
-        let mut crashes = self.crashes.lock().expect("no holder panics");
+        let mut blocks = self.blocks();
         for fingerprint in fingerprints {
-            crashes.add_crash(*fingerprint, upstream, Instant::now());
+            blocks
+                .reports
+                .add_crash(*fingerprint, upstream, Instant::now());
         }
-        self.metrics.set_crash_reports(crashes.len());
+        self.metrics.set_crash_reports(blocks.reports.len());
     }
 
     /// Adds crash reports of another instance and logs the new ones.
     pub fn add_crashes(&self, reports: &[CrashReport], source: SocketAddr) {
-        let mut crashes = self.crashes.lock().expect("no holder panics");
-        let new = crashes.merge(reports, Instant::now());
-        let total = crashes.len();
-        drop(crashes);
+        let mut blocks = self.blocks();
+        let new = blocks.reports.merge(reports, Instant::now());
+        let total = blocks.reports.len();
+        drop(blocks);
         self.metrics.set_crash_reports(total);
         if new.is_empty() {
             return;
--- a/daemon/src/roles/follower.rs
+++ b/daemon/src/roles/follower.rs
@@ -115,8 +115,9 @@
     let now = Instant::now();
     let list_age = list.age(now);
     let (crash_revision, (crash_position, crashes)) = {
-        let crashes = state.crashes.lock().expect("no holder panics");
-        (crashes.revision(), exchange.outgoing(target, &crashes))
+        let blocks = state.blocks();
+        let reports = &blocks.reports;
+        (reports.revision(), exchange.outgoing(target, reports))
     };
     let request = FollowRequest {
         version: Some(version),
--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -125,8 +125,14 @@
         let content = [routed.host.as_bytes(), method, path.as_bytes(), &*prefix];
         let fingerprints = RequestFingerprints::new(caller.as_bytes(), &content);
         drop(prefix);
-        let known = self.state.known_crashes(fingerprints);
-        if self.state.refuses(fingerprints) {
+        let (known, is_refused) = {
+            let (mut blocks, now) = (self.state.blocks(), Instant::now());
+            (
+                blocks.known(fingerprints, now),
+                blocks.refuses(fingerprints, now),
+            )
+        };
+        if is_refused {
             self.log_blocked(&parts, routed, fingerprints, known);
             return unavailable_response::<H>(BLOCKED_REASON, BLOCKED_RETRY_AFTER);
         }
--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -140,7 +140,7 @@
                 }
             };
             // The last attempt, or another instance, may have reported a crash since the arrival.
-            if !self.progress.tried.is_empty() && self.state.refuses(self.request.fingerprints) {
+            if !self.progress.tried.is_empty() && self.is_refused() {
                 return self.give_up(BLOCKED_REASON, BLOCKED_RETRY_AFTER);
             }
             if self.progress.arrivals > 0 && !self.state.withdraw_retry(self.service) {
@@ -153,6 +153,11 @@
         }
     }
 
+    fn is_refused(&self) -> bool {
+        let now = Instant::now();
+        self.state.blocks().refuses(self.request.fingerprints, now)
+    }
+
     /// Sends the request to other entry instances until one forwards it. Returns `None` if it did
     /// not run and none is left.
     async fn send_to_helpers<H: HeaderCodec>(&mut self) -> Option<ForwardOutcome> {
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -204,7 +204,8 @@
         let upstream = load_balancer.endpoint(self.decision.upstream).0.to_owned();
         drop(load_balancer);
         if matches!(self.outcome, AttemptOutcome::Answered { failed: false, .. }) {
-            self.state.record_completed(self.fingerprints);
+            let mut blocks = self.state.blocks();
+            blocks.record_completed(self.fingerprints, now);
         }
         self.handle_unanswered(&upstream);
     }
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -15,6 +15,7 @@
 mod load_estimate;
 mod region_shares;
 mod region_weights;
+mod request_blocks;
 mod request_fingerprints;
 mod request_window;
 mod retry_budget_share;
@@ -43,6 +44,7 @@
 pub use load_estimate::{LoadEstimate, UpstreamLoad};
 pub use region_shares::{EligibleWeight, RegionShares, RegionWeight};
 pub use region_weights::RegionShare;
+pub use request_blocks::RequestBlocks;
 pub use request_fingerprints::RequestFingerprints;
 pub use request_window::RequestWindow;
 pub use retry_budget_share::RetryBudgetShare;
--- a/policy/tests/steer/main.rs
+++ b/policy/tests/steer/main.rs
@@ -9,6 +9,7 @@
 mod load;
 mod reach;
 mod region_shares;
+mod request_blocks;
 mod routes;
 mod setup;
 mod simulation;
