Pass over instances with an older configuration for a moment only

After a change of the configuration the other instances have it at different moments. One that lacked it did not forward, and was passed over for 1.5 s like one that is down, so that all could be passed over at once. Checks that find the neighbors of an upstream unreachable too are named so.

--- a/daemon/src/roles/crash_checks.rs
+++ b/daemon/src/roles/crash_checks.rs
@@ -75,7 +75,7 @@
     /// It does not reply.
     NoReply,
     /// Neither it nor its neighbors can be connected to.
-    NotAlone,
+    NeighborsUnreachable,
 }
 
 impl CheckResult {
@@ -93,7 +93,7 @@
             Self::LeftList => "left the list",
             Self::RefusesConnections => "refuses connections",
             Self::NoReply => "no reply",
-            Self::NotAlone => "not alone",
+            Self::NeighborsUnreachable => "neighbors unreachable",
         }
     }
 }
@@ -190,9 +190,9 @@
         }
         // A partition or the loss of a zone looks the same, and no request causes these.
         CheckResult::RefusesConnections | CheckResult::NoReply
-            if !reach_probes::is_alone(&state, upstream).await =>
+            if !reach_probes::has_reachable_neighbor(&state, upstream).await =>
         {
-            CheckResult::NotAlone
+            CheckResult::NeighborsUnreachable
         }
         result => result,
     };
@@ -202,7 +202,7 @@
     let attempts = &check.attempts;
     if matches!(
         result,
-        CheckResult::RefusesConnections | CheckResult::NoReply | CheckResult::NotAlone
+        CheckResult::RefusesConnections | CheckResult::NoReply | CheckResult::NeighborsUnreachable
     ) {
         reach_probes::record_failed(&state, upstream);
     }
--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -178,11 +178,13 @@
                     let reason = "no answer of the other instance";
                     return Some(ForwardOutcome::Unknown { reason, timed_out });
                 }
-                HelperResult::CannotForward if !self.body.is_replayable() => {
+                HelperResult::CannotForward | HelperResult::Behind
+                    if !self.body.is_replayable() =>
+                {
                     let reason = "the other instance cannot forward";
                     return Some(self.give_up(reason, DEFAULT_RETRY_AFTER));
                 }
-                HelperResult::CannotForward => {}
+                HelperResult::CannotForward | HelperResult::Behind => {}
             }
         }
         None
--- a/daemon/src/roles/helper_handler.rs
+++ b/daemon/src/roles/helper_handler.rs
@@ -7,12 +7,17 @@
 use crate::answer_body::AnswerBody;
 use crate::header;
 use crate::http_server::HttpHandler;
-use crate::roles::HeaderCodec;
-use crate::roles::PresenceState;
 use crate::roles::entry_state::EntryState;
 use crate::roles::forward_handler::{ForwardHandler, NotRun};
 use crate::roles::forwarding::Origin;
-use crate::roles::helper_request::CANNOT_FORWARD;
+use crate::roles::helper_request::{BEHIND, CANNOT_FORWARD};
+use crate::roles::{HeaderCodec, PresenceState};
+
+/// Reason for not forwarding a request whose sender has a newer configuration.
+const OLDER_CONFIGURATION: &str = "older configuration";
+
+/// Reason for not forwarding a request while this instance has lost the upstreams, too.
+const NO_UPSTREAM: &str = "no upstream can be reached";
 
 /// Forwards requests of other entry instances that have lost the upstreams. Such a request goes to
 /// upstreams only, not on to a further instance.
@@ -38,13 +43,13 @@
             return Err("not ready");
         }
         if self.state.reach().is_lost() {
-            return Err("no upstream can be reached");
+            return Err(NO_UPSTREAM);
         }
         let known = header::text(request.headers(), &header::CONFIGURATION);
         let known = known.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
         let active = self.state.active().configuration;
         if active.is_none_or(|configuration| configuration.version.0 < known) {
-            return Err("older configuration");
+            return Err(OLDER_CONFIGURATION);
         }
         Ok(caller)
     }
@@ -60,7 +65,10 @@
             Ok(caller) => caller,
             Err(reason) => {
                 self.state.metrics.count_help_refused(reason);
-                return cannot_forward(reason);
+                return match reason {
+                    OLDER_CONFIGURATION => refusal(BEHIND, reason),
+                    _ => refusal(CANNOT_FORWARD, reason),
+                };
             }
         };
         for name in [header::CALLER, header::CONFIGURATION] {
@@ -70,7 +78,7 @@
         let mut response = self.forward.answer_with_id(request, caller, origin).await;
         let did_not_run = response.extensions().get::<NotRun>().is_some();
         if did_not_run && self.state.reach().is_lost() {
-            return cannot_forward("no upstream can be reached");
+            return refusal(CANNOT_FORWARD, NO_UPSTREAM);
         }
         let outcome = HeaderValue::from_static("answer");
         response.headers_mut().insert(header::OUTCOME, outcome);
@@ -78,10 +86,10 @@
     }
 }
 
-fn cannot_forward(reason: &str) -> Response<AnswerBody> {
+fn refusal(outcome: &'static str, reason: &str) -> Response<AnswerBody> {
     let mut response = Response::new(AnswerBody::whole(format!("{reason}\n")));
     *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    let outcome = HeaderValue::from_static(CANNOT_FORWARD);
+    let outcome = HeaderValue::from_static(outcome);
     response.headers_mut().insert(header::OUTCOME, outcome);
     response
 }
--- a/daemon/src/roles/helper_request.rs
+++ b/daemon/src/roles/helper_request.rs
@@ -4,7 +4,7 @@
 use http::{HeaderValue, Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use laburnumdeal_policy::steer::HelperKey;
+use laburnumdeal_policy::steer::{HelperKey, HelperOutcome};
 use tokio::time::Instant;
 
 use crate::answer_body::AnswerBody;
@@ -23,6 +23,9 @@
 /// so that the request did not run.
 pub(super) const CANNOT_FORWARD: &str = "cannot-forward";
 
+/// The same, because the instance has an older configuration.
+pub(super) const BEHIND: &str = "behind";
+
 /// Timeout for opening a connection to another instance.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -38,6 +41,8 @@
     Answer(Response<AnswerBody>),
     /// The instance could not forward the request, which did not run.
     CannotForward,
+    /// The same, because it has an older configuration.
+    Behind,
     /// The request may have run.
     Unknown {
         /// Whether the cause is a timeout.
@@ -49,7 +54,7 @@
 struct HelperInFlight<'a> {
     state: &'a EntryState,
     key: HelperKey,
-    could_forward: bool,
+    outcome: HelperOutcome,
 }
 
 impl HelperResult {
@@ -57,7 +62,7 @@
     pub fn outcome(&self) -> &'static str {
         match self {
             Self::Answer(_) => "answer",
-            Self::CannotForward => "not-run",
+            Self::CannotForward | Self::Behind => "not-run",
             Self::Unknown { .. } => "unknown",
         }
     }
@@ -66,7 +71,7 @@
 impl Drop for HelperInFlight<'_> {
     fn drop(&mut self) {
         let now = Instant::now();
-        self.state.helpers().end(self.key, self.could_forward, now);
+        self.state.helpers().end(self.key, self.outcome, now);
     }
 }
 
@@ -81,10 +86,14 @@
     let mut in_flight = HelperInFlight {
         state,
         key,
-        could_forward: true,
+        outcome: HelperOutcome::Forwarded,
     };
     let result = exchange::<H>(state, key, request, body).await;
-    in_flight.could_forward = matches!(result, HelperResult::Answer(_));
+    in_flight.outcome = match &result {
+        HelperResult::Answer(_) => HelperOutcome::Forwarded,
+        HelperResult::Behind => HelperOutcome::Behind,
+        HelperResult::CannotForward | HelperResult::Unknown { .. } => HelperOutcome::Failed,
+    };
     result
 }
 
@@ -142,11 +151,16 @@
     request: &AttemptRequest,
     wait_until: Instant,
 ) -> HelperResult {
-    if header::text(response.headers(), &header::OUTCOME) == Some(CANNOT_FORWARD) {
+    let refusal = match header::text(response.headers(), &header::OUTCOME) {
+        Some(CANNOT_FORWARD) => Some(HelperResult::CannotForward),
+        Some(BEHIND) => Some(HelperResult::Behind),
+        _ => None,
+    };
+    if let Some(refusal) = refusal {
         if response.into_body().collect().await.is_ok() {
             guard.complete();
         }
-        return HelperResult::CannotForward;
+        return refusal;
     }
     if response.headers().get(H::REQUEST_ID) != Some(&request.id) {
         return HelperResult::Unknown { timed_out: false };
--- a/daemon/src/roles/reach_probes.rs
+++ b/daemon/src/roles/reach_probes.rs
@@ -1,5 +1,5 @@
 //! Probes of upstreams by connections: whether this instance is partitioned from all of them, and
-//! whether one that cannot be connected to is alone with that.
+//! whether the neighbors of one that cannot be connected to can.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,7 +32,7 @@
 
 /// Returns whether one of the neighbors of an upstream can be connected to, or it has none. If none
 /// can, they share the cause, such as a partition.
-pub(super) async fn is_alone(state: &EntryState, upstream: UpstreamKey) -> bool {
+pub(super) async fn has_reachable_neighbor(state: &EntryState, upstream: UpstreamKey) -> bool {
     let neighbors = state.load_balancer().neighbors(upstream, &mut rand::rng());
     neighbors.is_empty() || is_any_reached(state, &neighbors).await
 }
--- a/policy/src/steer/helper_instances.rs
+++ b/policy/src/steer/helper_instances.rs
@@ -9,12 +9,27 @@
 /// itself.
 const SKIP_TIME: Duration = Duration::from_millis(1_500);
 
+/// Time for which an instance is passed over that has an older configuration; others have a new one
+/// a moment later.
+const BEHIND_SKIP_TIME: Duration = Duration::from_millis(100);
+
+/// How a request to another instance ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HelperOutcome {
+    /// It was forwarded, or left without an answer by its caller.
+    Forwarded,
+    /// It was not forwarded, because the instance has an older configuration.
+    Behind,
+    /// It was not forwarded, or its outcome is not known.
+    Failed,
+}
+
 /// Other entry instances, which forward requests for an instance that has lost the upstreams.
 ///
 /// # Examples
 ///
 /// ```
-/// use laburnumdeal_policy::steer::{HelperInstances, InstanceRecord};
+/// use laburnumdeal_policy::steer::{HelperInstances, HelperOutcome, InstanceRecord};
 /// use tokio::time::Instant;
 ///
 /// let now = Instant::now();
@@ -28,7 +43,7 @@
 /// let chosen = helpers.choose(&[], &[], now).unwrap();
 /// assert_eq!(helpers.name(chosen), "e-2");
 /// helpers.begin(chosen);
-/// helpers.end(chosen, false, now);
+/// helpers.end(chosen, HelperOutcome::Failed, now);
 /// assert!(helpers.choose(&[], &[], now).is_none(), "it is passed over for a while");
 /// ```
 #[derive(Clone, Debug)]
@@ -116,12 +131,15 @@
         self.helpers[key.0 as usize].in_flight += 1;
     }
 
-    /// Records the end of a request, and whether the instance could forward it at all. One that
-    /// could not is passed over for a while.
-    pub fn end(&mut self, key: HelperKey, could_forward: bool, now: Instant) {
+    /// Records the end of a request. An instance that did not forward it is passed over for a while.
+    pub fn end(&mut self, key: HelperKey, outcome: HelperOutcome, now: Instant) {
         let helper = &mut self.helpers[key.0 as usize];
         helper.in_flight = helper.in_flight.saturating_sub(1);
-        helper.skipped_until = (!could_forward).then(|| now + SKIP_TIME);
+        helper.skipped_until = match outcome {
+            HelperOutcome::Forwarded => None,
+            HelperOutcome::Behind => Some(now + BEHIND_SKIP_TIME),
+            HelperOutcome::Failed => Some(now + SKIP_TIME),
+        };
     }
 
     /// Returns the number of instances that are known.
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -34,7 +34,7 @@
 pub use completed_requests::CompletedRequests;
 pub use crash_reports::{CrashReport, CrashReports};
 pub use decision::{Decision, RequestContext, Selection};
-pub use helper_instances::{HelperInstances, HelperKey};
+pub use helper_instances::{HelperInstances, HelperKey, HelperOutcome};
 pub use instance_record::InstanceRecord;
 pub use instance_share::InstanceShare;
 pub use limit_notice::LimitNotice;
--- a/policy/tests/steer/helpers.rs
+++ b/policy/tests/steer/helpers.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use laburnumdeal_policy::steer::{HelperInstances, InstanceRecord};
+use laburnumdeal_policy::steer::{HelperInstances, HelperOutcome, InstanceRecord};
 use tokio::time::Instant;
 
 fn record(number: u8, region: &str) -> InstanceRecord {
@@ -45,7 +45,7 @@
     let mut helpers = helpers(&[record(2, "a"), record(4, "b")]);
     let near = helpers.choose(&[], &[], now).unwrap();
     helpers.begin(near);
-    helpers.end(near, false, now);
+    helpers.end(near, HelperOutcome::Failed, now);
     let far = helpers.choose(&[], &[], now).unwrap();
     assert_eq!(helpers.name(far), "e-4");
     let later = now + Duration::from_secs(2);
@@ -83,3 +83,16 @@
     assert_eq!(helpers.count(), 0);
     assert!(!helpers.is_known([10, 0, 0, 2].into()));
 }
+
+// Guards against: after each change of the configuration all helpers are passed over for seconds.
+#[test]
+fn choose_instance_with_an_older_configuration_is_used_again_soon() {
+    let now = Instant::now();
+    let mut helpers = helpers(&[record(2, "a")]);
+    let key = helpers.choose(&[], &[], now).unwrap();
+    helpers.begin(key);
+    helpers.end(key, HelperOutcome::Behind, now);
+    assert_eq!(helpers.choose(&[], &[], now), None);
+    let later = now + Duration::from_millis(100);
+    assert_eq!(helpers.choose(&[], &[], later), Some(key));
+}
