--- a/daemon/src/roles/rpc_handler.rs
+++ b/daemon/src/roles/rpc_handler.rs
@@ -122,12 +122,20 @@
     /// Returns whether there are crash reports for the sender. Without a leader they wait: the
     /// sender would leave this instance on the reply, instead of waiting for the configuration.
     fn has_new_crashes(&self, request: &FollowRequest) -> bool {
-        let (position, crashes) = self.crashes_after(request.crash_position, Instant::now());
-        position != request.crash_position
-            && !crashes.is_empty()
+        let known = request.crash_position;
+        self.crash_position() != known
+            && !self.crashes_after(known, Instant::now()).1.is_empty()
             && self.state.replica.has_live_leader()
     }
 
+    fn crash_position(&self) -> CrashPosition {
+        let crashes = self.state.crashes.lock().expect("no holder panics");
+        CrashPosition {
+            start: self.state.start,
+            revision: crashes.revision(),
+        }
+    }
+
     fn crashes_after(
         &self,
         known: CrashPosition,
--- a/policy/src/steer/crash_reports.rs
+++ b/policy/src/steer/crash_reports.rs
@@ -157,6 +157,9 @@
 
     /// Returns the reports that changed after a revision and have not expired.
     pub fn changed_after(&self, revision: u64, now: Instant) -> Vec<CrashReport> {
+        if revision >= self.revision {
+            return Vec::new();
+        }
         let requests = self.requests.iter();
         let current = requests.filter(|(key, crashes)| !is_expired(**key, crashes, now));
         let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
