--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -284,7 +284,7 @@
     }
 
     /// Returns the other listed upstreams in the availability zone of one, in random order; all
-    /// others if its zone has fewer than [`MIN_NEIGHBORS`].
+    /// others if its zone has fewer than two.
     pub fn neighbors(&self, key: UpstreamKey, rng: &mut impl Rng) -> Vec<UpstreamKey> {
         let mut others = self.sample(rng);
         others.retain(|other| *other != key);
