Send new crash reports at once

Cause: reports waited for the polls on their way, up to 2.2 s from the first instance to the last one. With a silent crash, which takes up to 2.0 s to notice, that is over the 3 s allowed; and while nobody else knew, each instance had to lose two upstreams itself.

An entry instance now sends new reports to the control instances that it follows, and these pass them on once to all others; polls carry what is lost. The longest sum is 2.45 s. Ruled out: ending the polls of all instances with each report, which costs every instance a poll for each crash.

--- a/daemon/src/roles/control_node.rs
+++ b/daemon/src/roles/control_node.rs
@@ -18,6 +18,7 @@
 use crate::daemon_error::DaemonError;
 use crate::http_server::HttpServer;
 use crate::roles::crash_file::{self, CrashFile};
+use crate::roles::crash_sender::{self, CrashQueue, CrashSource};
 use crate::roles::fingerprints_text::fingerprints_text;
 use crate::roles::list_history::ListHistory;
 use crate::roles::list_refresher;
@@ -25,7 +26,7 @@
 use crate::roles::page_handler::PageHandler;
 use crate::roles::registry::Registry;
 use crate::roles::report_store::ReportStore;
-use crate::roles::rpc_client::{ReplicaLink, RpcClient};
+use crate::roles::rpc_client::{ReplicaLink, RpcClient, RpcError};
 use crate::roles::rpc_handler::RpcHandler;
 use crate::roles::{NodeSettings, Presence, UpstreamList, UpstreamSource};
 
@@ -79,6 +80,8 @@
     pub crashes: Mutex<CrashReports>,
     /// Notified when crash reports are new and not saved yet.
     pub crashes_unsaved: Notify,
+    /// Crash reports of entry instances for the other control instances.
+    pub crash_queue: CrashQueue,
     pub reports: Mutex<ReportStore>,
     pub metrics: NodeMetrics,
 }
@@ -98,19 +101,46 @@
 }
 
 impl ControlState {
-    /// Adds crash reports of another instance and logs the new ones.
-    pub fn add_crashes(&self, reports: &[CrashReport], source: IpAddr) {
+    /// Adds crash reports of another instance, logs the new ones, and returns those of the same
+    /// requests.
+    pub fn add_crashes(&self, reports: &[CrashReport], source: IpAddr) -> Vec<CrashReport> {
         let mut crashes = self.crashes.lock().expect("no holder panics");
         let new = crashes.merge(reports, Instant::now());
         let total = crashes.len();
         drop(crashes);
         self.metrics.set_crash_reports(total);
         if new.is_empty() {
-            return;
+            return Vec::new();
         }
         self.crashes_unsaved.notify_one();
         warn!(self.log, "crash reports received"; "source" => source.to_string(),
             "new" => new.len(), "total" => total, "fingerprints" => fingerprints_text(&new));
+        let is_new = |report: &&CrashReport| new.contains(&report.fingerprint);
+        reports.iter().filter(is_new).copied().collect()
+    }
+}
+
+impl CrashSource for ControlState {
+    fn crash_queue(&self) -> &CrashQueue {
+        &self.crash_queue
+    }
+
+    fn receivers(&self) -> Vec<SocketAddr> {
+        let own_address = self.settings.peer_address(self.settings.address);
+        let members = self.replica.members().into_iter();
+        let addresses = members.filter_map(|member| member.instance.parse().ok());
+        addresses
+            .filter(|address| *address != own_address)
+            .collect()
+    }
+
+    fn is_relay(&self) -> bool {
+        true
+    }
+
+    fn log_unsent(&self, to: SocketAddr, error: &RpcError) {
+        warn!(self.log, "failed to send crash reports"; "control" => to.to_string(),
+            "error" => %error);
     }
 }
 
@@ -145,6 +175,7 @@
             start: rand::random(),
             crashes: Mutex::new(crashes),
             crashes_unsaved: Notify::new(),
+            crash_queue: CrashQueue::default(),
             reports: Mutex::default(),
             metrics: NodeMetrics::new(),
             settings,
@@ -171,6 +202,7 @@
         tasks.spawn(list_refresher::run(state.clone(), source));
         tasks.spawn(log_leader_changes(state.clone()));
         tasks.spawn(crash_file::keep(state.clone(), crash_file));
+        tasks.spawn(crash_sender::run(state.clone(), state.client.clone()));
         info!(state.log, "control instance started"; "address" => own_address.to_string(),
             "first_start" => state.settings.first_start, "crash_reports" => saved_reports);
         Ok(Self {
--- a/daemon/src/roles/entry_node.rs
+++ b/daemon/src/roles/entry_node.rs
@@ -11,6 +11,7 @@
 use crate::daemon_error::DaemonError;
 use crate::dialer::Dialer;
 use crate::http_server::HttpServer;
+use crate::roles::crash_sender;
 use crate::roles::entry_state::EntryState;
 use crate::roles::follower;
 use crate::roles::forward_handler::ForwardHandler;
@@ -26,7 +27,7 @@
 const PRESENCE_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Number of control instances that are followed at the same time.
-const FOLLOWED_CONTROLS: usize = 2;
+pub(super) const FOLLOWED_CONTROLS: usize = 2;
 
 /// Fraction of the stop time for which new requests are still served: callers may have cached the
 /// address of this instance.
@@ -74,11 +75,7 @@
             .ok_or(DaemonError::NoCallerAddress)?;
         let metrics = NodeMetrics::new();
         let state = Arc::new(EntryState::new(settings, dialer, log, metrics.clone()));
-        let seeds = state.settings.seeds.iter();
-        let seeds: Vec<SocketAddr> = seeds
-            .map(|seed| state.settings.peer_address(*seed))
-            .collect();
-        let controls = Arc::new(KnownControls::new(seeds));
+        let controls = state.controls.clone();
         let handler = Arc::new(ForwardHandler::<H>::new(state.clone()));
         let server = HttpServer::bind(address, handler.clone()).await?;
         let helper_address = state.settings.peer_address(state.settings.address);
@@ -109,8 +106,9 @@
         tasks.spawn(report_exchange::run(
             state.clone(),
             controls.clone(),
-            client,
+            client.clone(),
         ));
+        tasks.spawn(crash_sender::run(state.clone(), client));
         let sender = presence.clone();
         tasks.spawn(async move { sender.run().await });
         info!(state.log.unlimited(), "entry instance started"; "address" => address.to_string());
--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -8,16 +8,20 @@
     CrashReport, HelperInstances, InstanceRecord, LoadBalancer, RegionShare, RequestBlocks,
     RetryBudgetShare, RouteTable, UpstreamKey, UpstreamReach, hash_of,
 };
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::connection_pool::ConnectionPool;
 use crate::dialer::Dialer;
 use crate::roles::crash_checks::{self, CrashChecks};
+use crate::roles::crash_sender::{CrashQueue, CrashSource};
+use crate::roles::entry_node::FOLLOWED_CONTROLS;
 use crate::roles::fingerprints_text::fingerprints_text;
+use crate::roles::known_controls::KnownControls;
 use crate::roles::node_metrics::NodeMetrics;
 use crate::roles::rate_limited_log::RateLimitedLog;
+use crate::roles::rpc_client::RpcError;
 use crate::roles::{NodeSettings, PresenceState, UpstreamList};
 
 /// Idle connections that are kept to each upstream.
@@ -57,6 +61,7 @@
     pub settings: NodeSettings,
     pub log: RateLimitedLog,
     pub metrics: NodeMetrics,
+    pub controls: Arc<KnownControls>,
     /// Opens connections to upstreams.
     pub dialer: Dialer,
     load_balancer: Mutex<LoadBalancer>,
@@ -65,6 +70,8 @@
     active: RwLock<ActiveConfiguration>,
     blocks: Mutex<RequestBlocks>,
     pub crash_checks: CrashChecks,
+    /// Crash reports of this instance for the control instances.
+    pub crash_queue: CrashQueue,
     reach: Mutex<UpstreamReach>,
     helpers: Mutex<HelperInstances>,
     helper_pools: Mutex<HashMap<IpAddr, ConnectionPool>>,
@@ -82,6 +89,8 @@
             max_balance: INITIAL_MAX_RETRIES,
         };
         let helpers = HelperInstances::new(&settings.instance, &settings.region);
+        let seeds = settings.seeds.iter();
+        let seeds = seeds.map(|seed| settings.peer_address(*seed)).collect();
         Self {
             load_balancer: Mutex::new(LoadBalancer::new(settings.load_balancer_settings())),
             pools: Mutex::default(),
@@ -89,6 +98,7 @@
             active: RwLock::default(),
             blocks: Mutex::default(),
             crash_checks: CrashChecks::default(),
+            crash_queue: CrashQueue::default(),
             reach: Mutex::default(),
             helpers: Mutex::new(helpers),
             helper_pools: Mutex::default(),
@@ -96,6 +106,7 @@
             roster_hash: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             readiness: Notify::new(),
+            controls: Arc::new(KnownControls::new(seeds)),
             dialer,
             log: RateLimitedLog::new(log, metrics.clone()),
             metrics,
@@ -202,14 +213,18 @@
 
     /// Reports a crash of an upstream for each of the requests that may have caused it.
     pub fn report_crash(&self, upstream: &str, fingerprints: &[u64]) {
-        let upstream = hash_of(&[upstream.as_bytes()]);
+        let (upstream, now) = (hash_of(&[upstream.as_bytes()]), Instant::now());
         let mut blocks = self.blocks();
-        for fingerprint in fingerprints {
-            blocks
-                .reports
-                .add_crash(*fingerprint, upstream, Instant::now());
-        }
-        self.metrics.set_crash_reports(blocks.reports.len());
+        let reports = &mut blocks.reports;
+        let new = fingerprints
+            .iter()
+            .filter(|fingerprint| reports.add_crash(**fingerprint, upstream, now));
+        let new: Vec<CrashReport> = new
+            .map(|fingerprint| CrashReport::new(*fingerprint, upstream))
+            .collect();
+        self.metrics.set_crash_reports(reports.len());
+        drop(blocks);
+        self.crash_queue.add(new);
     }
 
     /// Adds crash reports of another instance and logs the new ones.
@@ -348,3 +363,29 @@
             "retries_held_at_most" => max_balance);
     }
 }
+
+impl CrashSource for EntryState {
+    fn crash_queue(&self) -> &CrashQueue {
+        &self.crash_queue
+    }
+
+    fn receivers(&self) -> Vec<SocketAddr> {
+        let EntryState {
+            settings, controls, ..
+        } = self;
+        let mut nearest = controls.nearest_first(&settings.region, &settings.instance);
+        nearest.truncate(FOLLOWED_CONTROLS);
+        nearest
+    }
+
+    fn is_relay(&self) -> bool {
+        false
+    }
+
+    fn log_unsent(&self, to: SocketAddr, error: &RpcError) {
+        if let Some(log) = self.log.limited(true) {
+            warn!(log, "failed to send crash reports"; "control" => to.to_string(),
+                "error" => %error);
+        }
+    }
+}
--- a/daemon/src/roles/follow_message.rs
+++ b/daemon/src/roles/follow_message.rs
@@ -21,6 +21,13 @@
     /// Exchange of reports on upstreams between entry instances.
     #[serde(rename = "News")]
     Report(ReportRequest),
+    /// New crash reports, ahead of the next poll.
+    Crashes {
+        /// The reports.
+        reports: Vec<CrashReport>,
+        /// Whether a control instance sends them, which has them from an entry instance.
+        is_relayed: bool,
+    },
 }
 
 /// Reply to a [`Call`].
@@ -33,6 +40,8 @@
     /// Combined report of entry instances on upstreams, which may include the sender's own.
     #[serde(rename = "News")]
     Report(SharedReport),
+    /// Crash reports were received.
+    Crashes,
 }
 
 /// Report of an entry instance on upstreams, and request for the reports of others.
--- a/daemon/src/roles/rpc_handler.rs
+++ b/daemon/src/roles/rpc_handler.rs
@@ -49,6 +49,17 @@
             },
             Call::Follow(request) => Reply::Follow(Box::new(self.follow(request, peer).await)),
             Call::Report(request) => Reply::Report(self.exchange_reports(&request)),
+            Call::Crashes {
+                reports,
+                is_relayed,
+            } => {
+                let new = self.state.add_crashes(&reports, peer.ip());
+                // One hop reaches all control instances.
+                if !is_relayed {
+                    self.state.crash_queue.add(new);
+                }
+                Reply::Crashes
+            }
         }
     }
 
--- a/policy/src/steer/crash_reports.rs
+++ b/policy/src/steer/crash_reports.rs
@@ -42,6 +42,18 @@
     pub unused_ms: u64,
 }
 
+impl CrashReport {
+    /// Returns the report of a crash that happens now.
+    pub fn new(fingerprint: u64, upstream: u64) -> Self {
+        Self {
+            fingerprint,
+            upstream,
+            age_ms: 0,
+            unused_ms: 0,
+        }
+    }
+}
+
 /// Crashes of upstreams that an instance knows of, by the request that they ran. A request of one
 /// caller that two crashes are known for is blocked until it has not come for 10 minutes, and so is
 /// a content that three are known for (see [`RequestFingerprints`]).
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -5,6 +5,7 @@
 mod cached_objects;
 mod choosing;
 mod completed_requests;
+mod crash_outbox;
 mod crash_reports;
 mod decision;
 mod helper_instances;
@@ -32,6 +33,7 @@
 
 pub use cached_objects::CachedObjects;
 pub use completed_requests::CompletedRequests;
+pub use crash_outbox::CrashOutbox;
 pub use crash_reports::{CrashReport, CrashReports};
 pub use decision::{Decision, RequestContext, Selection};
 pub use helper_instances::{HelperInstances, HelperKey, HelperOutcome};
