Forward requests again that ran beside one that crashes upstreams

Cause: a request that was in flight at two crashes counted as one that causes them, whatever upstreams had completed for the same caller before or since.

Such a request now runs where it was completed within 60 s, until a third crash, and a completed run clears the crashes before it; others are told. A request that always crashes upstreams is never completed, so it is blocked after the third crash at the latest.

--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -6,7 +6,7 @@
 use laburnumdeal_model::{Configuration, Target, WHOLE_PERMILLE};
 use laburnumdeal_policy::steer::{
     CrashReport, HelperInstances, InstanceRecord, LoadBalancer, RegionShare, RequestBlocks,
-    RetryBudgetShare, RouteTable, UpstreamKey, UpstreamReach, hash_of,
+    RequestFingerprints, RetryBudgetShare, RouteTable, UpstreamKey, UpstreamReach, hash_of,
 };
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
@@ -227,6 +227,18 @@
         self.crash_queue.add(new);
     }
 
+    /// Records that an upstream completed a request, and reports it if crashes are known for it.
+    pub fn record_completed(&self, fingerprints: RequestFingerprints, now: Instant) {
+        let Some(report) = self.blocks().record_completed(fingerprints, now) else {
+            return;
+        };
+        if let Some(log) = self.log.limited(true) {
+            info!(log, "request cleared of crashes";
+                "fingerprint" => format!("{:016x}", report.fingerprint));
+        }
+        self.crash_queue.add([report]);
+    }
+
     /// Adds crash reports of another instance and logs the new ones.
     pub fn add_crashes(&self, reports: &[CrashReport], source: SocketAddr) {
         let mut blocks = self.blocks();
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -204,8 +204,7 @@
         let upstream = load_balancer.endpoint(self.decision.upstream).0.to_owned();
         drop(load_balancer);
         if matches!(self.outcome, AttemptOutcome::Answered { failed: false, .. }) {
-            let mut blocks = self.state.blocks();
-            blocks.record_completed(self.fingerprints, now);
+            self.state.record_completed(self.fingerprints, now);
         }
         self.handle_unanswered(&upstream);
     }
--- a/policy/src/steer/completed_requests.rs
+++ b/policy/src/steer/completed_requests.rs
@@ -9,7 +9,7 @@
 /// Limit on the requests that are remembered.
 const MAX_REQUESTS: usize = 4_096;
 
-/// Requests that upstreams completed a short while ago, by the fingerprint of their content.
+/// Requests that upstreams completed a short while ago, by their fingerprints.
 ///
 /// # Examples
 ///
--- a/policy/src/steer/crash_reports.rs
+++ b/policy/src/steer/crash_reports.rs
@@ -12,6 +12,9 @@
 /// Crashes after which every entry instance refuses requests with a content, whoever sends them.
 const CRASHES_TO_BLOCK_CONTENT: usize = 3;
 
+/// Crashes that are kept for a request.
+const MAX_CRASHES: usize = 3;
+
 /// Time within which reports of crashes of one upstream are of the same crash: instances, and
 /// several attempts of one instance, notice it at different times.
 const SAME_CRASH_TIME: Duration = Duration::from_secs(5);
@@ -28,18 +31,22 @@
 /// Limit on the requests that are remembered.
 const MAX_REQUESTS: usize = 2_048;
 
-/// Report that an upstream crashed while it ran a request, as sent to other instances. Ages are
-/// those at the time of sending, so that clocks of different instances are not compared.
+/// Report that an upstream crashed while it ran a request, or completed it, as sent to other
+/// instances. Ages are those at the time of sending, so that clocks of different instances are not
+/// compared.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
     /// Hash of the request, which its repeats share.
     pub fingerprint: u64,
-    /// Hash of the ID of the upstream.
+    /// Hash of the ID of the upstream; 0 for a completed run.
     pub upstream: u64,
-    /// Time since the crash, in milliseconds.
+    /// Time since the crash or the completed run, in milliseconds.
     pub age_ms: u64,
     /// Time since the crash, or since the request was last refused because of it, in milliseconds.
     pub unused_ms: u64,
+    /// Whether a run was completed, which clears the crashes before it.
+    #[serde(default)]
+    pub is_completed: bool,
 }
 
 impl CrashReport {
@@ -50,13 +57,23 @@
             upstream,
             age_ms: 0,
             unused_ms: 0,
+            is_completed: false,
+        }
+    }
+
+    /// Returns the report of a run that is completed now.
+    pub fn completed(fingerprint: u64) -> Self {
+        Self {
+            is_completed: true,
+            ..Self::new(fingerprint, 0)
         }
     }
 }
 
 /// Crashes of upstreams that an instance knows of, by the request that they ran. A request of one
 /// caller that two crashes are known for is blocked until it has not come for 10 minutes, and so is
-/// a content that three are known for (see [`RequestFingerprints`]).
+/// a content that three are known for (see [`RequestFingerprints`]). A completed run clears the
+/// crashes before it.
 ///
 /// [`RequestFingerprints`]: crate::steer::RequestFingerprints
 ///
@@ -76,11 +93,18 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct CrashReports {
-    requests: HashMap<u64, Vec<Crash>>,
+    requests: HashMap<u64, SuspectRequest>,
     /// Number of changes that other instances need to know of.
     revision: u64,
 }
 
+/// What is known of one request.
+#[derive(Clone, Debug, Default)]
+struct SuspectRequest {
+    crashes: Vec<Crash>,
+    completed: Option<CompletedRun>,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Crash {
     upstream: u64,
@@ -91,6 +115,13 @@
     revision: u64,
 }
 
+/// Newest completed run, which older crashes are told after without effect.
+#[derive(Clone, Copy, Debug)]
+struct CompletedRun {
+    at: Instant,
+    revision: u64,
+}
+
 impl CrashReports {
     /// Adds a crash of an upstream under a request; returns whether it is new.
     pub fn add_crash(&mut self, fingerprint: u64, upstream: u64, now: Instant) -> bool {
@@ -105,6 +136,14 @@
         is_new
     }
 
+    /// Records that a run of a request was completed, which clears its crashes. Returns whether there
+    /// were any, so that others need to know.
+    pub fn clear(&mut self, fingerprint: u64, now: Instant) -> bool {
+        let request = self.requests.get(&fingerprint);
+        request.is_some_and(|request| !request.crashes.is_empty())
+            && self.add_completed(fingerprint, now)
+    }
+
     /// Adds the reports of another instance, and returns the fingerprints of those that are new.
     /// Expired reports are not added, so that instances do not remind each other of them for ever.
     pub fn merge(&mut self, reports: &[CrashReport], now: Instant) -> Vec<u64> {
@@ -115,13 +154,19 @@
                 continue;
             }
             let ago = |ms: u64| now.checked_sub(Duration::from_millis(ms)).unwrap_or(now);
-            let crash = Crash {
-                upstream: report.upstream,
-                at: ago(report.age_ms),
-                used_at: ago(report.unused_ms),
-                revision: 0,
+            let at = ago(report.age_ms);
+            let is_new = if report.is_completed {
+                self.add_completed(report.fingerprint, at)
+            } else {
+                let crash = Crash {
+                    upstream: report.upstream,
+                    at,
+                    used_at: ago(report.unused_ms),
+                    revision: 0,
+                };
+                self.add(report.fingerprint, crash)
             };
-            if self.add(report.fingerprint, crash) {
+            if is_new {
                 new.push(report.fingerprint);
             }
         }
@@ -133,15 +178,25 @@
 
     /// Returns whether a request crashed so many upstreams that it is no longer forwarded.
     pub fn is_blocked(&self, fingerprint: u64, now: Instant) -> bool {
-        let crashes = self.requests.get(&fingerprint);
-        crashes.is_some_and(|crashes| {
-            is_block(fingerprint, crashes) && !is_expired(fingerprint, crashes, now)
+        let request = self.requests.get(&fingerprint);
+        request.is_some_and(|request| {
+            request.is_block(fingerprint) && !request.is_expired(fingerprint, now)
         })
     }
 
+    /// Returns whether no further crash is kept for a request, so that also a request that used to be
+    /// completed is no longer forwarded.
+    pub fn is_proven(&self, fingerprint: u64) -> bool {
+        let request = self.requests.get(&fingerprint);
+        request.is_some_and(|request| request.crashes.len() >= MAX_CRASHES)
+    }
+
     /// Records that a request was refused, so that it stays blocked while it keeps coming.
     pub fn record_refusal(&mut self, fingerprint: u64, now: Instant) {
-        for crash in self.requests.get_mut(&fingerprint).into_iter().flatten() {
+        let Some(request) = self.requests.get_mut(&fingerprint) else {
+            return;
+        };
+        for crash in &mut request.crashes {
             if now.saturating_duration_since(crash.used_at) >= RENEWAL_INTERVAL {
                 self.revision += 1;
                 crash.renew(now, self.revision);
@@ -152,9 +207,12 @@
     /// Returns the number of crashes that are known for a request, and the time since the newest
     /// one or the last refusal.
     pub fn known(&self, fingerprint: u64, now: Instant) -> (usize, Duration) {
-        let crashes = self.requests.get(&fingerprint).map_or(&[][..], |c| c);
-        let age = last_use(crashes).map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        (crashes.len(), age)
+        let Some(request) = self.requests.get(&fingerprint) else {
+            return (0, Duration::ZERO);
+        };
+        let used_at = request.crashes.iter().map(|crash| crash.used_at).max();
+        let age = used_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        (request.crashes.len(), age)
     }
 
     /// Returns the number of the last change.
@@ -173,18 +231,8 @@
             return Vec::new();
         }
         let requests = self.requests.iter();
-        let current = requests.filter(|(key, crashes)| !is_expired(**key, crashes, now));
-        let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
-        let report = |fingerprint: u64, crash: &Crash| CrashReport {
-            fingerprint,
-            upstream: crash.upstream,
-            age_ms: age_ms(crash.at),
-            unused_ms: age_ms(crash.used_at),
-        };
-        let reports = current.flat_map(|(fingerprint, crashes)| {
-            let changed = crashes.iter().filter(|crash| crash.revision > revision);
-            changed.map(move |crash| report(*fingerprint, crash))
-        });
+        let current = requests.filter(|(key, request)| !request.is_expired(**key, now));
+        let reports = current.flat_map(|(key, request)| request.changed_after(revision, *key, now));
         reports.collect()
     }
 
@@ -199,10 +247,14 @@
     }
 
     fn add(&mut self, fingerprint: u64, crash: Crash) -> bool {
-        let crashes = self.requests.entry(fingerprint).or_default();
+        let request = self.requests.entry(fingerprint).or_default();
+        if request.completed.is_some_and(|run| run.at >= crash.at) {
+            return false;
+        }
         let revision = self.revision + 1;
-        let is_full = is_block(fingerprint, crashes);
-        let known = crashes
+        let is_full = request.crashes.len() >= MAX_CRASHES;
+        let known = request
+            .crashes
             .iter_mut()
             .find(|known| is_full || known.is_same(&crash));
         if let Some(known) = known {
@@ -212,14 +264,31 @@
             }
             return false;
         }
-        crashes.push(Crash { revision, ..crash });
+        request.crashes.push(Crash { revision, ..crash });
         self.revision = revision;
         true
     }
 
+    /// Records a completed run; returns whether it is newer than the one known.
+    fn add_completed(&mut self, fingerprint: u64, at: Instant) -> bool {
+        let request = self.requests.entry(fingerprint).or_default();
+        let is_known = request
+            .completed
+            .is_some_and(|run| at.saturating_duration_since(run.at) < RENEWAL_INTERVAL / 2);
+        let before = request.crashes.len();
+        request.crashes.retain(|crash| crash.at > at);
+        if is_known && request.crashes.len() == before {
+            return false;
+        }
+        self.revision += 1;
+        let revision = self.revision;
+        request.completed = Some(CompletedRun { at, revision });
+        true
+    }
+
     fn drop_expired(&mut self, now: Instant) {
         self.requests
-            .retain(|key, crashes| !crashes.is_empty() && !is_expired(*key, crashes, now));
+            .retain(|key, request| !request.is_expired(*key, now));
     }
 
     /// Drops requests beyond the limit: those that are not blocked first, and the oldest of them.
@@ -228,9 +297,9 @@
         if excess == 0 {
             return;
         }
-        let order = |(fingerprint, crashes): (&u64, &Vec<Crash>)| {
-            let is_block = is_block(*fingerprint, crashes);
-            (is_block, last_use(crashes), *fingerprint)
+        let order = |(fingerprint, request): (&u64, &SuspectRequest)| {
+            let is_block = request.is_block(*fingerprint);
+            (is_block, request.last_use(), *fingerprint)
         };
         let mut ordered: Vec<_> = self.requests.iter().map(order).collect();
         ordered.sort_unstable();
@@ -240,6 +309,54 @@
     }
 }
 
+impl SuspectRequest {
+    fn is_block(&self, fingerprint: u64) -> bool {
+        let crashes_to_block = match is_of_content(fingerprint) {
+            true => CRASHES_TO_BLOCK_CONTENT,
+            false => CRASHES_TO_BLOCK,
+        };
+        self.crashes.len() >= crashes_to_block
+    }
+
+    fn last_use(&self) -> Option<Instant> {
+        let crashes = self.crashes.iter().map(|crash| crash.used_at);
+        crashes.chain(self.completed.map(|run| run.at)).max()
+    }
+
+    fn is_expired(&self, fingerprint: u64, now: Instant) -> bool {
+        let retention = match self.is_block(fingerprint) {
+            true => BLOCK_RETENTION,
+            false => SUSPECT_RETENTION,
+        };
+        self.last_use()
+            .is_none_or(|at| now.saturating_duration_since(at) >= retention)
+    }
+
+    /// Returns the reports that changed after a revision.
+    fn changed_after(
+        &self,
+        revision: u64,
+        fingerprint: u64,
+        now: Instant,
+    ) -> impl Iterator<Item = CrashReport> {
+        let age_ms = move |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
+        let crashes = self.crashes.iter();
+        let crashes = crashes.filter(move |crash| crash.revision > revision);
+        let crashes = crashes.map(move |crash| CrashReport {
+            age_ms: age_ms(crash.at),
+            unused_ms: age_ms(crash.used_at),
+            ..CrashReport::new(fingerprint, crash.upstream)
+        });
+        let completed = self.completed.filter(|run| run.revision > revision);
+        let completed = completed.map(|run| CrashReport {
+            age_ms: age_ms(run.at),
+            unused_ms: age_ms(run.at),
+            ..CrashReport::completed(fingerprint)
+        });
+        completed.into_iter().chain(crashes)
+    }
+}
+
 impl Crash {
     fn renew(&mut self, used_at: Instant, revision: u64) {
         self.used_at = used_at;
@@ -251,23 +368,3 @@
         self.upstream == other.upstream && apart < SAME_CRASH_TIME
     }
 }
-
-fn is_block(fingerprint: u64, crashes: &[Crash]) -> bool {
-    let crashes_to_block = match is_of_content(fingerprint) {
-        true => CRASHES_TO_BLOCK_CONTENT,
-        false => CRASHES_TO_BLOCK,
-    };
-    crashes.len() >= crashes_to_block
-}
-
-fn last_use(crashes: &[Crash]) -> Option<Instant> {
-    crashes.iter().map(|crash| crash.used_at).max()
-}
-
-fn is_expired(fingerprint: u64, crashes: &[Crash], now: Instant) -> bool {
-    let retention = match is_block(fingerprint, crashes) {
-        true => BLOCK_RETENTION,
-        false => SUSPECT_RETENTION,
-    };
-    last_use(crashes).is_none_or(|at| now.saturating_duration_since(at) >= retention)
-}
--- a/policy/src/steer/request_blocks.rs
+++ b/policy/src/steer/request_blocks.rs
@@ -2,7 +2,7 @@
 
 use tokio::time::Instant;
 
-use crate::steer::{CompletedRequests, CrashReports, RequestFingerprints};
+use crate::steer::{CompletedRequests, CrashReport, CrashReports, RequestFingerprints};
 
 /// Decides which requests an entry instance refuses because they crashed upstreams.
 ///
@@ -31,13 +31,17 @@
 impl RequestBlocks {
     /// Returns whether a request is refused. A content that upstreams completed a short while ago is
     /// not refused for the crashes of several callers: many callers may send it, and run it on
-    /// upstreams that end for another reason.
+    /// upstreams that end for another reason. A request that they completed for its caller is refused
+    /// after a third crash only: it may have run beside another one that crashed two upstreams.
     pub fn refuses(&mut self, fingerprints: RequestFingerprints, now: Instant) -> bool {
         let RequestFingerprints {
             by_caller,
             by_content,
         } = fingerprints;
-        let blocked = if self.reports.is_blocked(by_caller, now) {
+        let was_completed = self.completed.is_recent(by_caller, now);
+        let blocked = if self.reports.is_blocked(by_caller, now)
+            && (!was_completed || self.reports.is_proven(by_caller))
+        {
             by_caller
         } else if self.reports.is_blocked(by_content, now)
             && !self.completed.is_recent(by_content, now)
@@ -50,9 +54,19 @@
         true
     }
 
-    /// Records that an upstream completed a request.
-    pub fn record_completed(&mut self, fingerprints: RequestFingerprints, now: Instant) {
-        self.completed.record(fingerprints.by_content, now);
+    /// Records that an upstream completed a request. Returns a report for others if that clears
+    /// crashes, so that all instances forward the request again.
+    pub fn record_completed(
+        &mut self,
+        fingerprints: RequestFingerprints,
+        now: Instant,
+    ) -> Option<CrashReport> {
+        for fingerprint in fingerprints.both() {
+            self.completed.record(fingerprint, now);
+        }
+        let by_caller = fingerprints.by_caller;
+        let is_cleared = self.reports.clear(by_caller, now);
+        is_cleared.then(|| CrashReport::completed(by_caller))
     }
 
     /// Returns the number of crashes that are known for a request, and the time since the newest one
