Ask others before an upstream is taken for crashed

Cause: a check took an upstream that it could not connect to for crashed when its neighbors could be connected to, so that links that are cut one by one passed for crashes. The class: the state of another process inferred from one's own link to it.

Such a check now asks two control instances to connect to the upstream, while it connects to the neighbors; the first reply counts, and the neighbors decide without one. What follows from the evidence is decided in one type, CrashEvidence, with tests that need no network.

--- a/daemon/src/roles/crash_checks.rs
+++ b/daemon/src/roles/crash_checks.rs
@@ -3,11 +3,15 @@
 //! a caller that leaves.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use http::HeaderValue;
-use laburnumdeal_policy::steer::{RequestFingerprints, UnansweredAttempts, UpstreamKey};
+use laburnumdeal_policy::steer::{
+    CrashEvidence, CrashVerdict, ProbeConnection, RequestFingerprints, UnansweredAttempts,
+    UpstreamKey,
+};
 use slog::info;
 use tokio::runtime::Handle;
 use tokio::sync::watch;
@@ -15,7 +19,7 @@
 
 use crate::roles::entry_state::EntryState;
 use crate::roles::fingerprints_text::fingerprints_text;
-use crate::roles::reach_probes;
+use crate::roles::{reach_probes, second_opinion};
 
 /// Timeout of the connection that checks an upstream. An upstream that ended with its machine does
 /// not refuse connections, it does not reply.
@@ -61,43 +65,6 @@
     pub at: Instant,
 }
 
-/// What a check found.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum CheckResult {
-    /// The upstream has answered another request since.
-    Answers,
-    /// It accepts connections.
-    AcceptsConnections,
-    /// Its address accepts connections, but it has left the list of upstreams unannounced.
-    LeftList,
-    /// It refuses connections.
-    RefusesConnections,
-    /// It does not reply.
-    NoReply,
-    /// Neither it nor its neighbors can be connected to.
-    NeighborsUnreachable,
-}
-
-impl CheckResult {
-    fn is_crash(self) -> bool {
-        matches!(
-            self,
-            Self::LeftList | Self::RefusesConnections | Self::NoReply
-        )
-    }
-
-    fn text(self) -> &'static str {
-        match self {
-            Self::Answers => "answers",
-            Self::AcceptsConnections => "accepts connections",
-            Self::LeftList => "left the list",
-            Self::RefusesConnections => "refuses connections",
-            Self::NoReply => "no reply",
-            Self::NeighborsUnreachable => "neighbors unreachable",
-        }
-    }
-}
-
 /// Checks an upstream for a crash, unless a check of it is running, which then covers the attempt.
 pub(super) fn start(state: &Arc<EntryState>, upstream: UpstreamKey, attempt: UnansweredAttempt) {
     let Ok(runtime) = Handle::try_current() else {
@@ -180,33 +147,18 @@
         let answered_at = load_balancer.answered_at(upstream);
         (name.to_owned(), address, answered_at)
     };
-    let result = match answered_at.is_some_and(|at| at > started_at) && !is_urgent {
-        true => CheckResult::Answers,
-        false => connect(&state, address).await,
-    };
-    let result = match result {
-        CheckResult::AcceptsConnections if state.load_balancer().left_unannounced(upstream) => {
-            CheckResult::LeftList
-        }
-        // A partition or the loss of a zone looks the same, and no request causes these.
-        CheckResult::RefusesConnections | CheckResult::NoReply
-            if !reach_probes::has_reachable_neighbor(&state, upstream).await =>
-        {
-            CheckResult::NeighborsUnreachable
-        }
-        result => result,
+    let verdict = match answered_at.is_some_and(|at| at > started_at) && !is_urgent {
+        true => CrashVerdict::Answers,
+        false => probe(&state, upstream, address).await.verdict(),
     };
     let Some(check) = state.crash_checks.running().remove(&upstream) else {
         return;
     };
     let attempts = &check.attempts;
-    if matches!(
-        result,
-        CheckResult::RefusesConnections | CheckResult::NoReply | CheckResult::NeighborsUnreachable
-    ) {
+    if verdict.is_unreachable() {
         reach_probes::record_failed(&state, upstream);
     }
-    if result.is_crash() {
+    if verdict.is_crash() {
         let fingerprints = attempts
             .iter()
             .flat_map(|attempt| attempt.fingerprints.both());
@@ -216,7 +168,7 @@
         passed.retain(|_, at| at.elapsed() < MIN_INTERVAL);
         passed.insert(upstream, Instant::now());
     }
-    if result == CheckResult::AcceptsConnections {
+    if verdict.is_undecided() {
         let mut undecided = state.crash_checks.undecided();
         for attempt in attempts {
             for fingerprint in attempt.fingerprints.both() {
@@ -224,7 +176,7 @@
             }
         }
     }
-    state.metrics.count_crash_check(result.text());
+    state.metrics.count_crash_check(verdict.text());
     for attempt in attempts {
         let Some(log) = state.log.limited(true) else {
             return;
@@ -232,18 +184,33 @@
         info!(log, "checked an upstream for a crash";
             "id" => String::from_utf8_lossy(attempt.id.as_bytes()).into_owned(),
             "fingerprint" => format!("{:016x}", attempt.fingerprints.by_caller), "upstream" => &name,
-            "result" => result.text(), "took_ms" => started_at.elapsed().as_millis() as u64,
+            "result" => verdict.text(), "took_ms" => started_at.elapsed().as_millis() as u64,
             "attempt_age_ms" => attempt.at.elapsed().as_millis() as u64,
-            "reported" => result.is_crash());
+            "reported" => verdict.is_crash());
     }
 }
 
-async fn connect(state: &EntryState, address: std::net::SocketAddr) -> CheckResult {
-    match tokio::time::timeout(CONNECT_TIMEOUT, state.dialer.connect(address)).await {
-        Ok(Ok(_)) => CheckResult::AcceptsConnections,
-        Ok(Err(_)) => CheckResult::RefusesConnections,
-        Err(_) => CheckResult::NoReply,
+/// Connects to an upstream, and if that fails to its neighbors, while others connect to it.
+async fn probe(state: &EntryState, upstream: UpstreamKey, address: SocketAddr) -> CrashEvidence {
+    let connecting = state.dialer.connect(address);
+    let connection = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+        Ok(Ok(_)) => ProbeConnection::Accepted,
+        Ok(Err(_)) => ProbeConnection::Refused,
+        Err(_) => ProbeConnection::NoReply,
+    };
+    let mut evidence = CrashEvidence {
+        connection,
+        has_left_list: state.load_balancer().left_unannounced(upstream),
+        reaches_neighbors: true,
+        others_reach: None,
+    };
+    if connection != ProbeConnection::Accepted {
+        (evidence.reaches_neighbors, evidence.others_reach) = tokio::join!(
+            reach_probes::has_reachable_neighbor(state, upstream),
+            second_opinion::can_others_connect(state, address),
+        );
     }
+    evidence
 }
 
 /// Forgets the attempts at upstreams that accepted connections when they were checked.
--- a/daemon/src/roles/entry_node.rs
+++ b/daemon/src/roles/entry_node.rs
@@ -20,7 +20,6 @@
 use crate::roles::node_metrics::NodeMetrics;
 use crate::roles::page_handler::PageHandler;
 use crate::roles::report_exchange;
-use crate::roles::rpc_client::RpcClient;
 use crate::roles::{HeaderCodec, NodeSettings, Presence, PresenceState};
 
 /// Interval between presence datagrams to the control instances.
@@ -92,7 +91,7 @@
         let presence =
             Arc::new(PresenceSender::open(state.clone(), controls.clone(), address).await?);
         let mut tasks = JoinSet::new();
-        let client = RpcClient::default();
+        let client = state.client.clone();
         for index in 0..FOLLOWED_CONTROLS {
             let (state, controls) = (state.clone(), controls.clone());
             tasks.spawn(follower::run(
--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -21,7 +21,7 @@
 use crate::roles::known_controls::KnownControls;
 use crate::roles::node_metrics::NodeMetrics;
 use crate::roles::rate_limited_log::RateLimitedLog;
-use crate::roles::rpc_client::RpcError;
+use crate::roles::rpc_client::{RpcClient, RpcError};
 use crate::roles::{NodeSettings, PresenceState, UpstreamList};
 
 /// Idle connections that are kept to each upstream.
@@ -62,6 +62,8 @@
     pub log: RateLimitedLog,
     pub metrics: NodeMetrics,
     pub controls: Arc<KnownControls>,
+    /// Client for messages to control instances.
+    pub client: RpcClient,
     /// Opens connections to upstreams.
     pub dialer: Dialer,
     load_balancer: Mutex<LoadBalancer>,
@@ -107,6 +109,7 @@
             leaving: AtomicBool::new(false),
             readiness: Notify::new(),
             controls: Arc::new(KnownControls::new(seeds)),
+            client: RpcClient::default(),
             dialer,
             log: RateLimitedLog::new(log, metrics.clone()),
             metrics,
@@ -114,6 +117,16 @@
         }
     }
 
+    /// Returns the control instances that this instance follows while they can be reached.
+    pub fn followed_controls(&self) -> Vec<SocketAddr> {
+        let EntryState {
+            settings, controls, ..
+        } = self;
+        let mut nearest = controls.nearest_first(&settings.region, &settings.instance);
+        nearest.truncate(FOLLOWED_CONTROLS);
+        nearest
+    }
+
     /// Locks the load balancer.
     pub fn load_balancer(&self) -> MutexGuard<'_, LoadBalancer> {
         self.load_balancer.lock().expect("no holder panics")
@@ -382,12 +395,7 @@
     }
 
     fn receivers(&self) -> Vec<SocketAddr> {
-        let EntryState {
-            settings, controls, ..
-        } = self;
-        let mut nearest = controls.nearest_first(&settings.region, &settings.instance);
-        nearest.truncate(FOLLOWED_CONTROLS);
-        nearest
+        self.followed_controls()
     }
 
     fn is_relay(&self) -> bool {
--- a/daemon/src/roles/follow_message.rs
+++ b/daemon/src/roles/follow_message.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use laburnumdeal_control::{ControlReply, ControlRequest};
 use laburnumdeal_model::Version;
 use laburnumdeal_policy::steer::{CrashReport, SharedReport};
@@ -28,6 +30,8 @@
         /// Whether a control instance sends them, which has them from an entry instance.
         is_relayed: bool,
     },
+    /// Question whether the receiver can connect to the upstream with an address.
+    Probe(SocketAddr),
 }
 
 /// Reply to a [`Call`].
@@ -42,6 +46,8 @@
     Report(SharedReport),
     /// Crash reports were received.
     Crashes,
+    /// Whether the upstream can be connected to; `None` if it is not listed.
+    Probe(Option<bool>),
 }
 
 /// Report of an entry instance on upstreams, and request for the reports of others.
--- a/daemon/src/roles/follower.rs
+++ b/daemon/src/roles/follower.rs
@@ -137,7 +137,7 @@
             exchange.record_reply(target, crash_revision, reply.crash_position);
             Some(*reply)
         }
-        Ok(Reply::Control(_) | Reply::Report(_) | Reply::Crashes) | Err(_) => None,
+        Ok(_) | Err(_) => None,
     }
 }
 
--- a/daemon/src/roles/mod.rs
+++ b/daemon/src/roles/mod.rs
@@ -38,6 +38,7 @@
 mod report_store;
 mod rpc_client;
 mod rpc_handler;
+mod second_opinion;
 mod upstream_attempt;
 mod upstream_list;
 
--- a/daemon/src/roles/report_exchange.rs
+++ b/daemon/src/roles/report_exchange.rs
@@ -69,7 +69,7 @@
             Ok(Reply::Report(report)) => {
                 state.load_balancer().merge_report(&report, Instant::now())
             }
-            Ok(Reply::Control(_) | Reply::Follow(_) | Reply::Crashes) => {
+            Ok(_) => {
                 warn!(state.log.unlimited(), "failed to exchange reports on upstreams";
                     "control" => chosen.to_string(), "error" => "reply of another kind");
             }
--- a/daemon/src/roles/rpc_client.rs
+++ b/daemon/src/roles/rpc_client.rs
@@ -140,7 +140,7 @@
         };
         match self.client.call(address, &call, REPLICA_TIMEOUT).await? {
             Reply::Control(reply) => Ok(reply),
-            Reply::Follow(_) | Reply::Report(_) | Reply::Crashes => Err(RpcError::WrongKind),
+            _ => Err(RpcError::WrongKind),
         }
     }
 }
--- a/daemon/src/roles/rpc_handler.rs
+++ b/daemon/src/roles/rpc_handler.rs
@@ -8,6 +8,7 @@
 use laburnumdeal_control::ControlReply;
 use laburnumdeal_model::Configuration;
 use laburnumdeal_policy::steer::{CrashReport, SharedReport};
+use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until};
 
 use crate::answer_body::AnswerBody;
@@ -31,6 +32,10 @@
 /// Interval of checks for updates that no channel announces: the roster and crash reports.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Timeout of a connection to an upstream that an entry instance cannot connect to; shorter than the
+/// time for which that waits for the result.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Handles messages from other instances.
 pub(super) struct RpcHandler {
     state: Arc<ControlState>,
@@ -60,7 +65,20 @@
                 }
                 Reply::Crashes
             }
+            Call::Probe(upstream) => Reply::Probe(self.probe(upstream).await),
+        }
+    }
+
+    /// Returns whether an upstream can be connected to; `None` if it is not listed.
+    async fn probe(&self, upstream: SocketAddr) -> Option<bool> {
+        let list = self.state.list.borrow().clone();
+        let is_listed = list.records.iter().any(|record| record.address == upstream);
+        if !is_listed {
+            return None;
         }
+        let connecting = TcpStream::connect(upstream);
+        let connected = tokio::time::timeout(PROBE_TIMEOUT, connecting).await;
+        Some(connected.is_ok_and(|connected| connected.is_ok()))
     }
 
     fn exchange_reports(&self, request: &ReportRequest) -> SharedReport {
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -5,6 +5,7 @@
 mod cached_objects;
 mod choosing;
 mod completed_requests;
+mod crash_evidence;
 mod crash_outbox;
 mod crash_reports;
 mod decision;
@@ -33,6 +34,7 @@
 
 pub use cached_objects::CachedObjects;
 pub use completed_requests::CompletedRequests;
+pub use crash_evidence::{CrashEvidence, CrashVerdict, ProbeConnection};
 pub use crash_outbox::CrashOutbox;
 pub use crash_reports::{CrashReport, CrashReports};
 pub use decision::{Decision, RequestContext, Selection};
--- a/policy/tests/steer/main.rs
+++ b/policy/tests/steer/main.rs
@@ -3,6 +3,7 @@
 mod choose;
 mod cold;
 mod completed_requests;
+mod crash_evidence;
 mod crash_outbox;
 mod crash_reports;
 mod helpers;
