--- a/daemon/src/roles/control_node.rs
+++ b/daemon/src/roles/control_node.rs
@@ -18,7 +18,8 @@
 use crate::daemon_error::DaemonError;
 use crate::http_server::HttpServer;
 use crate::roles::crash_file::{self, CrashFile};
-use crate::roles::crash_sender::{self, CrashQueue, CrashSource};
+use crate::roles::crash_queue::CrashQueue;
+use crate::roles::crash_sender::{self, CrashSource};
 use crate::roles::fingerprints_text::fingerprints_text;
 use crate::roles::list_history::ListHistory;
 use crate::roles::list_refresher;
@@ -101,8 +102,8 @@
 }
 
 impl ControlState {
-    /// Adds crash reports of another instance, logs the new ones, and returns those of the same
-    /// requests.
+    /// Adds crash reports of another instance and logs the new ones. Returns the reports on requests
+    /// of which something is new.
     pub fn add_crashes(&self, reports: &[CrashReport], source: IpAddr) -> Vec<CrashReport> {
         let mut crashes = self.crashes.lock().expect("no holder panics");
         let new = crashes.merge(reports, Instant::now());
--- a/daemon/src/roles/crash_sender.rs
+++ b/daemon/src/roles/crash_sender.rs
@@ -2,14 +2,13 @@
 //! on the way arrives with the polls, which carry all that the receiver lacks.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
-use laburnumdeal_policy::steer::{CrashOutbox, CrashReport};
-use tokio::sync::Notify;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
+use crate::roles::crash_queue::CrashQueue;
 use crate::roles::follow_message::Call;
 use crate::roles::rpc_client::{RpcClient, RpcError};
 
@@ -34,39 +33,6 @@
     fn log_unsent(&self, to: SocketAddr, error: &RpcError);
 }
 
-/// Reports that wait to be sent.
-#[derive(Debug, Default)]
-pub(super) struct CrashQueue {
-    outbox: Mutex<CrashOutbox>,
-    added: Notify,
-}
-
-impl CrashQueue {
-    /// Adds reports.
-    pub fn add(&self, reports: impl IntoIterator<Item = CrashReport>) {
-        let now = Instant::now();
-        let mut outbox = self.outbox.lock().expect("no holder panics");
-        for report in reports {
-            // Polls carry what there is no room for.
-            let _ = outbox.add(report, now);
-        }
-        drop(outbox);
-        self.added.notify_one();
-    }
-
-    /// Waits for reports and returns them.
-    async fn take(&self) -> Vec<CrashReport> {
-        loop {
-            let now = Instant::now();
-            let reports = self.outbox.lock().expect("no holder panics").take(now);
-            if !reports.is_empty() {
-                return reports;
-            }
-            self.added.notified().await;
-        }
-    }
-}
-
 /// Sends the reports of an instance until the process stops.
 pub(super) async fn run<S: CrashSource>(source: Arc<S>, client: RpcClient) {
     let mut sending = JoinSet::new();
--- a/daemon/src/roles/mod.rs
+++ b/daemon/src/roles/mod.rs
@@ -9,6 +9,7 @@
 mod crash_checks;
 mod crash_exchange;
 mod crash_file;
+mod crash_queue;
 mod crash_sender;
 mod entry_node;
 mod entry_state;
--- a/policy/src/steer/crash_evidence.rs
+++ b/policy/src/steer/crash_evidence.rs
@@ -1,3 +1,5 @@
+use crate::steer::CrashVerdict;
+
 /// What a new connection to an upstream showed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProbeConnection {
@@ -35,29 +37,10 @@
     pub has_left_list: bool,
     /// Whether this instance can connect to an upstream near it.
     pub reaches_neighbors: bool,
-    /// Whether other instances can connect to it; `None` if none of them told.
+    /// Whether other instances can connect to it; `None` if none of them replied.
     pub others_reach: Option<bool>,
 }
 
-/// Whether an upstream that left an attempt without an answer crashed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CrashVerdict {
-    /// It has answered another request since.
-    Answers,
-    /// It accepts connections.
-    AcceptsConnections,
-    /// Its address accepts connections, but it has left the list of upstreams unannounced.
-    LeftList,
-    /// It refuses connections.
-    RefusesConnections,
-    /// It does not reply.
-    NoReply,
-    /// Neither it nor its neighbors can be connected to.
-    NeighborsUnreachable,
-    /// Another instance can connect to it.
-    ReachedByOthers,
-}
-
 impl CrashEvidence {
     /// Returns whether the upstream crashed. An upstream that this instance cannot connect to did not
     /// if others can: then the link to it is cut. Nor did one whose neighbors cannot be connected to
@@ -73,42 +56,3 @@
         }
     }
 }
-
-impl CrashVerdict {
-    /// Returns whether the upstream crashed.
-    pub fn is_crash(self) -> bool {
-        matches!(
-            self,
-            Self::LeftList | Self::RefusesConnections | Self::NoReply
-        )
-    }
-
-    /// Returns whether this instance cannot connect to the upstream.
-    pub fn is_unreachable(self) -> bool {
-        matches!(
-            self,
-            Self::RefusesConnections
-                | Self::NoReply
-                | Self::NeighborsUnreachable
-                | Self::ReachedByOthers
-        )
-    }
-
-    /// Returns whether the upstream runs as far as is known, but may turn out to be another start.
-    pub fn is_undecided(self) -> bool {
-        matches!(self, Self::AcceptsConnections | Self::ReachedByOthers)
-    }
-
-    /// Returns the text for logs and metrics.
-    pub fn text(self) -> &'static str {
-        match self {
-            Self::Answers => "answers",
-            Self::AcceptsConnections => "accepts connections",
-            Self::LeftList => "left the list",
-            Self::RefusesConnections => "refuses connections",
-            Self::NoReply => "no reply",
-            Self::NeighborsUnreachable => "neighbors unreachable",
-            Self::ReachedByOthers => "reached by others",
-        }
-    }
-}
--- a/policy/src/steer/crash_reports.rs
+++ b/policy/src/steer/crash_reports.rs
@@ -1,75 +1,20 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::steer::request_fingerprints::is_of_content;
-
-/// Crashes after which every entry instance refuses a request of one caller.
-const CRASHES_TO_BLOCK: usize = 2;
-
-/// Crashes after which every entry instance refuses requests with a content, whoever sends them.
-const CRASHES_TO_BLOCK_CONTENT: usize = 3;
+use crate::steer::CrashReport;
+use crate::steer::suspect_request::{BLOCK_RETENTION, CompletedRun, Crash, SuspectRequest};
 
 /// Crashes that are kept for a request.
 const MAX_CRASHES: usize = 3;
 
-/// Time within which reports of crashes of one upstream are of the same crash: instances, and
-/// several attempts of one instance, notice it at different times.
-const SAME_CRASH_TIME: Duration = Duration::from_secs(5);
-
-/// Time for which a request is remembered after a crash, if it is not blocked.
-const SUSPECT_RETENTION: Duration = Duration::from_secs(60);
-
-/// Time for which a blocked request is remembered after a crash or its last refusal.
-const BLOCK_RETENTION: Duration = Duration::from_secs(600);
-
 /// Minimum interval at which other instances are told that a blocked request still comes.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(60);
 
 /// Limit on the requests that are remembered.
 const MAX_REQUESTS: usize = 2_048;
 
-/// Report that an upstream crashed while it ran a request, or completed it, as sent to other
-/// instances. Ages are those at the time of sending, so that clocks of different instances are not
-/// compared.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashReport {
-    /// Hash of the request, which its repeats share.
-    pub fingerprint: u64,
-    /// Hash of the ID of the upstream; 0 for a completed run.
-    pub upstream: u64,
-    /// Time since the crash or the completed run, in milliseconds.
-    pub age_ms: u64,
-    /// Time since the crash, or since the request was last refused because of it, in milliseconds.
-    pub unused_ms: u64,
-    /// Whether a run was completed, which clears the crashes before it.
-    #[serde(default)]
-    pub is_completed: bool,
-}
-
-impl CrashReport {
-    /// Returns the report of a crash that happens now.
-    pub fn new(fingerprint: u64, upstream: u64) -> Self {
-        Self {
-            fingerprint,
-            upstream,
-            age_ms: 0,
-            unused_ms: 0,
-            is_completed: false,
-        }
-    }
-
-    /// Returns the report of a run that is completed now.
-    pub fn completed(fingerprint: u64) -> Self {
-        Self {
-            is_completed: true,
-            ..Self::new(fingerprint, 0)
-        }
-    }
-}
-
 /// Crashes of upstreams that an instance knows of, by the request that they ran. A request of one
 /// caller that two crashes are known for is blocked until it has not come for 10 minutes, and so is
 /// a content that three are known for (see [`RequestFingerprints`]). A completed run clears the
@@ -98,30 +43,6 @@
     revision: u64,
 }
 
-/// What is known of one request.
-#[derive(Clone, Debug, Default)]
-struct SuspectRequest {
-    crashes: Vec<Crash>,
-    completed: Option<CompletedRun>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Crash {
-    upstream: u64,
-    at: Instant,
-    /// Time of the crash, or of the last refusal because of it.
-    used_at: Instant,
-    /// Revision of the last change of this report.
-    revision: u64,
-}
-
-/// Newest completed run, which older crashes are told after without effect.
-#[derive(Clone, Copy, Debug)]
-struct CompletedRun {
-    at: Instant,
-    revision: u64,
-}
-
 impl CrashReports {
     /// Adds a crash of an upstream under a request; returns whether it is new.
     pub fn add_crash(&mut self, fingerprint: u64, upstream: u64, now: Instant) -> bool {
@@ -184,8 +105,8 @@
         })
     }
 
-    /// Returns whether no further crash is kept for a request, so that also a request that used to be
-    /// completed is no longer forwarded.
+    /// Returns whether so many crashes are known for a request that it is blocked even if upstreams
+    /// used to complete it.
     pub fn is_proven(&self, fingerprint: u64) -> bool {
         let request = self.requests.get(&fingerprint);
         request.is_some_and(|request| request.crashes.len() >= MAX_CRASHES)
@@ -308,63 +229,3 @@
         }
     }
 }
-
-impl SuspectRequest {
-    fn is_block(&self, fingerprint: u64) -> bool {
-        let crashes_to_block = match is_of_content(fingerprint) {
-            true => CRASHES_TO_BLOCK_CONTENT,
-            false => CRASHES_TO_BLOCK,
-        };
-        self.crashes.len() >= crashes_to_block
-    }
-
-    fn last_use(&self) -> Option<Instant> {
-        let crashes = self.crashes.iter().map(|crash| crash.used_at);
-        crashes.chain(self.completed.map(|run| run.at)).max()
-    }
-
-    fn is_expired(&self, fingerprint: u64, now: Instant) -> bool {
-        let retention = match self.is_block(fingerprint) {
-            true => BLOCK_RETENTION,
-            false => SUSPECT_RETENTION,
-        };
-        self.last_use()
-            .is_none_or(|at| now.saturating_duration_since(at) >= retention)
-    }
-
-    /// Returns the reports that changed after a revision.
-    fn changed_after(
-        &self,
-        revision: u64,
-        fingerprint: u64,
-        now: Instant,
-    ) -> impl Iterator<Item = CrashReport> {
-        let age_ms = move |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
-        let crashes = self.crashes.iter();
-        let crashes = crashes.filter(move |crash| crash.revision > revision);
-        let crashes = crashes.map(move |crash| CrashReport {
-            age_ms: age_ms(crash.at),
-            unused_ms: age_ms(crash.used_at),
-            ..CrashReport::new(fingerprint, crash.upstream)
-        });
-        let completed = self.completed.filter(|run| run.revision > revision);
-        let completed = completed.map(|run| CrashReport {
-            age_ms: age_ms(run.at),
-            unused_ms: age_ms(run.at),
-            ..CrashReport::completed(fingerprint)
-        });
-        completed.into_iter().chain(crashes)
-    }
-}
-
-impl Crash {
-    fn renew(&mut self, used_at: Instant, revision: u64) {
-        self.used_at = used_at;
-        self.revision = revision;
-    }
-
-    fn is_same(&self, other: &Crash) -> bool {
-        let apart = self.at.max(other.at) - self.at.min(other.at);
-        self.upstream == other.upstream && apart < SAME_CRASH_TIME
-    }
-}
