Count crashes for the request that accounts for most of them

Each crash counted for every request in flight.

A crash that a request shares with another one which crashed more upstreams no longer counts for it. Contents are not compared, as one that many callers send runs beside most others. Two requests with the same crashes are both blocked.

--- a/policy/src/steer/crash_reports.rs
+++ b/policy/src/steer/crash_reports.rs
@@ -4,10 +4,16 @@
 use tokio::time::Instant;
 
 use crate::steer::CrashReport;
-use crate::steer::suspect_request::{BLOCK_RETENTION, CompletedRun, Crash, SuspectRequest};
+use crate::steer::request_fingerprints::is_of_content;
+use crate::steer::suspect_request::{
+    BLOCK_RETENTION, CompletedRun, Crash, SuspectRequest, crashes_to_block,
+};
 
-/// Crashes that are kept for a request.
-const MAX_CRASHES: usize = 3;
+/// Crashes after which a request is blocked even if upstreams used to complete it.
+const CRASHES_TO_PROVE: usize = 3;
+
+/// Crashes that are kept for a request; more than requests beside it can share by chance.
+const MAX_CRASHES: usize = 8;
 
 /// Minimum interval at which other instances are told that a blocked request still comes.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(60);
@@ -18,7 +24,8 @@
 /// Crashes of upstreams that an instance knows of, by the request that they ran. A request of one
 /// caller that two crashes are known for is blocked until it has not come for 10 minutes, and so is
 /// a content that three are known for (see [`RequestFingerprints`]). A completed run clears the
-/// crashes before it.
+/// crashes before it, and crashes that a request shares with one that crashed more upstreams do not
+/// count for it.
 ///
 /// [`RequestFingerprints`]: crate::steer::RequestFingerprints
 ///
@@ -101,7 +108,9 @@
     pub fn is_blocked(&self, fingerprint: u64, now: Instant) -> bool {
         let request = self.requests.get(&fingerprint);
         request.is_some_and(|request| {
-            request.is_block(fingerprint) && !request.is_expired(fingerprint, now)
+            request.is_block(fingerprint)
+                && !request.is_expired(fingerprint, now)
+                && crashes_to_block(fingerprint) <= self.own_crashes(fingerprint, request)
         })
     }
 
@@ -109,7 +118,22 @@
     /// used to complete it.
     pub fn is_proven(&self, fingerprint: u64) -> bool {
         let request = self.requests.get(&fingerprint);
-        request.is_some_and(|request| request.crashes.len() >= MAX_CRASHES)
+        request.is_some_and(|request| self.own_crashes(fingerprint, request) >= CRASHES_TO_PROVE)
+    }
+
+    /// Returns the number of crashes of a request that no other one accounts for, which ran beside it
+    /// and crashed more upstreams. Contents are not compared: one that many callers send runs beside
+    /// most others.
+    fn own_crashes(&self, fingerprint: u64, request: &SuspectRequest) -> usize {
+        if is_of_content(fingerprint) {
+            return request.crashes.len();
+        }
+        let others = self.requests.iter().filter(|(other, suspect)| {
+            !is_of_content(**other) && suspect.crashes.len() > request.crashes.len()
+        });
+        let others: Vec<&SuspectRequest> = others.map(|(_, suspect)| suspect).collect();
+        let is_own = |crash: &&Crash| !others.iter().any(|other| other.has_crash(crash));
+        request.crashes.iter().filter(is_own).count()
     }
 
     /// Records that a request was refused, so that it stays blocked while it keeps coming.
--- a/policy/src/steer/suspect_request.rs
+++ b/policy/src/steer/suspect_request.rs
@@ -47,13 +47,14 @@
 }
 
 impl SuspectRequest {
-    /// Returns whether the request is blocked, unless it has expired.
+    /// Returns whether there are enough crashes to block the request.
     pub fn is_block(&self, fingerprint: u64) -> bool {
-        let crashes_to_block = match is_of_content(fingerprint) {
-            true => CRASHES_TO_BLOCK_CONTENT,
-            false => CRASHES_TO_BLOCK,
-        };
-        self.crashes.len() >= crashes_to_block
+        self.crashes.len() >= crashes_to_block(fingerprint)
+    }
+
+    /// Returns whether a crash is one of this request.
+    pub fn has_crash(&self, crash: &Crash) -> bool {
+        self.crashes.iter().any(|known| known.is_same(crash))
     }
 
     /// Returns the time of the last crash, refusal or completed run.
@@ -110,3 +111,11 @@
         self.upstream == other.upstream && apart < SAME_CRASH_TIME
     }
 }
+
+/// Returns the number of crashes after which a request is blocked.
+pub(super) fn crashes_to_block(fingerprint: u64) -> usize {
+    match is_of_content(fingerprint) {
+        true => CRASHES_TO_BLOCK_CONTENT,
+        false => CRASHES_TO_BLOCK,
+    }
+}
