Read requests ahead, and start those that may be repeated before their turn

Cause: the HTTP server reads the next request of a connection when the answer before it is out. Requests that callers send ahead waited for the sum of those before them, with a deadline that began at their turn; and a caller that left was not noticed while bytes of further requests were unread.

Change: connections are read while a request is handled. Heads are found in the bytes, requests without a body on routes that may be repeated start before their turn, and answers leave in order. What must not be repeated starts in its turn.

--- a/daemon/src/caller_handler.rs
+++ b/daemon/src/caller_handler.rs
@@ -1,8 +1,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use http::{HeaderValue, Request, Response};
-use hyper::body::Incoming;
+use crate::incoming_body::IncomingBody;
+use http::{Request, Response};
 
 use crate::answer_body::AnswerBody;
 use crate::http_server::HttpHandler;
@@ -28,9 +28,13 @@
 }
 
 impl HttpHandler for CallerHandler {
-    async fn handle(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<AnswerBody> {
+    async fn handle(
+        &self,
+        request: Request<IncomingBody>,
+        peer: SocketAddr,
+    ) -> Response<AnswerBody> {
         let path = request.uri().path();
-        let mut response = if path == LOOKUP_PATH {
+        if path == LOOKUP_PATH {
             handle_lookup(&self.state, &request, peer.ip())
                 .unwrap_or_else(|error| rejection_response(&error))
         } else if path.starts_with(RESERVED_PATHS) {
@@ -39,13 +43,10 @@
             })
         } else {
             handle_request(&self.state, request, peer.ip(), Role::Entry).await
-        };
-        if self.state.is_leaving() {
-            let close = HeaderValue::from_static("close");
-            response
-                .headers_mut()
-                .insert(http::header::CONNECTION, close);
         }
-        response
+    }
+
+    fn is_closing(&self) -> bool {
+        self.state.is_leaving()
     }
 }
--- a/daemon/src/http_server.rs
+++ b/daemon/src/http_server.rs
@@ -1,29 +1,21 @@
-use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{Request, Response};
-use hyper::body::Incoming;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use http::{HeaderMap, Method, Request, Response, Uri};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio::task::{JoinHandle, JoinSet};
 
 use crate::answer_body::AnswerBody;
 use crate::daemon_error::DaemonError;
+use crate::incoming_body::IncomingBody;
+use crate::pipeline::{CallerConnection, MAX_STARTED_AHEAD};
 
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 4_096;
 
-/// Timeout for reading the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// Maximum size of the head of a request.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-
 /// Delay after a failure to accept a connection, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -32,9 +24,21 @@
     /// Handles one request that came from `peer`.
     fn handle(
         &self,
-        request: Request<Incoming>,
+        request: Request<IncomingBody>,
         peer: SocketAddr,
     ) -> impl Future<Output = Response<AnswerBody>> + Send;
+
+    /// Returns whether a request without a body may run before the answers to earlier requests of
+    /// its connection are out. If the connection breaks before, it runs once more when its caller
+    /// repeats it.
+    fn may_run_ahead(&self, _method: &Method, _uri: &Uri, _headers: &HeaderMap) -> bool {
+        false
+    }
+
+    /// Returns whether connections are to be closed after the answers to the requests that run.
+    fn is_closing(&self) -> bool {
+        false
+    }
 }
 
 /// Serves HTTP/1.1 on one address with a task for each connection. Dropping it breaks every
@@ -97,12 +101,17 @@
 ) {
     let mut connections = JoinSet::new();
     let stop_signal = stopping.clone();
+    let permits = Arc::new(Semaphore::new(MAX_STARTED_AHEAD));
+    let serving = |stream, peer| {
+        let (handler, permits) = (handler.clone(), permits.clone());
+        serve(stream, peer, handler, permits, stop_signal.clone())
+    };
     loop {
         tokio::select! {
             () = wait_until_stopping(&mut stopping) => break,
             accepted = listener.accept() => match accepted {
                 Ok((stream, peer)) => {
-                    connections.spawn(serve(stream, peer, handler.clone(), stop_signal.clone()));
+                    connections.spawn(serving(stream, peer));
                 }
                 Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
             },
@@ -117,23 +126,10 @@
     stream: TcpStream,
     peer: SocketAddr,
     handler: Arc<H>,
+    permits: Arc<Semaphore>,
     mut stopping: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| {
-        let handler = handler.clone();
-        async move { Ok::<_, Infallible>(handler.handle(request, peer).await) }
-    });
-    let connection = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        () = wait_until_stopping(&mut stopping) => {}
-    }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    let connection = CallerConnection::new(stream, peer, handler, permits);
+    connection.serve(wait_until_stopping(&mut stopping)).await;
 }
--- a/daemon/src/peer_handler.rs
+++ b/daemon/src/peer_handler.rs
@@ -2,10 +2,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::incoming_body::IncomingBody;
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use laburnumdeal_control::{ControlReply, ControlRequest};
 use laburnumdeal_model::{InstanceId, Version};
 use laburnumdeal_policy::RequestKey;
@@ -53,7 +53,7 @@
     async fn handle_message(
         &self,
         from: InstanceId,
-        request: Request<Incoming>,
+        request: Request<IncomingBody>,
     ) -> Response<AnswerBody> {
         let body = match Limited::new(request.into_body(), MAX_MESSAGE_BYTES)
             .collect()
@@ -199,7 +199,11 @@
 }
 
 impl HttpHandler for PeerHandler {
-    async fn handle(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<AnswerBody> {
+    async fn handle(
+        &self,
+        request: Request<IncomingBody>,
+        peer: SocketAddr,
+    ) -> Response<AnswerBody> {
         let Some(from) = self.authenticate(request.headers()) else {
             warn!(self.state.log, "refused a request without valid peer proof";
                 "address" => peer.to_string());
--- a/daemon/src/prepared_request.rs
+++ b/daemon/src/prepared_request.rs
@@ -2,15 +2,16 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use crate::incoming_body::IncomingBody;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri};
 use http_body::Body;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use laburnumdeal_model::{Service, ServiceId, Topology};
 use tokio::time::Instant;
 
 use crate::header;
+use crate::pipeline::ArrivedAt;
 use crate::request_body::RequestBody;
 use crate::request_error::RequestError;
 
@@ -55,7 +56,7 @@
 enum PreparedBody {
     Whole(Bytes),
     Stream {
-        incoming: Mutex<Option<Incoming>>,
+        incoming: Mutex<Option<IncomingBody>>,
         length_bytes: u64,
         max_bytes: u64,
     },
@@ -69,7 +70,7 @@
     ///
     /// Returns what is wrong with the request, which did not run.
     pub async fn read(
-        request: Request<Incoming>,
+        request: Request<IncomingBody>,
         caller: IpAddr,
         topology: &Topology,
         max_deadline_ms: u64,
@@ -78,7 +79,8 @@
         let (parts, incoming) = request.into_parts();
         let service_id = find_service(&parts.headers, topology)?;
         let service = topology.service(service_id);
-        let deadline = Instant::now() + find_deadline(&parts.headers, service, max_deadline_ms)?;
+        let arrived_at = ArrivedAt::of(&parts.extensions);
+        let deadline = arrived_at + find_deadline(&parts.headers, service, max_deadline_ms)?;
         let request_id = find_request_id(&parts.headers)?.unwrap_or_else(new_request_id);
         check_method(&parts.method)?;
         let idempotent = service.idempotent || parts.method.is_safe();
@@ -159,7 +161,7 @@
 
 impl PreparedBody {
     async fn read(
-        incoming: Incoming,
+        incoming: IncomingBody,
         service: &Service,
         deadline: Instant,
     ) -> Result<Self, RequestError> {
--- a/daemon/src/request_body.rs
+++ b/daemon/src/request_body.rs
@@ -2,9 +2,9 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
+use crate::incoming_body::IncomingBody;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
-use hyper::body::Incoming;
 
 use crate::body_error::BodyError;
 
@@ -16,7 +16,7 @@
     /// Streamed as it arrives, up to `remaining_bytes` more.
     Stream {
         /// Rest of the incoming body.
-        inner: Incoming,
+        inner: IncomingBody,
         /// Maximum number of bytes that may still follow.
         remaining_bytes: u64,
     },
@@ -25,7 +25,7 @@
         /// Data that was read before.
         held: VecDeque<Bytes>,
         /// Rest of the incoming body.
-        inner: Incoming,
+        inner: IncomingBody,
         /// Maximum number of bytes that may still follow.
         remaining_bytes: u64,
     },
--- a/daemon/src/request_handler.rs
+++ b/daemon/src/request_handler.rs
@@ -1,8 +1,8 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 
+use crate::incoming_body::IncomingBody;
 use http::{Request, Response};
-use hyper::body::Incoming;
 use laburnumdeal_policy::Outcome;
 use slog::{debug, warn};
 use tokio::time::Instant;
@@ -22,7 +22,7 @@
 /// outcome.
 pub async fn handle_request(
     state: &Arc<State>,
-    request: Request<Incoming>,
+    request: Request<IncomingBody>,
     caller: IpAddr,
     role: Role,
 ) -> Response<AnswerBody> {
--- a/daemon/src/roles/buffered_body.rs
+++ b/daemon/src/roles/buffered_body.rs
@@ -1,10 +1,10 @@
 use std::borrow::Cow;
 use std::collections::VecDeque;
 
+use crate::incoming_body::IncomingBody;
 use bytes::{Bytes, BytesMut};
 use http_body::Body;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use crate::request_body::RequestBody;
 
@@ -17,7 +17,7 @@
     /// The whole body.
     Whole(Bytes),
     /// Beginning of a long body, and the rest as it arrives.
-    Long(VecDeque<Bytes>, Incoming),
+    Long(VecDeque<Bytes>, IncomingBody),
 }
 
 /// Reports why a body could not be read.
@@ -35,7 +35,10 @@
     /// # Errors
     ///
     /// Returns an error if the body exceeds `max_bytes` or the connection breaks.
-    pub async fn read(mut incoming: Incoming, max_bytes: u64) -> Result<Self, BufferedBodyError> {
+    pub async fn read(
+        mut incoming: IncomingBody,
+        max_bytes: u64,
+    ) -> Result<Self, BufferedBodyError> {
         if incoming.size_hint().lower() > max_bytes {
             return Err(BufferedBodyError::TooLong);
         }
--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderValue, Request, Response, StatusCode, Uri};
-use hyper::body::Incoming;
+use crate::incoming_body::IncomingBody;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use laburnumdeal_policy::steer::{RequestFingerprints, Route, hash_of};
 use slog::info;
 use tokio::time::Instant;
@@ -12,6 +12,7 @@
 use crate::answer_body::AnswerBody;
 use crate::header;
 use crate::http_server::HttpHandler;
+use crate::pipeline::ArrivedAt;
 use crate::roles::HeaderCodec;
 use crate::roles::buffered_body::{BufferedBody, BufferedBodyError};
 use crate::roles::entry_state::EntryState;
@@ -61,7 +62,7 @@
     /// Returns the answer to a request, with the id of the request.
     pub async fn answer_with_id(
         &self,
-        request: Request<Incoming>,
+        request: Request<IncomingBody>,
         caller: IpAddr,
         origin: Origin,
     ) -> Response<AnswerBody> {
@@ -75,16 +76,16 @@
 
     async fn answer(
         &self,
-        request: Request<Incoming>,
+        request: Request<IncomingBody>,
         caller: IpAddr,
         origin: Origin,
     ) -> Response<AnswerBody> {
-        let started_at = Instant::now();
+        let started_at = ArrivedAt::of(request.extensions());
         let active = self.state.active();
         if active.configuration.is_none() {
             return unavailable_response::<H>("no configuration yet", STARTING_RETRY_AFTER);
         }
-        let host = host(&request);
+        let host = host(request.headers(), request.uri());
         let Some(route) = active.routes.find(&host, request.uri().path()) else {
             self.log_rejected(&request, StatusCode::NOT_FOUND, "no route fits");
             return text_response(StatusCode::NOT_FOUND, "no route fits");
@@ -104,7 +105,7 @@
 
     async fn forward(
         &self,
-        request: Request<Incoming>,
+        request: Request<IncomingBody>,
         routed: &RoutedRequest<'_>,
     ) -> Response<AnswerBody> {
         let (parts, incoming) = request.into_parts();
@@ -230,7 +231,7 @@
             "reason" => BLOCKED_REASON);
     }
 
-    fn log_rejected(&self, request: &Request<Incoming>, status: StatusCode, reason: &str) {
+    fn log_rejected(&self, request: &Request<IncomingBody>, status: StatusCode, reason: &str) {
         let Some(log) = self.state.log.limited(true) else {
             return;
         };
@@ -242,16 +243,23 @@
 }
 
 impl<H: HeaderCodec> HttpHandler for ForwardHandler<H> {
-    async fn handle(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<AnswerBody> {
-        let origin = Origin::Caller;
-        let mut response = self.answer_with_id(request, peer.ip(), origin).await;
-        if self.state.is_leaving() {
-            let close = HeaderValue::from_static("close");
-            response
-                .headers_mut()
-                .insert(http::header::CONNECTION, close);
-        }
-        response
+    async fn handle(
+        &self,
+        request: Request<IncomingBody>,
+        peer: SocketAddr,
+    ) -> Response<AnswerBody> {
+        self.answer_with_id(request, peer.ip(), Origin::Caller)
+            .await
+    }
+
+    fn may_run_ahead(&self, _method: &Method, uri: &Uri, headers: &HeaderMap) -> bool {
+        let active = self.state.active();
+        let route = active.routes.find(&host(headers, uri), uri.path());
+        route.is_some_and(|route| route.item.idempotent)
+    }
+
+    fn is_closing(&self) -> bool {
+        self.state.is_leaving()
     }
 }
 
@@ -293,9 +301,9 @@
     id.unwrap_or_else(|| header::value(""))
 }
 
-fn host(request: &Request<Incoming>) -> String {
-    let host = header::text(request.headers(), &http::header::HOST);
-    let host = host.or_else(|| request.uri().host()).unwrap_or("");
+fn host(headers: &HeaderMap, uri: &Uri) -> String {
+    let host = header::text(headers, &http::header::HOST);
+    let host = host.or_else(|| uri.host()).unwrap_or("");
     let host = host.split(':').next().unwrap_or("");
     host.to_owned()
 }
--- a/daemon/src/roles/helper_handler.rs
+++ b/daemon/src/roles/helper_handler.rs
@@ -1,8 +1,8 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
+use crate::incoming_body::IncomingBody;
 use http::{HeaderValue, Request, Response, StatusCode};
-use hyper::body::Incoming;
 
 use crate::answer_body::AnswerBody;
 use crate::header;
@@ -32,7 +32,11 @@
     }
 
     /// Returns why this instance does not forward a request; `Ok` is the address of its caller.
-    fn check(&self, request: &Request<Incoming>, peer: SocketAddr) -> Result<IpAddr, &'static str> {
+    fn check(
+        &self,
+        request: &Request<IncomingBody>,
+        peer: SocketAddr,
+    ) -> Result<IpAddr, &'static str> {
         if !self.state.helpers().is_known(peer.ip()) {
             return Err("not from an entry instance");
         }
@@ -58,7 +62,7 @@
 impl<H: HeaderCodec> HttpHandler for HelperHandler<H> {
     async fn handle(
         &self,
-        mut request: Request<Incoming>,
+        mut request: Request<IncomingBody>,
         peer: SocketAddr,
     ) -> Response<AnswerBody> {
         let caller = match self.check(&request, peer) {
--- a/daemon/src/roles/page_handler.rs
+++ b/daemon/src/roles/page_handler.rs
@@ -1,8 +1,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::incoming_body::IncomingBody;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 
 use crate::answer_body::AnswerBody;
 use crate::daemon_error::DaemonError;
@@ -38,7 +38,11 @@
 where
     F: Fn() -> (StatusCode, String) + Send + Sync + 'static,
 {
-    async fn handle(&self, _request: Request<Incoming>, _peer: SocketAddr) -> Response<AnswerBody> {
+    async fn handle(
+        &self,
+        _request: Request<IncomingBody>,
+        _peer: SocketAddr,
+    ) -> Response<AnswerBody> {
         let (status, text) = (self.page)();
         let mut response = Response::new(AnswerBody::whole(text));
         *response.status_mut() = status;
--- a/daemon/src/roles/rpc_handler.rs
+++ b/daemon/src/roles/rpc_handler.rs
@@ -2,9 +2,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::incoming_body::IncomingBody;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use laburnumdeal_control::ControlReply;
 use laburnumdeal_model::Configuration;
 use laburnumdeal_policy::steer::{CrashReport, SharedReport};
@@ -211,7 +211,11 @@
 }
 
 impl HttpHandler for RpcHandler {
-    async fn handle(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<AnswerBody> {
+    async fn handle(
+        &self,
+        request: Request<IncomingBody>,
+        peer: SocketAddr,
+    ) -> Response<AnswerBody> {
         let body = Limited::new(request.into_body(), MAX_CALL_BYTES);
         let Ok(body) = body.collect().await else {
             return bad_request("the message broke off");
