Answer requests on connections that were just opened when a server stops

Cause: when an instance stopped, connections that waited to be accepted were reset with the listener, and those whose first request was still on its way were closed at once.

Change: a server that stops accepts what waits for 20 ms, and closes a connection without a request 0.5 s after it was opened.

--- a/daemon/src/http_server.rs
+++ b/daemon/src/http_server.rs
@@ -7,6 +7,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{Instant, timeout_at};
 
 use crate::answer_body::AnswerBody;
 use crate::daemon_error::DaemonError;
@@ -16,6 +17,9 @@
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 4_096;
 
+/// Time for which a server that stops accepts the connections that callers have already opened.
+const BACKLOG_WAIT: Duration = Duration::from_millis(20);
+
 /// Delay after a failure to accept a connection, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -118,6 +122,11 @@
             Some(_) = connections.join_next() => {}
         }
     }
+    // What waits to be accepted would be reset with the listener.
+    let backlog_until = Instant::now() + BACKLOG_WAIT;
+    while let Ok(Ok((stream, peer))) = timeout_at(backlog_until, listener.accept()).await {
+        connections.spawn(serving(stream, peer));
+    }
     drop(listener);
     while connections.join_next().await.is_some() {}
 }
--- a/daemon/src/pipeline/caller_connection.rs
+++ b/daemon/src/pipeline/caller_connection.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
+use tokio::time::{Instant, sleep_until};
 
 use crate::answer_body::AnswerBody;
 use crate::http_server::HttpHandler;
@@ -29,12 +30,17 @@
 /// Maximum size of the head of a request.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Time from the opening of a connection for which a planned stop waits for its first request, which
+/// may be on its way.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(500);
+
 /// Connection of a caller.
 pub(crate) struct CallerConnection<H> {
     handler: Arc<H>,
     peer: SocketAddr,
     io: ReadAheadIo,
     ahead: Arc<Mutex<RequestsAhead>>,
+    opened_at: Instant,
 }
 
 // Derived, it would ask for a handler that can be cloned.
@@ -45,6 +51,7 @@
             peer: self.peer,
             io: self.io.clone(),
             ahead: self.ahead.clone(),
+            opened_at: self.opened_at,
         }
     }
 }
@@ -63,6 +70,7 @@
             peer,
             io: ReadAheadIo::new(stream),
             ahead: Arc::new(Mutex::new(RequestsAhead::new(permits))),
+            opened_at: Instant::now(),
         }
     }
 
@@ -79,7 +87,8 @@
             .header_read_timeout(HEAD_TIMEOUT)
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(self.io.clone(), service);
-        tokio::pin!(server, stopping);
+        let first_request_wait = sleep_until(self.opened_at + FIRST_REQUEST_WAIT);
+        tokio::pin!(server, stopping, first_request_wait);
         let mut is_shut_down = false;
         let serving = poll_fn(|cx| {
             loop {
@@ -96,7 +105,12 @@
                     // The server does not notice this while it has bytes of further requests.
                     return Poll::Ready(());
                 }
-                if is_shut_down || !self.ahead().is_stopping() || self.ahead().has_started() {
+                let has_begun = self.ahead().turns() > 0;
+                if is_shut_down
+                    || !self.ahead().is_stopping()
+                    || self.ahead().has_started()
+                    || !(has_begun || first_request_wait.as_mut().poll(cx).is_ready())
+                {
                     return Poll::Pending;
                 }
                 is_shut_down = true;
--- a/daemon/src/pipeline/requests_ahead.rs
+++ b/daemon/src/pipeline/requests_ahead.rs
@@ -52,6 +52,11 @@
         self.is_stopping
     }
 
+    /// Returns the number of requests whose turn has come.
+    pub fn turns(&self) -> u64 {
+        self.turns
+    }
+
     /// Returns whether requests run whose turn has not come.
     pub fn has_started(&self) -> bool {
         !self.started.is_empty()
