Let cleared crashes stay cleared

Cause: a completed run clears the crashes before it, by their times. A report that is told looks later by the delay of each message, so one that had been cleared arrived later than the run that cleared it, counted as new and was told on.

Ruled out: the polls themselves, the list, the roster, logs.

Change: what a run has cleared is remembered, and the same crash is not added again, however late it comes.

Result: merge_crashes_of_a_request_that_runs_everywhere_are_told_a_few_times and merge_cleared_crash_that_is_told_late_stays_cleared failed before.

--- a/policy/src/steer/crash_reports.rs
+++ b/policy/src/steer/crash_reports.rs
@@ -193,7 +193,7 @@
 
     fn add(&mut self, fingerprint: u64, crash: Crash) -> bool {
         let request = self.requests.entry(fingerprint).or_default();
-        if request.completed.is_some_and(|run| run.at >= crash.at) {
+        if request.has_cleared(&crash) {
             return false;
         }
         let revision = self.revision + 1;
@@ -220,9 +220,8 @@
         let is_known = request
             .completed
             .is_some_and(|run| at.saturating_duration_since(run.at) < RENEWAL_INTERVAL / 2);
-        let before = request.crashes.len();
-        request.crashes.retain(|crash| crash.at > at);
-        if is_known && request.crashes.len() == before {
+        let has_cleared = request.clear_until(at);
+        if is_known && !has_cleared {
             return false;
         }
         self.revision += 1;
--- a/policy/src/steer/suspect_request.rs
+++ b/policy/src/steer/suspect_request.rs
@@ -21,11 +21,17 @@
 /// Time for which a blocked request is remembered after a crash or its last refusal.
 pub(super) const BLOCK_RETENTION: Duration = Duration::from_secs(600);
 
+/// Cleared crashes that are kept for a request.
+const MAX_CLEARED: usize = 32;
+
 /// Crashes and the last completed run that are known of one request.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SuspectRequest {
     pub crashes: Vec<Crash>,
     pub completed: Option<CompletedRun>,
+    /// Crashes that a completed run cleared. Each report of them that comes later has another time,
+    /// by its delay on the way, and could not be told from a new crash by that alone.
+    pub cleared: Vec<Crash>,
 }
 
 /// Crash of an upstream under the request.
@@ -57,6 +63,27 @@
         self.crashes.iter().any(|known| known.is_same(crash))
     }
 
+    /// Returns whether a completed run has cleared a crash that is reported.
+    pub fn has_cleared(&mut self, crash: &Crash) -> bool {
+        if let Some(known) = self.cleared.iter_mut().find(|known| known.is_same(crash)) {
+            known.at = known.at.max(crash.at);
+            return true;
+        }
+        self.completed.is_some_and(|run| run.at >= crash.at)
+    }
+
+    /// Clears the crashes up to a time; returns whether there were any.
+    pub fn clear_until(&mut self, at: Instant) -> bool {
+        let (later, mut cleared): (Vec<Crash>, Vec<Crash>) =
+            self.crashes.iter().partition(|crash| crash.at > at);
+        self.crashes = later;
+        let has_cleared = !cleared.is_empty();
+        self.cleared.append(&mut cleared);
+        let excess = self.cleared.len().saturating_sub(MAX_CLEARED);
+        self.cleared.drain(..excess);
+        has_cleared
+    }
+
     /// Returns the time of the last crash, refusal or completed run.
     pub fn last_use(&self) -> Option<Instant> {
         let crashes = self.crashes.iter().map(|crash| crash.used_at);
--- a/policy/tests/steer/crash_reports.rs
+++ b/policy/tests/steer/crash_reports.rs
@@ -250,3 +250,80 @@
     assert!(reports.is_blocked(CRASHING, start));
     assert!(reports.is_blocked(CRASHING + 1, start));
 }
+
+/// Instances that tell each other of crashes, all to all, with messages that are under way for a few
+/// rounds. Each of them completes a run of the request in each round.
+struct Exchange {
+    instances: Vec<CrashReports>,
+    told: Vec<u64>,
+    /// Round of arrival, receiver and reports of the messages under way.
+    under_way: Vec<(u64, usize, Vec<CrashReport>)>,
+}
+
+impl Exchange {
+    /// Plays one round; returns how many reports were new.
+    fn play(&mut self, round: u64, delay_rounds: u64, now: Instant) -> usize {
+        let arrived: Vec<_> = self
+            .under_way
+            .extract_if(.., |(at, _, _)| *at <= round)
+            .collect();
+        let merged = arrived
+            .iter()
+            .map(|(_, receiver, reports)| self.instances[*receiver].merge(reports, now).len());
+        let new = merged.sum();
+        for sender in 0..self.instances.len() {
+            let reports = self.instances[sender].changed_after(self.told[sender], now);
+            self.told[sender] = self.instances[sender].revision();
+            for receiver in (0..self.instances.len()).filter(|receiver| *receiver != sender) {
+                let message = (round + delay_rounds, receiver, reports.clone());
+                self.under_way.push(message);
+            }
+            self.instances[sender].clear(CRASHING, now);
+        }
+        new
+    }
+}
+
+// Guards against: reports of crashes that a request shared by chance are told for ever. Each message
+// makes the crash look later by its delay, and so later than the run that cleared it.
+#[test]
+fn merge_crashes_of_a_request_that_runs_everywhere_are_told_a_few_times() {
+    for delay_rounds in [1, 2, 3, 7] {
+        let start = Instant::now();
+        let mut exchange = Exchange {
+            instances: vec![CrashReports::default(); 6],
+            told: vec![0; 6],
+            under_way: Vec::new(),
+        };
+        exchange.instances[0].add_crash(CRASHING, 1, start);
+        exchange.instances[1].add_crash(CRASHING, 2, start);
+        let rounds = (0..400).map(|round| {
+            let now = start + Duration::from_millis(50 * round);
+            exchange.play(round, delay_rounds, now)
+        });
+        let new: Vec<usize> = rounds.collect();
+        let late: usize = new[50..].iter().sum();
+        assert_eq!(late, 0, "{delay_rounds} rounds under way: {new:?}");
+    }
+}
+
+#[test]
+fn merge_cleared_crash_that_is_told_late_stays_cleared() {
+    let start = Instant::now();
+    let (mut here, mut there) = (CrashReports::default(), CrashReports::default());
+    for upstream in [1, 2] {
+        here.add_crash(CRASHING, upstream, start);
+    }
+    there.merge(&here.to_vec(start), start);
+    let told = there.to_vec(start);
+    assert!(here.clear(CRASHING, start + Duration::from_millis(100)));
+    here.merge(&told, start + Duration::from_secs(2));
+    assert!(!here.is_blocked(CRASHING, start + Duration::from_secs(2)));
+    // The same upstreams crash again under it, much later.
+    let later = after(start, 30);
+    here.merge(
+        &[CrashReport::new(CRASHING, 1), CrashReport::new(CRASHING, 2)],
+        later,
+    );
+    assert!(here.is_blocked(CRASHING, later));
+}
