Size buffers, timeouts and whole answers by the machine's link

Cause: an entry instance with a link of 2 Mbit/s takes 0.36 s for an answer of 90 kB. The default buffers of sockets let far more stand before every other packet; connections missed their 0.3 s, their upstreams were taken for unreachable and cold; and answers up to 256 KiB were held whole, so that they crossed the link twice, one time after the other.

Change: LinkCapacity (policy) derives from link_mbps the length up to which an answer is held whole (50 ms of the link), the buffers of sockets to upstreams and callers (64 ms), and the time added to timeouts of connections and probes. Wide links keep what they had.

Ruled out: capacity of the upstreams (their slots were free), processor time.

Tests: policy/tests/steer/link.rs; large_answer_is_passed_on_while_it_arrives failed before.

--- a/daemon/src/dialer.rs
+++ b/daemon/src/dialer.rs
@@ -10,6 +10,8 @@
 pub struct Dialer {
     /// Address that connections come from; `None` for any.
     source: Option<IpAddr>,
+    /// Length of the receive buffers; `None` for the default of the system.
+    window_bytes: Option<u32>,
     faults: LinkFaults,
 }
 
@@ -17,11 +19,17 @@
     /// Returns a dialer whose connections meet the faults of links that a test sets.
     pub fn with_faults(faults: LinkFaults) -> Self {
         Self {
-            source: None,
             faults,
+            ..Self::default()
         }
     }
 
+    /// Sets the length of the receive buffers, which bounds the bytes under way on a connection.
+    pub fn with_window(mut self, window_bytes: Option<usize>) -> Self {
+        self.window_bytes = window_bytes.and_then(|bytes| u32::try_from(bytes).ok());
+        self
+    }
+
     /// Returns a dialer whose connections come from an address of this machine.
     pub fn from_address(source: IpAddr) -> Self {
         Self {
@@ -42,14 +50,16 @@
             Some(LinkFault::Hang) => std::future::pending().await,
             Some(LinkFault::Refuse) => return Err(io::ErrorKind::ConnectionRefused.into()),
         }
-        let Some(source) = self.source else {
-            return TcpStream::connect(address).await;
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
         };
-        let socket = match source {
-            IpAddr::V4(_) => TcpSocket::new_v4()?,
-            IpAddr::V6(_) => TcpSocket::new_v6()?,
-        };
-        socket.bind(SocketAddr::new(source, 0))?;
+        if let Some(window_bytes) = self.window_bytes {
+            socket.set_recv_buffer_size(window_bytes)?;
+        }
+        if let Some(source) = self.source {
+            socket.bind(SocketAddr::new(source, 0))?;
+        }
         socket.connect(address).await
     }
 }
--- a/daemon/src/http_server.rs
+++ b/daemon/src/http_server.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, Method, Request, Response, Uri};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio::task::{JoinHandle, JoinSet};
@@ -62,10 +63,29 @@
     pub async fn bind<H: HttpHandler>(
         address: SocketAddr,
         handler: Arc<H>,
+    ) -> Result<Self, DaemonError> {
+        Self::bind_with_window(address, handler, None).await
+    }
+
+    /// Listens as [`Self::bind`] does. `window_bytes` is the length of the send buffers, which bounds
+    /// the bytes under way on a connection; `None` for the default of the system.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DaemonError::Bind`] when the address cannot be listened on.
+    pub async fn bind_with_window<H: HttpHandler>(
+        address: SocketAddr,
+        handler: Arc<H>,
+        window_bytes: Option<usize>,
     ) -> Result<Self, DaemonError> {
         let listener = listen(address).map_err(|source| DaemonError::Bind { address, source })?;
         let stopping = watch::Sender::new(false);
-        let task = tokio::spawn(accept(listener, handler, stopping.subscribe()));
+        let task = tokio::spawn(accept(
+            listener,
+            handler,
+            window_bytes,
+            stopping.subscribe(),
+        ));
         Ok(Self { stopping, task })
     }
 
@@ -101,12 +121,17 @@
 async fn accept<H: HttpHandler>(
     listener: TcpListener,
     handler: Arc<H>,
+    window_bytes: Option<usize>,
     mut stopping: watch::Receiver<bool>,
 ) {
     let mut connections = JoinSet::new();
     let stop_signal = stopping.clone();
     let permits = Arc::new(Semaphore::new(MAX_STARTED_AHEAD));
-    let serving = |stream, peer| {
+    let serving = |stream: TcpStream, peer| {
+        let _ = stream.set_nodelay(true);
+        if let Some(window_bytes) = window_bytes {
+            let _ = SockRef::from(&stream).set_send_buffer_size(window_bytes);
+        }
         let (handler, permits) = (handler.clone(), permits.clone());
         serve(stream, peer, handler, permits, stop_signal.clone())
     };
@@ -138,7 +163,6 @@
     permits: Arc<Semaphore>,
     mut stopping: watch::Receiver<bool>,
 ) {
-    let _ = stream.set_nodelay(true);
     let connection = CallerConnection::new(stream, peer, handler, permits);
     connection.serve(wait_until_stopping(&mut stopping)).await;
 }
--- a/daemon/src/roles/crash_checks.rs
+++ b/daemon/src/roles/crash_checks.rs
@@ -193,11 +193,12 @@
 /// Connects to an upstream, and if that fails to its neighbors, while others connect to it.
 async fn probe(state: &EntryState, upstream: UpstreamKey, address: SocketAddr) -> CrashEvidence {
     let connecting = state.dialer.connect(address);
-    let connection = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-        Ok(Ok(_)) => ProbeConnection::Accepted,
-        Ok(Err(_)) => ProbeConnection::Refused,
-        Err(_) => ProbeConnection::NoReply,
-    };
+    let connection =
+        match tokio::time::timeout(state.link.patience(CONNECT_TIMEOUT), connecting).await {
+            Ok(Ok(_)) => ProbeConnection::Accepted,
+            Ok(Err(_)) => ProbeConnection::Refused,
+            Err(_) => ProbeConnection::NoReply,
+        };
     let mut evidence = CrashEvidence {
         connection,
         has_left_list: state.load_balancer().left_unannounced(upstream),
--- a/daemon/src/roles/entry_node.rs
+++ b/daemon/src/roles/entry_node.rs
@@ -76,7 +76,8 @@
         let state = Arc::new(EntryState::new(settings, dialer, log, metrics.clone()));
         let controls = state.controls.clone();
         let handler = Arc::new(ForwardHandler::<H>::new(state.clone()));
-        let server = HttpServer::bind(address, handler.clone()).await?;
+        let window_bytes = state.link.window_bytes();
+        let server = HttpServer::bind_with_window(address, handler.clone(), window_bytes).await?;
         let helper_address = state.settings.peer_address(state.settings.address);
         let helper = Arc::new(HelperHandler::new(state.clone(), handler));
         let helper_server = HttpServer::bind(helper_address, helper).await?;
--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -5,8 +5,9 @@
 
 use laburnumdeal_model::{Configuration, Target, WHOLE_PERMILLE};
 use laburnumdeal_policy::steer::{
-    CrashReport, HelperInstances, InstanceRecord, LoadBalancer, RegionShare, RequestBlocks,
-    RequestFingerprints, RetryBudgetShare, RouteTable, UpstreamKey, UpstreamReach, hash_of,
+    CrashReport, HelperInstances, InstanceRecord, LinkCapacity, LoadBalancer, RegionShare,
+    RequestBlocks, RequestFingerprints, RetryBudgetShare, RouteTable, UpstreamKey, UpstreamReach,
+    hash_of,
 };
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
@@ -67,6 +68,8 @@
     pub client: RpcClient,
     /// Opens connections to upstreams.
     pub dialer: Dialer,
+    /// What the link of this machine carries.
+    pub link: LinkCapacity,
     load_balancer: Mutex<LoadBalancer>,
     pools: Mutex<HashMap<UpstreamKey, ConnectionPool>>,
     retries: Mutex<RetryBudgets>,
@@ -94,7 +97,9 @@
         let helpers = HelperInstances::new(&settings.instance, &settings.region);
         let seeds = settings.seeds.iter();
         let seeds = seeds.map(|seed| settings.peer_address(*seed)).collect();
+        let link = settings.link_capacity();
         Self {
+            link,
             load_balancer: Mutex::new(LoadBalancer::new(settings.load_balancer_settings())),
             pools: Mutex::default(),
             retries: Mutex::new(retries),
@@ -111,7 +116,7 @@
             readiness: Notify::new(),
             controls: Arc::new(KnownControls::new(seeds)),
             client: RpcClient::default(),
-            dialer,
+            dialer: dialer.with_window(link.window_bytes()),
             log: RateLimitedLog::new(log, metrics.clone()),
             metrics,
             settings,
--- a/daemon/src/roles/helper_request.rs
+++ b/daemon/src/roles/helper_request.rs
@@ -117,7 +117,10 @@
     let message = message::<H>(state, request, body);
     let wait_until = request.wait_until + ANSWER_GRACE;
     match guard.connection().send(message, wait_until).await {
-        Ok(response) => answer::<H>(response, guard, request, wait_until).await,
+        Ok(response) => {
+            let held_bytes = state.link.held_answer_bytes();
+            answer::<H>(response, guard, request, held_bytes, wait_until).await
+        }
         Err(ExchangeError::NotSent | ExchangeError::Refused(_)) => HelperResult::CannotForward,
         Err(ExchangeError::Broken(_)) => HelperResult::Unknown { timed_out: false },
         Err(ExchangeError::TimedOut) => {
@@ -149,6 +152,7 @@
     response: Response<Incoming>,
     guard: ExchangeGuard,
     request: &AttemptRequest,
+    held_bytes: usize,
     wait_until: Instant,
 ) -> HelperResult {
     let refusal = match header::text(response.headers(), &header::OUTCOME) {
@@ -168,7 +172,7 @@
     let (mut parts, incoming) = response.into_parts();
     parts.headers = header::end_to_end(&parts.headers);
     parts.headers.remove(header::OUTCOME);
-    match receive(incoming, wait_until).await {
+    match receive(incoming, held_bytes, wait_until).await {
         Ok(ReceivedBody::Whole(bytes)) => {
             guard.complete();
             let body = AnswerBody::whole(bytes);
--- a/daemon/src/roles/node_settings.rs
+++ b/daemon/src/roles/node_settings.rs
@@ -2,7 +2,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 
-use laburnumdeal_policy::steer::LoadBalancerSettings;
+use laburnumdeal_policy::steer::{LinkCapacity, LoadBalancerSettings};
 use serde::{Deserialize, Serialize};
 
 /// Settings of an entry or control instance in a deployment whose instances come and go.
@@ -51,6 +51,9 @@
     /// Calls per second that the source of the list of upstreams accepts from all instances
     /// together.
     pub list_calls_per_s: f64,
+    /// Bandwidth of the machine's link in each direction, in Mbit/s; `None` if it is not known.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
 }
 
 impl NodeSettings {
@@ -59,6 +62,12 @@
         SocketAddr::new(address, self.peer_port)
     }
 
+    /// Returns what the machine's link carries.
+    pub fn link_capacity(&self) -> LinkCapacity {
+        self.link_mbps
+            .map_or_else(LinkCapacity::default, LinkCapacity::new)
+    }
+
     /// Returns the settings of the load balancer.
     pub fn load_balancer_settings(&self) -> LoadBalancerSettings {
         LoadBalancerSettings {
--- a/daemon/src/roles/reach_probes.rs
+++ b/daemon/src/roles/reach_probes.rs
@@ -89,7 +89,8 @@
     };
     let connecting = |address| async move {
         let connecting = state.dialer.connect(address);
-        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+        let connected =
+            tokio::time::timeout(state.link.patience(CONNECT_TIMEOUT), connecting).await;
         connected.is_ok_and(|connected| connected.is_ok())
     };
     let mut probes: FuturesUnordered<_> = addresses.into_iter().map(connecting).collect();
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -26,9 +26,6 @@
 /// Timeout for opening a connection to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Longest answer that is buffered whole before its first byte goes to the caller.
-const MAX_BUFFERED_BYTES: usize = 256 * 1024;
-
 /// Longest answer of an upstream.
 pub(super) const MAX_ANSWER_BYTES: u64 = 1024 * 1024 * 1024;
 
@@ -226,7 +223,8 @@
     let mut in_flight = InFlightAttempt::begin(state, decision, route, request);
     let pool = state.pool(decision.upstream, address);
     let started_at = Instant::now();
-    let mut guard = match connect(&pool, request).await {
+    let connect_timeout = state.link.patience(CONNECT_TIMEOUT);
+    let mut guard = match connect(&pool, request, connect_timeout).await {
         Ok(guard) => guard,
         Err(reason) => {
             in_flight.outcome = AttemptOutcome::ConnectFailed;
@@ -247,12 +245,13 @@
 async fn connect(
     pool: &ConnectionPool,
     request: &AttemptRequest,
+    timeout: Duration,
 ) -> Result<ExchangeGuard, &'static str> {
     let freshness = match request.idempotent {
         true => Freshness::ActiveWithin(MAX_IDLE_REUSE),
         false => Freshness::RecentlyActive,
     };
-    let until = request.deadline.min(Instant::now() + CONNECT_TIMEOUT);
+    let until = request.deadline.min(Instant::now() + timeout);
     match pool.acquire(freshness, until).await {
         Ok(connection) => Ok(ExchangeGuard::new(connection, pool.clone(), None)),
         Err(ExchangeError::Refused(_)) => Err("the connection was refused"),
@@ -331,7 +330,8 @@
     let failed = status.is_server_error();
     let (mut parts, incoming) = response.into_parts();
     parts.headers = header::end_to_end(&parts.headers);
-    match receive(incoming, request.wait_until).await {
+    let held_bytes = in_flight.state.link.held_answer_bytes();
+    match receive(incoming, held_bytes, request.wait_until).await {
         Ok(ReceivedBody::Whole(bytes)) => {
             let took_ms = in_flight.started_at.elapsed().as_secs_f64() * 1_000.0;
             in_flight.outcome = AttemptOutcome::Answered { took_ms, failed };
@@ -423,14 +423,15 @@
     Long(Bytes, Incoming),
 }
 
-/// Receives the body of an answer. A short one is buffered whole, so that a truncated answer can be
+/// Receives the body of an answer. One of up to `held_bytes` is buffered whole, so that a truncated answer can be
 /// asked for again elsewhere.
 pub(super) async fn receive(
     mut incoming: Incoming,
+    held_bytes: usize,
     wait_until: Instant,
 ) -> Result<ReceivedBody, AttemptEnd> {
     let length = incoming.size_hint().exact();
-    if length.is_some_and(|bytes| bytes > MAX_BUFFERED_BYTES as u64) {
+    if length.is_some_and(|bytes| bytes > held_bytes as u64) {
         return Ok(ReceivedBody::Long(Bytes::new(), incoming));
     }
     let mut held = BytesMut::new();
@@ -443,7 +444,7 @@
         if let Ok(bytes) = frame.into_data() {
             held.extend_from_slice(&bytes);
         }
-        if held.len() > MAX_BUFFERED_BYTES {
+        if held.len() > held_bytes {
             return Ok(ReceivedBody::Long(held.freeze(), incoming));
         }
     }
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -15,6 +15,7 @@
 mod instance_record;
 mod instance_share;
 mod limit_notice;
+mod link_capacity;
 mod load_balancer;
 mod load_estimate;
 mod region_shares;
@@ -47,6 +48,7 @@
 pub use instance_record::InstanceRecord;
 pub use instance_share::InstanceShare;
 pub use limit_notice::LimitNotice;
+pub use link_capacity::LinkCapacity;
 pub use load_balancer::{
     AttemptOutcome, LoadBalancer, LoadBalancerSettings, RegionKey, UpstreamKey, hash_of,
 };
--- a/policy/tests/steer/main.rs
+++ b/policy/tests/steer/main.rs
@@ -8,6 +8,7 @@
 mod crash_reports;
 mod helpers;
 mod limits;
+mod link;
 mod load;
 mod reach;
 mod region_shares;
