Look again before a request goes out on a connection that was just opened

Cause: an upstream was chosen, and its connection took hundreds of milliseconds to open. When the list showed it as leaving, its zone was evacuated or the request was blocked meanwhile, the request was sent all the same.

Change: after opening, the choice is checked once more; the request goes elsewhere, not counted as sent.

--- a/daemon/src/dialer.rs
+++ b/daemon/src/dialer.rs
@@ -48,6 +48,7 @@
         match fault {
             None => {}
             Some(LinkFault::Hang) => std::future::pending().await,
+            Some(LinkFault::Delay(time)) => tokio::time::sleep(time).await,
             Some(LinkFault::Refuse) => return Err(io::ErrorKind::ConnectionRefused.into()),
         }
         let socket = match address {
--- a/daemon/src/link_faults.rs
+++ b/daemon/src/link_faults.rs
@@ -1,6 +1,8 @@
 //! Faults of the links to upstreams, for tests. Without the feature `faults` all of it compiles to
 //! nothing.
 
+use std::time::Duration;
+
 /// What happens to new connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkFault {
@@ -8,6 +10,8 @@
     Hang,
     /// They are refused.
     Refuse,
+    /// They open after this time.
+    Delay(Duration),
 }
 
 #[cfg(feature = "faults")]
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -237,11 +237,32 @@
     };
     if guard.connection().opened_at() >= started_at {
         state.reach().record_opened();
+        // Opening may have taken long enough for news to arrive.
+        if let Some(reason) = withdrawal_reason(state, decision, request) {
+            guard.complete();
+            return AttemptResult::NotRun {
+                reason,
+                arrived: false,
+            };
+        }
     }
     let message = upstream_request::<H>(request, &id, body);
     exchange::<H>(in_flight, guard, request, message).await
 }
 
+/// Returns why a request must no longer be sent to the upstream that was chosen for it.
+fn withdrawal_reason(
+    state: &EntryState,
+    decision: Decision,
+    request: &AttemptRequest,
+) -> Option<&'static str> {
+    if state.load_balancer().is_withdrawn(decision.upstream) {
+        return Some("the upstream leaves");
+    }
+    let is_refused = state.blocks().refuses(request.fingerprints, Instant::now());
+    is_refused.then_some("the request was blocked meanwhile")
+}
+
 async fn connect(
     pool: &ConnectionPool,
     request: &AttemptRequest,
--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -252,6 +252,14 @@
         !entry.is_listed && !entry.record.leaving
     }
 
+    /// Returns whether an upstream must get no further request: it left or leaves the list, or its
+    /// availability zone is evacuated.
+    pub fn is_withdrawn(&self, key: UpstreamKey) -> bool {
+        let entry = self.entry(key);
+        let is_evacuated = self.evacuated_zones.contains(&entry.record.zone);
+        !entry.is_listed || entry.record.leaving || is_evacuated
+    }
+
     /// Returns how many upstreams of a service are listed, and how many of them get no requests.
     pub fn service_reach(&self, service: &str, now: Instant) -> ServiceReach {
         let keys = self.by_service.get(service).map_or(&[][..], |keys| keys);
