Read the list of upstreams at fixed periods

Cause: the pause of the reader began when a read had ended. With 11 pages and 70 ms for a call a read takes 0.8 s, so that a change could be 2.3 s old before it was read whole; 3 s are allowed until the last request.

Change: the time from one start to the next is 0.9 s (1.5 s without a leader to follow), or as long as the allowed rate of calls asks. Short lists cost as many calls as before.

--- a/daemon/src/roles/list_refresher.rs
+++ b/daemon/src/roles/list_refresher.rs
@@ -6,19 +6,22 @@
 use std::time::Duration;
 
 use slog::{info, warn};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::roles::control_node::ControlState;
 use crate::roles::crash_exchange::CrashExchange;
 use crate::roles::follow_message::{Call, FollowRequest, Reply};
 use crate::roles::{ListError, UpstreamList, UpstreamSource};
 
-/// Interval between reads of the list by the leader: a fourth of the time within which new requests
-/// must stop going to an upstream that the list shows as leaving.
-const READ_INTERVAL: Duration = Duration::from_millis(700);
+/// Time from the start of one read of the list by the leader to the next: less than a third of the
+/// time within which new requests must stop going to an upstream that the list shows as leaving.
+const READ_PERIOD: Duration = Duration::from_millis(900);
 
-/// Interval between reads by an instance that gets no fresh list from a leader.
-const FALLBACK_READ_INTERVAL: Duration = Duration::from_millis(1_200);
+/// Time between the starts of reads by an instance that gets no fresh list from a leader.
+const FALLBACK_READ_PERIOD: Duration = Duration::from_millis(1_500);
+
+/// Pause of an instance that has neither a leader to follow nor a reason to read.
+const RETRY_DELAY: Duration = Duration::from_millis(700);
 
 /// Fraction of the allowed rate of calls that one reader uses.
 const CALL_RATE_FRACTION: f64 = 0.5;
@@ -50,20 +53,27 @@
         let age = state.list.borrow().age(Instant::now());
         let has_lease = state.replica.has_lease();
         if has_lease || (!followed && age.is_none_or(|age| age > MAX_LIST_AGE)) {
+            let started_at = Instant::now();
             let calls = read(&state, &source, &mut last_read).await;
-            let min_pause_s = calls as f64 / (state.settings.list_calls_per_s * CALL_RATE_FRACTION);
-            let interval = if has_lease {
-                READ_INTERVAL
-            } else {
-                FALLBACK_READ_INTERVAL
-            };
-            sleep(interval.max(Duration::from_secs_f64(min_pause_s))).await;
+            let period = read_period(has_lease, calls, state.settings.list_calls_per_s);
+            sleep_until(started_at + period).await;
         } else if !followed {
-            sleep(READ_INTERVAL).await;
+            sleep(RETRY_DELAY).await;
         }
     }
 }
 
+/// Returns the time from the start of a read that took some calls to the start of the next one. It
+/// counts from the start, so that a list of many pages does not make the changes in it older.
+fn read_period(has_lease: bool, calls: usize, calls_per_s: f64) -> Duration {
+    let period = match has_lease {
+        true => READ_PERIOD,
+        false => FALLBACK_READ_PERIOD,
+    };
+    let min_period_s = calls as f64 / (calls_per_s * CALL_RATE_FRACTION);
+    period.max(Duration::from_secs_f64(min_period_s))
+}
+
 /// Result of the last read, so that only changes are logged.
 struct LastRead {
     available: bool,
