--- a/daemon/src/roles/entry_node.rs
+++ b/daemon/src/roles/entry_node.rs
@@ -28,10 +28,6 @@
 /// Number of control instances that are followed at the same time.
 pub(super) const FOLLOWED_CONTROLS: usize = 2;
 
-/// Fraction of the stop time for which new requests are still served: callers may have cached the
-/// address of this instance.
-const SERVE_FRACTION: f64 = 0.6;
-
 /// Margin before the end of the stop time by which the process has ended.
 const STOP_MARGIN: Duration = Duration::from_millis(200);
 
@@ -138,7 +134,7 @@
             "within_ms" => stop_time.as_millis() as u64);
         self.state.start_leaving();
         self.presence.send().await;
-        sleep_until(Instant::now() + stop_time.mul_f64(SERVE_FRACTION)).await;
+        sleep_until(Instant::now() + self.state.settings.serve_time()).await;
         let remaining = stops_at.saturating_duration_since(Instant::now());
         tokio::join!(
             self.server.stop(remaining),
--- a/daemon/src/roles/node_settings.rs
+++ b/daemon/src/roles/node_settings.rs
@@ -1,10 +1,15 @@
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
+use std::time::Duration;
 
 use laburnumdeal_policy::steer::{LinkCapacity, LoadBalancerSettings};
 use serde::{Deserialize, Serialize};
 
+/// Fraction of the stop time for which new requests are still served: callers may have cached the
+/// address of the instance.
+const SERVE_FRACTION: f64 = 0.6;
+
 /// Settings of an entry or control instance in a deployment whose instances come and go.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -62,6 +67,11 @@
         SocketAddr::new(address, self.peer_port)
     }
 
+    /// Returns the time for which an entry instance that stops still serves new requests.
+    pub fn serve_time(&self) -> Duration {
+        Duration::from_millis(self.stop_ms).mul_f64(SERVE_FRACTION)
+    }
+
     /// Returns what the machine's link carries.
     pub fn link_capacity(&self) -> LinkCapacity {
         self.link_mbps
