--- a/daemon/src/roles/mod.rs
+++ b/daemon/src/roles/mod.rs
@@ -45,9 +45,14 @@
 
 pub use configuration_update::ConfigurationUpdate;
 pub use control_node::{ControlHandle, ControlNode, Submitted};
+pub use control_record::ControlRecord;
+pub use crash_exchange::CrashPosition;
 pub use entry_node::EntryNode;
+pub use follow_message::{Call, FollowRequest, Reply, ReportRequest};
+pub use follow_reply::FollowReply;
 pub use header_codec::HeaderCodec;
 pub use list_changes::ListChanges;
+pub use list_update::ListUpdate;
 pub use node_settings::NodeSettings;
 pub use presence::{Presence, PresenceState};
 pub use registry::Registry;
