Log and count the waits that upstreams ask for

A rejection by an upstream left no line, and no line or metric named a wait, so the hypotheses on ignored waits could not be told apart.

Retry-After of a 503 is translated: the longest of several values counts, values that are no number, negative or infinite are unreadable. The load balancer keeps the end of the wait, without any effect on the choice yet. New lines for a wait, an unreadable one, and a request that is sent within one; two counters.

--- a/daemon/src/roles/header_codec.rs
+++ b/daemon/src/roles/header_codec.rs
@@ -1,8 +1,8 @@
 use std::time::Duration;
 
 use http::header::HeaderName;
-use http::{HeaderMap, HeaderValue};
-use laburnumdeal_policy::steer::{LimitNotice, UpstreamLoad};
+use http::{HeaderMap, HeaderValue, StatusCode};
+use laburnumdeal_policy::steer::{LimitNotice, UpstreamLoad, WaitNotice};
 
 /// Names and value formats of the headers that an entry instance exchanges with callers and
 /// upstreams.
@@ -26,6 +26,10 @@
     /// Returns what the headers of an answer say of the requests that the upstream takes.
     fn limit(headers: &HeaderMap) -> LimitNotice;
 
+    /// Returns for how long the upstream wants no requests from this instance, by the status and
+    /// the headers of an answer.
+    fn wait(status: StatusCode, headers: &HeaderMap) -> WaitNotice;
+
     /// Formats the delay after which a caller should retry, as the value of `Retry-After`.
     fn retry_after(delay: Duration) -> HeaderValue;
 }
--- a/daemon/src/roles/mod.rs
+++ b/daemon/src/roles/mod.rs
@@ -2,6 +2,7 @@
 //! requests; control instances keep the configuration, the list of upstreams and the list of entry
 //! instances.
 
+mod answer_notices;
 mod buffered_body;
 mod configuration_update;
 mod control_node;
--- a/daemon/src/roles/node_metrics.rs
+++ b/daemon/src/roles/node_metrics.rs
@@ -34,6 +34,8 @@
     crash_checks: Family<ResultLabels, Counter>,
     crash_reports: Gauge,
     limited_upstreams: Gauge,
+    waits: Family<ResultLabels, Counter>,
+    sent_in_wait: Counter,
     reaches_upstreams: Gauge,
     helped: Family<HelpLabels, Counter>,
     help_refused: Family<ReasonLabels, Counter>,
@@ -140,6 +142,17 @@
             "Upstreams that named a limit on their requests",
             limited_upstreams.clone(),
         );
+        let (waits, sent_in_wait) = (Family::default(), Counter::default());
+        registry.register(
+            "upstream_waits",
+            "Answers of upstreams that ask for a time without requests, by result of reading it",
+            Family::clone(&waits),
+        );
+        registry.register(
+            "sent_in_wait",
+            "Attempts at upstreams that wanted no requests at that time",
+            sent_in_wait.clone(),
+        );
         let reaches_upstreams = Gauge::default();
         reaches_upstreams.set(1);
         registry.register(
@@ -174,6 +187,8 @@
             crash_checks,
             crash_reports,
             limited_upstreams,
+            waits,
+            sent_in_wait,
             reaches_upstreams,
             helped,
             help_refused,
@@ -260,6 +275,16 @@
         self.limited_upstreams.set(upstreams as i64);
     }
 
+    /// Counts an answer of an upstream that asks for a time without requests.
+    pub fn count_wait(&self, result: &'static str) {
+        self.waits.get_or_create(&ResultLabels { result }).inc();
+    }
+
+    /// Counts an attempt at an upstream that wanted no requests at that time.
+    pub fn count_sent_in_wait(&self) {
+        self.sent_in_wait.inc();
+    }
+
     /// Sets whether upstreams can be connected to.
     pub fn set_reaches_upstreams(&self, reaches: bool) {
         self.reaches_upstreams.set(i64::from(reaches));
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -8,8 +8,8 @@
 use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use laburnumdeal_policy::steer::{AttemptOutcome, Decision, LimitNotice, RequestFingerprints};
-use slog::{info, warn};
+use laburnumdeal_policy::steer::{AttemptOutcome, Decision, RequestFingerprints};
+use slog::info;
 use tokio::time::Instant;
 
 use crate::answer_body::AnswerBody;
@@ -19,6 +19,7 @@
 use crate::header;
 use crate::request_body::RequestBody;
 use crate::roles::HeaderCodec;
+use crate::roles::answer_notices;
 use crate::roles::crash_checks::{self, UnansweredAttempt};
 use crate::roles::entry_state::EntryState;
 use crate::roles::reach_probes;
@@ -302,6 +303,7 @@
     message: Request<RequestBody>,
 ) -> AttemptResult {
     in_flight.is_sent = true;
+    answer_notices::check_wait(&in_flight.state, in_flight.decision.upstream, &request.id);
     let sent = send(&in_flight, &mut guard, message, request.wait_until).await;
     let response = match sent {
         Ok(response) => response,
@@ -338,7 +340,13 @@
             arrived: true,
         };
     }
-    record_limit::<H>(&in_flight, response.headers());
+    answer_notices::record::<H>(
+        &in_flight.state,
+        in_flight.decision.upstream,
+        &request.id,
+        status,
+        response.headers(),
+    );
     if H::reports_not_run(response.headers()) && !status.is_success() {
         in_flight.outcome = AttemptOutcome::Shed;
         guard.complete();
@@ -379,40 +387,6 @@
     }
 }
 
-/// Records the limit that an answer names, and logs one that started, changed or ended.
-fn record_limit<H: HeaderCodec>(in_flight: &InFlightAttempt, headers: &HeaderMap) {
-    let (state, key, now) = (
-        &in_flight.state,
-        in_flight.decision.upstream,
-        Instant::now(),
-    );
-    let notice = H::limit(headers);
-    let mut load_balancer = state.load_balancer();
-    let before = load_balancer.limit_per_s(key);
-    let has_changed = load_balancer.record_limit(key, notice, now);
-    if !has_changed && notice != LimitNotice::Unreadable {
-        return;
-    }
-    let upstream = load_balancer.endpoint(key).0.to_owned();
-    let limited = load_balancer.limited_upstreams();
-    drop(load_balancer);
-    state.metrics.set_limited_upstreams(limited);
-    let Some(log) = state.log.limited(true) else {
-        return;
-    };
-    let id = String::from_utf8_lossy(in_flight.id.as_bytes()).into_owned();
-    let text = |per_s: Option<f64>| per_s.map_or_else(|| "none".to_owned(), |p| p.to_string());
-    match notice {
-        LimitNotice::Unreadable => warn!(log, "unreadable limit of an upstream";
-            "upstream" => upstream, "id" => id, "kept_per_s" => text(before)),
-        LimitNotice::Unlimited => info!(log, "limit of an upstream ended";
-            "upstream" => upstream, "id" => id, "before_per_s" => text(before)),
-        LimitNotice::PerSecond(per_s) => info!(log, "limit of an upstream";
-            "upstream" => upstream, "id" => id, "per_s" => per_s,
-            "before_per_s" => text(before)),
-    }
-}
-
 /// Sends a request and returns the head of its answer. While there is none, the upstream is checked
 /// for a crash at intervals: one that ended silently is not told from a slow one otherwise before
 /// the timeout of the request.
--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -11,7 +11,7 @@
 use crate::steer::{
     Decision, InstanceRecord, LimitNotice, RegionShares, RouteLatency, ServiceLatency,
     ServiceReach, SharedLimit, SharedLoad, SharedObject, SharedReport, UpstreamLimit, UpstreamLoad,
-    UpstreamRecord,
+    UpstreamRecord, WaitNotice,
 };
 
 /// Requests per second that a cold upstream tolerates, if the configuration does not name its
@@ -353,6 +353,19 @@
         listed.filter(|entry| entry.limit.is_some()).count()
     }
 
+    /// Records what an answer says of the time for which the upstream wants no requests from this
+    /// instance.
+    pub fn record_wait(&mut self, key: UpstreamKey, notice: WaitNotice, now: Instant) {
+        if let WaitNotice::For(time) = notice {
+            self.entry_mut(key).wait.extend(time, now);
+        }
+    }
+
+    /// Returns the time for which an upstream still wants no requests from this instance.
+    pub fn wait_left(&self, key: UpstreamKey, now: Instant) -> Duration {
+        self.entry(key).wait.left(now)
+    }
+
     /// Returns a report for other instances: the limits and loads that upstreams reported to this instance
     /// since a time, and the cached objects that have become known since the last call.
     pub fn take_report(&mut self, since: Instant, now: Instant) -> SharedReport {
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -35,6 +35,8 @@
 mod upstream_limit;
 mod upstream_reach;
 mod upstream_record;
+mod upstream_wait;
+mod wait_notice;
 
 pub use cached_objects::CachedObjects;
 pub use completed_requests::CompletedRequests;
@@ -68,3 +70,5 @@
 pub use upstream_limit::UpstreamLimit;
 pub use upstream_reach::{ReachChange, UpstreamReach};
 pub use upstream_record::UpstreamRecord;
+pub use upstream_wait::UpstreamWait;
+pub use wait_notice::WaitNotice;
--- a/policy/src/steer/upstream_entry.rs
+++ b/policy/src/steer/upstream_entry.rs
@@ -5,7 +5,7 @@
 use crate::steer::load_balancer::{ServiceKey, hash_of};
 use crate::steer::{
     AttemptOutcome, CachedObjects, Decision, LoadEstimate, RegionKey, RequestWindow, UpstreamLimit,
-    UpstreamRecord,
+    UpstreamRecord, UpstreamWait,
 };
 
 /// Weight of a new measurement in the moving average of the slowdown.
@@ -61,6 +61,8 @@
     pub own_limit: Option<(Option<f64>, Instant)>,
     /// Time of the newest answer to any instance that is known to have named or ended a limit.
     limit_changed_at: Option<Instant>,
+    /// Time for which the upstream wants no requests from this instance.
+    pub wait: UpstreamWait,
     cold_until: Option<Instant>,
     /// Failures to connect since the last answer. Above 0 the upstream may have restarted
     /// unnoticed, so that it counts as cold.
@@ -92,6 +94,7 @@
             limit: None,
             own_limit: None,
             limit_changed_at: None,
+            wait: UpstreamWait::default(),
             cold_until: None,
             connect_failures: 0,
             backoff_until: None,
