Send nothing to upstreams that asked to wait

What operators saw: an upstream rejected requests with 503 and Retry-After, and got the usual number of requests from the same instance within that time. Callers paid with a retry for each of them, out of a budget that all instances share.

Evidence: each request within a wait left the new line, 117 to 820 ms apart, on all instances; neither a wrong subject nor a kind of sender in common.

Change: an upstream in a wait is passed over by the choice, which first attempts, retries and requests for other entry instances share, and a request that waited for a connection to open is not sent on it. With all upstreams in a wait, requests are rejected at once with the time until the first of them accepts requests, and up to a quarter more, which spreads the callers that return.

--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -203,7 +203,8 @@
             "warm" => last.is_some_and(|decision| decision.expects_cache_hit),
             "helper" => forwarding.progress.helper().unwrap_or_default(),
             "arrivals" => forwarding.progress.arrivals(), "list_age_ms" => list_age.as_millis() as u64,
-            "listed" => reach.listed, "avoided" => reach.avoided, "unreached" => reach.unreached,
+            "listed" => reach.listed, "avoided" => reach.avoided,
+            "waiting" => reach.waiting, "unreached" => reach.unreached,
             "took_ms" => took.as_millis() as u64, "outcome" => outcome,
             "status" => status, "reason" => reason);
     }
--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -2,7 +2,9 @@
 use std::time::Duration;
 
 use http::{Response, StatusCode};
-use laburnumdeal_policy::steer::{Decision, RequestContext, Route, Selection, UpstreamKey};
+use laburnumdeal_policy::steer::{
+    Decision, RequestContext, Route, Selection, UpstreamKey, spread_delay,
+};
 use tokio::time::Instant;
 
 use crate::answer_body::AnswerBody;
@@ -135,6 +137,10 @@
                 Selection::AtLimit { retry_after } => {
                     return self.give_up("every upstream is at its limit", retry_after);
                 }
+                Selection::Waiting { retry_after } => {
+                    let retry_after = spread_delay(retry_after, rand::random());
+                    return self.give_up("every upstream asked to wait", retry_after);
+                }
                 Selection::NoUpstream => {
                     return self.give_up("no upstream takes work", DEFAULT_RETRY_AFTER);
                 }
@@ -190,14 +196,28 @@
         None
     }
 
+    /// Returns the time after which the caller should retry: the default one, or that until the
+    /// first upstream accepts requests, if all have asked to wait.
+    fn retry_after(&self) -> Duration {
+        match self.choose_among(&[]) {
+            Selection::Waiting { retry_after } => spread_delay(retry_after, rand::random()),
+            _ => DEFAULT_RETRY_AFTER,
+        }
+    }
+
     fn choose_upstream(&self) -> Selection {
+        self.choose_among(&self.progress.tried)
+    }
+
+    /// Chooses an upstream that is not among those that were `tried`.
+    fn choose_among(&self, tried: &[UpstreamKey]) -> Selection {
         let now = Instant::now();
         let request = RequestContext {
             route: &self.route.name,
             service: self.service,
             object: self.request.object,
             regions: &self.route.item.regions,
-            tried: &self.progress.tried,
+            tried,
             time_left: self.request.deadline.saturating_duration_since(now),
             elapsed: now.saturating_duration_since(self.started_at),
             target_latency: Duration::from_millis(self.route.item.target_latency_ms),
@@ -269,7 +289,8 @@
             || unreached >= MAX_UNREACHED_ATTEMPTS
             || self.progress.arrivals >= self.route.item.max_attempts
         {
-            return Some(self.give_up(reason, DEFAULT_RETRY_AFTER));
+            let retry_after = self.retry_after();
+            return Some(self.give_up(reason, retry_after));
         }
         None
     }
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -257,10 +257,16 @@
     decision: Decision,
     request: &AttemptRequest,
 ) -> Option<&'static str> {
-    if state.load_balancer().is_withdrawn(decision.upstream) {
+    let now = Instant::now();
+    let load_balancer = state.load_balancer();
+    if load_balancer.is_withdrawn(decision.upstream) {
         return Some("the upstream leaves");
     }
-    let is_refused = state.blocks().refuses(request.fingerprints, Instant::now());
+    if !load_balancer.wait_left(decision.upstream, now).is_zero() {
+        return Some("the upstream asked to wait");
+    }
+    drop(load_balancer);
+    let is_refused = state.blocks().refuses(request.fingerprints, now);
     is_refused.then_some("the request was blocked meanwhile")
 }
 
--- a/policy/src/steer/choosing.rs
+++ b/policy/src/steer/choosing.rs
@@ -33,8 +33,11 @@
 /// where slots would stay idle.
 const MAX_UTILIZATION_FOR_MISS: f64 = 0.2;
 
-/// Shortest and longest time after which a caller is told to retry, in milliseconds.
-const RETRY_AFTER_MS: (f64, f64) = (60.0, 1_500.0);
+/// Shortest time after which a caller is told to retry.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(60);
+
+/// Longest time after which a caller is told to retry that depends on an estimate.
+const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 
 /// Fraction of the request limit of a cold upstream that the quotas add up to. The rest is reserve,
 /// because instances learn of each other with a delay.
@@ -49,33 +52,60 @@
     at_limit: usize,
     /// Shortest time until this instance may send to one of those at their limit.
     limit_wait: Option<Duration>,
+    /// Shortest time until one of those that asked to wait accepts requests.
+    wait: Option<Duration>,
+    /// Shortest time until the backoff of one of the others ends.
+    backoff: Option<Duration>,
 }
 
 impl Candidates {
     fn add_at_limit(&mut self, wait: Duration) {
         self.at_limit += 1;
-        self.limit_wait = Some(self.limit_wait.map_or(wait, |shortest| shortest.min(wait)));
+        self.limit_wait = shorter(self.limit_wait, wait);
+    }
+
+    fn add_waiting(&mut self, wait: Duration) {
+        self.wait = shorter(self.wait, wait);
+    }
+
+    fn add_backed_off(&mut self, backoff: Duration) {
+        self.backoff = shorter(self.backoff, backoff);
+    }
+
+    /// Returns why the request is not sent, if there is no upstream that it may be sent to now.
+    fn rejection(&self) -> Selection {
+        match (self.wait, self.limit_wait) {
+            (Some(wait), limit_wait) if limit_wait.is_none_or(|limit| wait < limit) => {
+                let wait = self.backoff.map_or(wait, |backoff| wait.min(backoff));
+                let retry_after = wait.max(MIN_RETRY_AFTER);
+                Selection::Waiting { retry_after }
+            }
+            (_, Some(wait)) => Selection::AtLimit {
+                retry_after: retry_after(wait),
+            },
+            _ => Selection::NoUpstream,
+        }
     }
 }
 
+fn shorter(known: Option<Duration>, other: Duration) -> Option<Duration> {
+    Some(known.map_or(other, |known| known.min(other)))
+}
+
 impl LoadBalancer {
     /// Chooses the upstream with the lowest cost. The cost is the expected latency, plus penalties
     /// for failures and missing answers, less the part of a cache miss that pays off later. Refuses
     /// the request if the answer of even this upstream would be too late, or its queue is too long.
     pub fn choose(&self, request: &RequestContext<'_>, now: Instant) -> Selection {
+        let candidates = self.candidates(request, now);
+        if candidates.scored.is_empty() {
+            return candidates.rejection();
+        }
         let Candidates {
             scored: mut candidates,
             at_limit,
-            limit_wait,
-        } = self.candidates(request, now);
-        if candidates.is_empty() {
-            return match limit_wait {
-                Some(wait) => Selection::AtLimit {
-                    retry_after: retry_after(wait),
-                },
-                None => Selection::NoUpstream,
-            };
-        }
+            ..
+        } = candidates;
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
         let estimate = |(rank, (_, key)): (usize, &(f64, UpstreamKey))| {
             let (decision, cost) = self.estimate(request, *key, rank, now);
@@ -111,8 +141,17 @@
         };
         let mut eligible = Vec::with_capacity(keys.len());
         let mut weights = vec![EligibleWeight::default(); self.regions.len()];
-        for key in keys.iter().filter(|key| self.is_open(request, **key, now)) {
+        for key in keys.iter().filter(|key| self.is_allowed(request, **key)) {
             let entry = self.entry(*key);
+            let (wait, backoff) = (entry.wait.left(now), entry.backoff_left(now));
+            if !wait.is_zero() {
+                candidates.add_waiting(wait.max(backoff));
+                continue;
+            }
+            if !backoff.is_zero() {
+                candidates.add_backed_off(backoff);
+                continue;
+            }
             let (weight, sum) = (self.weight(entry), &mut weights[entry.region.0 as usize]);
             sum.open += weight * self.weight_fraction(entry, now);
             let limit_wait = self.limit_wait(entry, now);
@@ -141,7 +180,7 @@
         match self.instance_share(entry) {
             Some(share) => limit.wait(share, now),
             // The instances that share the limit are not known yet.
-            None => Duration::from_secs_f64(RETRY_AFTER_MS.1 / 1_000.0),
+            None => MAX_RETRY_AFTER,
         }
     }
 
@@ -155,18 +194,19 @@
         })
     }
 
-    /// Returns whether a request may be sent to an upstream, apart from quotas.
-    fn is_open(&self, request: &RequestContext<'_>, key: UpstreamKey, now: Instant) -> bool {
+    /// Returns whether a request may be sent to an upstream, apart from the times at which the
+    /// upstream accepts requests, and from quotas.
+    fn is_allowed(&self, request: &RequestContext<'_>, key: UpstreamKey) -> bool {
         let entry = self.entry(key);
         let zone = &entry.record.zone;
-        let is_allowed = |regions: &[String]| {
+        let is_in_regions = |regions: &[String]| {
             let name = self.region_name(entry.region);
             regions.is_empty() || regions.iter().any(|region| region == name)
         };
-        entry.accepts_requests(now)
+        entry.is_in_service()
             && !request.tried.contains(&key)
             && !self.evacuated_zones.contains(zone)
-            && is_allowed(request.regions)
+            && is_in_regions(request.regions)
     }
 
     fn is_within_quota(&self, entry: &UpstreamEntry, now: Instant) -> bool {
@@ -301,9 +341,7 @@
 
 /// Returns the time after which a caller is told to retry, for the time until there is room.
 fn retry_after(wait: Duration) -> Duration {
-    let (min_ms, max_ms) = RETRY_AFTER_MS;
-    let wait_ms = wait.as_secs_f64() * 1_000.0;
-    Duration::from_secs_f64(wait_ms.clamp(min_ms, max_ms) / 1_000.0)
+    wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
 }
 
 fn has_room_for_miss(entry: &UpstreamEntry, now: Instant) -> bool {
--- a/policy/src/steer/decision.rs
+++ b/policy/src/steer/decision.rs
@@ -65,6 +65,12 @@
         /// Time after which this instance may send to one of them.
         retry_after: Duration,
     },
+    /// Every upstream that could serve the request has asked to wait, or takes none for another
+    /// reason.
+    Waiting {
+        /// Time until the first of them accepts requests.
+        retry_after: Duration,
+    },
     /// No upstream of the service accepts requests.
     NoUpstream,
 }
--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -269,6 +269,7 @@
         for entry in listed {
             reach.listed += 1;
             reach.avoided += usize::from(!entry.accepts_requests(now));
+            reach.waiting += usize::from(!entry.wait.left(now).is_zero());
             reach.unreached += usize::from(entry.is_unreached());
         }
         reach
--- a/policy/src/steer/upstream_entry.rs
+++ b/policy/src/steer/upstream_entry.rs
@@ -152,10 +152,19 @@
         }
     }
 
+    /// Returns whether the upstream is listed and stays.
+    pub fn is_in_service(&self) -> bool {
+        self.is_listed && !self.record.leaving
+    }
+
     pub fn accepts_requests(&self, now: Instant) -> bool {
-        self.is_listed
-            && !self.record.leaving
-            && self.backoff_until.is_none_or(|until| now >= until)
+        self.is_in_service() && self.backoff_left(now).is_zero() && self.wait.left(now).is_zero()
+    }
+
+    /// Returns the time until the backoff after failures and rejections ends.
+    pub fn backoff_left(&self, now: Instant) -> Duration {
+        self.backoff_until
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
     /// Returns how many requests per slot are queued ahead of a new one.
--- a/policy/tests/steer/choose.rs
+++ b/policy/tests/steer/choose.rs
@@ -248,7 +248,10 @@
     other.end_attempt(&decision, "all", 7, outcome, start);
     let hits_cache = |balancer: &LoadBalancer| match balancer.choose(&second, start) {
         Selection::Send(again) => again.upstream == decision.upstream && again.expects_cache_hit,
-        Selection::Busy { .. } | Selection::AtLimit { .. } | Selection::NoUpstream => false,
+        Selection::Busy { .. }
+        | Selection::AtLimit { .. }
+        | Selection::Waiting { .. }
+        | Selection::NoUpstream => false,
     };
     let report = other.take_report(start, start);
     assert_eq!(report.objects.len(), 1);
--- a/policy/tests/steer/main.rs
+++ b/policy/tests/steer/main.rs
@@ -17,3 +17,4 @@
 mod setup;
 mod simulation;
 mod unanswered_attempts;
+mod waits;
--- a/policy/tests/steer/setup.rs
+++ b/policy/tests/steer/setup.rs
@@ -109,6 +109,9 @@
 pub fn chosen_upstream(balancer: &LoadBalancer, object: u64, now: Instant) -> Option<UpstreamKey> {
     match balancer.choose(&request(object), now) {
         Selection::Send(decision) => Some(decision.upstream),
-        Selection::Busy { .. } | Selection::AtLimit { .. } | Selection::NoUpstream => None,
+        Selection::Busy { .. }
+        | Selection::AtLimit { .. }
+        | Selection::Waiting { .. }
+        | Selection::NoUpstream => None,
     }
 }
--- a/policy/tests/steer/simulation.rs
+++ b/policy/tests/steer/simulation.rs
@@ -1,11 +1,13 @@
 //! Simulation of entry instances that choose among upstreams, which answer faster for objects in
 //! their cache, under a load that varies over time. The clock is simulated as well.
 
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::ops::Range;
 use std::time::Duration;
 
 use laburnumdeal_policy::steer::{
-    AttemptOutcome, Decision, LoadBalancer, Selection, SharedReport, UpstreamLoad, UpstreamRecord,
+    AttemptOutcome, Decision, LoadBalancer, RequestContext, Selection, SharedReport, UpstreamKey,
+    UpstreamLoad, UpstreamRecord, WaitNotice,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -44,6 +46,16 @@
     waiting: VecDeque<usize>,
     cached: VecDeque<u64>,
     cache_size: usize,
+    /// Time until which it rejects requests, and asks for none in its answers.
+    rejects_until_ms: u64,
+    served: u32,
+}
+
+/// Request that an upstream rejected within a wait that it had asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Rejection {
+    pub instance: usize,
+    pub upstream: usize,
 }
 
 struct Request {
@@ -62,6 +74,10 @@
 pub struct Simulation {
     pub start: Instant,
     pub totals: Totals,
+    /// Number of rejections by upstreams that ask to wait.
+    pub rejections: HashMap<Rejection, u32>,
+    /// Longest time after which a request was told to be sent again.
+    pub longest_delay: Duration,
     balancers: Vec<LoadBalancer>,
     upstreams: Vec<Upstream>,
     requests: Vec<Request>,
@@ -89,10 +105,14 @@
             waiting: VecDeque::new(),
             cached: VecDeque::new(),
             cache_size,
+            rejects_until_ms: 0,
+            served: 0,
         });
         Self {
             start,
             totals: Totals::default(),
+            rejections: HashMap::new(),
+            longest_delay: Duration::ZERO,
             balancers: balancers.collect(),
             upstreams: upstreams.collect(),
             requests: Vec::new(),
@@ -106,7 +126,17 @@
     /// Runs for `duration_ms` with `per_s` requests per second, by the time in milliseconds. The
     /// totals leave out the time before `count_from_ms`.
     pub fn run(&mut self, duration_ms: u64, count_from_ms: u64, per_s: impl Fn(u64) -> f64) {
-        for now_ms in 0..duration_ms {
+        self.run_between(0..duration_ms, count_from_ms, per_s);
+    }
+
+    /// Runs a part of the time, after the parts before it.
+    pub fn run_between(
+        &mut self,
+        times_ms: Range<u64>,
+        count_from_ms: u64,
+        per_s: impl Fn(u64) -> f64,
+    ) {
+        for now_ms in times_ms {
             if now_ms == count_from_ms {
                 self.totals = Totals::default();
             }
@@ -134,6 +164,16 @@
         }
     }
 
+    /// Lets an upstream reject requests until a time, which it names in its answers.
+    pub fn reject(&mut self, upstream: usize, until_ms: u64) {
+        self.upstreams[upstream].rejects_until_ms = until_ms;
+    }
+
+    /// Returns the number of requests that an upstream has run since the last call.
+    pub fn take_served(&mut self, upstream: usize) -> u32 {
+        std::mem::take(&mut self.upstreams[upstream].served)
+    }
+
     /// Merges the reports of all instances over two intervals into every instance.
     fn share_reports(&mut self, now_ms: u64) {
         let now = self.at(now_ms);
@@ -159,11 +199,57 @@
         let object = self.generator.random_range(0..self.objects);
         let instance = self.generator.random_range(0..self.balancers.len());
         let now = self.at(now_ms);
-        let Selection::Send(decision) = self.balancers[instance].choose(&request(object), now)
-        else {
+        let mut tried: Vec<UpstreamKey> = Vec::new();
+        let (number, upstream) = loop {
+            let context = RequestContext {
+                tried: &tried,
+                ..request(object)
+            };
+            let decision = match self.balancers[instance].choose(&context, now) {
+                Selection::Send(decision) => decision,
+                Selection::Waiting { retry_after } => {
+                    self.longest_delay = self.longest_delay.max(retry_after);
+                    self.totals.refused += 1;
+                    return;
+                }
+                _ => {
+                    self.totals.refused += 1;
+                    return;
+                }
+            };
+            let (number, upstream) = self.send(instance, object, decision, now_ms);
+            let left_ms = self.upstreams[upstream].rejects_until_ms;
+            let left_ms = left_ms.saturating_sub(now_ms);
+            if left_ms == 0 {
+                break (number, upstream);
+            }
+            let rejection = Rejection { instance, upstream };
+            *self.rejections.entry(rejection).or_default() += 1;
+            let notice = WaitNotice::For(Duration::from_millis(left_ms));
+            self.balancers[instance].record_wait(decision.upstream, notice, now);
+            self.finish(number, now_ms, AttemptOutcome::Shed);
+            tried.push(decision.upstream);
+        };
+        if self.upstreams[upstream].waiting.len() >= QUEUE_LIMIT {
             self.totals.refused += 1;
+            self.finish(number, now_ms, AttemptOutcome::Shed);
             return;
-        };
+        }
+        self.upstreams[upstream].waiting.push_back(number);
+        let timeout = Event(std::cmp::Reverse((now_ms + TIMEOUT_MS, number, true)));
+        self.events.push(timeout);
+        self.start_queued(upstream, now_ms);
+    }
+
+    /// Sends a request to the upstream that was chosen for it; returns its number and the upstream.
+    fn send(
+        &mut self,
+        instance: usize,
+        object: u64,
+        decision: Decision,
+        now_ms: u64,
+    ) -> (usize, usize) {
+        let now = self.at(now_ms);
         self.balancers[instance].begin_attempt(&decision, now);
         let id = self.balancers[instance].endpoint(decision.upstream).0;
         let upstream: usize = id.strip_prefix("u-").unwrap().parse().unwrap();
@@ -176,15 +262,7 @@
             sent_ms: now_ms,
             done: false,
         });
-        if self.upstreams[upstream].waiting.len() >= QUEUE_LIMIT {
-            self.totals.refused += 1;
-            self.finish(number, now_ms, AttemptOutcome::Shed);
-            return;
-        }
-        self.upstreams[upstream].waiting.push_back(number);
-        let timeout = Event(std::cmp::Reverse((now_ms + TIMEOUT_MS, number, true)));
-        self.events.push(timeout);
-        self.start_queued(upstream, now_ms);
+        (number, upstream)
     }
 
     /// Starts queued requests on free slots.
@@ -211,6 +289,7 @@
                 server.cached.pop_front();
             }
             server.running += 1;
+            server.served += 1;
             let ends = Event(std::cmp::Reverse((now_ms + service_ms, number, false)));
             self.events.push(ends);
         }
