Keep both upstreams that the list has under one ID

Upstreams were looked up by their ID, so that of two entries with one ID only the later one was used, and each reading of a changed list added another entry for both of them. An odd entry of another writer with the ID of an upstream took the upstream out of service: its requests were rejected.

Upstreams are now looked up by ID, address and service. Both are used; the one that is not there rejects with 421 or refuses the connection and is passed over.

Failed before: update_upstreams_id_listed_twice_keeps_both cannot be met by one key for each ID.

--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -87,13 +87,32 @@
     WrongUpstream,
 }
 
+/// What tells the entries of upstreams apart. An ID that is listed with another address or service
+/// has an entry of its own, also while the list has both.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Endpoint {
+    id: String,
+    address: SocketAddr,
+    service: String,
+}
+
+impl Endpoint {
+    fn of(record: &UpstreamRecord) -> Self {
+        Self {
+            id: record.id.clone(),
+            address: record.address,
+            service: record.service.clone(),
+        }
+    }
+}
+
 /// Tracks the state of all upstreams and chooses one for each request. Entries are never reused, so
 /// that keys held by requests stay valid.
 #[derive(Debug)]
 pub struct LoadBalancer {
     pub(super) settings: LoadBalancerSettings,
     entries: Vec<UpstreamEntry>,
-    by_id: HashMap<String, UpstreamKey>,
+    by_endpoint: HashMap<Endpoint, UpstreamKey>,
     by_hash: HashMap<u64, UpstreamKey>,
     pub(super) by_service: HashMap<String, Vec<UpstreamKey>>,
     pub(super) service_latencies: HashMap<String, ServiceLatency>,
@@ -133,7 +152,7 @@
             region_shares: Vec::new(),
             region_shares_at: None,
             entries: Vec::new(),
-            by_id: HashMap::new(),
+            by_endpoint: HashMap::new(),
             by_hash: HashMap::new(),
             by_service: HashMap::new(),
             service_latencies: HashMap::new(),
@@ -149,8 +168,7 @@
     pub fn update_upstreams(&mut self, records: &[UpstreamRecord], now: Instant) {
         let mut listed = vec![false; self.entries.len()];
         for record in records {
-            let known = self.by_id.get(&record.id).copied();
-            let known = known.filter(|key| self.entry(*key).matches(record));
+            let known = self.by_endpoint.get(&Endpoint::of(record)).copied();
             let key = known.unwrap_or_else(|| self.add(record));
             if key.0 as usize >= listed.len() {
                 listed.resize(self.entries.len(), false);
@@ -166,7 +184,7 @@
             keys.retain(|key| entries[key.0 as usize].is_listed);
         }
         for record in records {
-            let Some(key) = self.by_id.get(&record.id).copied() else {
+            let Some(key) = self.by_endpoint.get(&Endpoint::of(record)).copied() else {
                 continue;
             };
             let keys = self.by_service.entry(record.service.clone()).or_default();
@@ -472,7 +490,7 @@
         let entry = UpstreamEntry::new(record.clone(), service, region);
         self.by_hash.insert(entry.id_hash, key);
         self.entries.push(entry);
-        self.by_id.insert(record.id.clone(), key);
+        self.by_endpoint.insert(Endpoint::of(record), key);
         key
     }
 
--- a/policy/src/steer/upstream_entry.rs
+++ b/policy/src/steer/upstream_entry.rs
@@ -107,12 +107,6 @@
         }
     }
 
-    /// Returns whether a record with the ID of this entry may update it. An upstream that is listed
-    /// with another address or service gets a new entry.
-    pub fn matches(&self, record: &UpstreamRecord) -> bool {
-        self.record.address == record.address && self.record.service == record.service
-    }
-
     /// Updates the entry from its record in the list of upstreams.
     pub fn update_record(&mut self, record: &UpstreamRecord, now: Instant) {
         if record.cold_ms > 0 {
--- a/policy/tests/steer/choose.rs
+++ b/policy/tests/steer/choose.rs
@@ -300,3 +300,32 @@
     let later = balancer.service_reach("catalog", now + Duration::from_secs(10));
     assert_eq!((later.listed, later.avoided, later.unreached), (3, 0, 1));
 }
+
+// Guards against an upstream that is lost, or entries that grow with each list, because another entry
+// of the list has its ID.
+#[test]
+fn update_upstreams_id_listed_twice_keeps_both() {
+    let start = Instant::now();
+    let mut odd = upstream(1, "a1", 9);
+    odd.id = "u-0".into();
+    for records in [
+        [upstream(0, "a1", 9), odd.clone()],
+        [odd.clone(), upstream(0, "a1", 9)],
+    ] {
+        let mut balancer = load_balancer("e-0", "a", &records, start);
+        for _ in 0..3 {
+            balancer.update_upstreams(&records, start);
+        }
+        assert_eq!(balancer.service_reach("catalog", start).listed, 2);
+        assert_eq!(balancer.removed().count(), 0);
+        let key = chosen_upstream(&balancer, 1, start).unwrap();
+        let Selection::Send(decision) = balancer.choose(&request(1), start) else {
+            panic!("both have room");
+        };
+        balancer.begin_attempt(&decision, start);
+        let outcome = AttemptOutcome::WrongUpstream;
+        balancer.end_attempt(&decision, "all", 1, outcome, start);
+        let other = chosen_upstream(&balancer, 1, start).unwrap();
+        assert_ne!(other, key, "the one with the wrong address is passed over");
+    }
+}
