Send a request again on another connection than the one that refused it

An upstream that wrote a refusal once more on a kept connection: when the caller sent the same request id again and it went out on that connection, the copy was taken for the answer. The caller was told that the request had not run while the upstream ran it, and the request went on to a second upstream.

Cause: only the id tells answers apart, and both attempts have the same one. A connection now remembers the ids that were refused on it, and does not carry them again; after 16 it is not used again.

Failed before: forward_same_id_again_after_a_refusal_that_comes_twice (503 for a request that had run). The other request path closes a connection after a refusal.

--- a/daemon/src/connection.rs
+++ b/daemon/src/connection.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use tokio::task::JoinHandle;
@@ -13,6 +13,9 @@
 /// Time since its last answer within which a connection counts as recently active.
 const RECENT_ACTIVITY: Duration = Duration::from_millis(250);
 
+/// Most refused requests that a connection remembers; it carries no request after as many.
+const MAX_REFUSED: usize = 16;
+
 /// One HTTP/1.1 connection to an upstream or peer. Dropping it closes it, so that an exchange that
 /// ended early can never leave its answer to the next one.
 #[derive(Debug)]
@@ -22,6 +25,8 @@
     opened_at: Instant,
     active_at: Instant,
     head_budget: HeadBudget,
+    /// IDs of the requests that were refused on it.
+    refused: Vec<HeaderValue>,
 }
 
 impl Connection {
@@ -38,6 +43,7 @@
             opened_at: now,
             active_at: now,
             head_budget,
+            refused: Vec::new(),
         }
     }
 
@@ -56,9 +62,20 @@
         self.idle_for() < RECENT_ACTIVITY
     }
 
-    /// Returns whether neither side is known to have closed.
+    /// Returns whether it may carry another request: neither side is known to have closed.
     pub fn is_open(&self) -> bool {
-        !self.sender.is_closed() && !self.driver.is_finished()
+        !self.sender.is_closed() && !self.driver.is_finished() && self.refused.len() < MAX_REFUSED
+    }
+
+    /// Records that the request with this ID was refused.
+    pub fn record_refused(&mut self, id: HeaderValue) {
+        self.refused.push(id);
+    }
+
+    /// Returns whether a request with this ID was refused. It must not be sent again on this
+    /// connection, where a second copy of the refusal would be taken for its answer.
+    pub fn has_refused(&self, id: &HeaderValue) -> bool {
+        self.refused.contains(id)
     }
 
     /// Records that an answer arrived now.
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -280,7 +280,13 @@
         false => Freshness::RecentlyActive,
     };
     let until = request.deadline.min(Instant::now() + timeout);
-    match pool.acquire(freshness, until).await {
+    let acquired = match pool.acquire(freshness, until).await {
+        Ok(connection) if connection.has_refused(&request.id) => {
+            pool.acquire(Freshness::New, until).await
+        }
+        acquired => acquired,
+    };
+    match acquired {
         Ok(connection) => Ok(ExchangeGuard::new(connection, pool.clone(), None)),
         Err(ExchangeError::Refused(_)) => Err("the connection was refused"),
         Err(_) => Err("no connection in time"),
@@ -355,6 +361,7 @@
     );
     if H::reports_not_run(response.headers()) && !status.is_success() {
         in_flight.outcome = AttemptOutcome::Shed;
+        guard.connection().record_refused(request.id.clone());
         guard.complete();
         return AttemptResult::NotRun {
             reason: "the upstream had no room",
