Accept deadlines of any length

A caller that named a deadline of 1e300 ms got no answer; its connection was closed (status 0 in the test, which failed before).

Cause: a number of seconds was converted to a duration by a function that panics beyond the range, and the panic ended the task of the connection. A deadline beyond the range now counts as the longest; the route's timeout bounds it as before.

--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -273,8 +273,9 @@
     let header_ms = header::text(&parts.headers, &H::DEADLINE_MS);
     let header_ms = header_ms.and_then(|text| text.trim().parse::<f64>().ok());
     let caller_timeout = header_ms.filter(|ms| ms.is_finite() && *ms >= 0.0);
-    let caller_timeout =
-        caller_timeout.map_or(DEFAULT_DEADLINE, |ms| Duration::from_secs_f64(ms / 1_000.0));
+    let caller_timeout = caller_timeout.map_or(DEFAULT_DEADLINE, |ms| {
+        Duration::try_from_secs_f64(ms / 1_000.0).unwrap_or(Duration::MAX)
+    });
     let route_timeout = Duration::from_millis(routed.route.item.timeout_ms);
     let deadline = routed.started_at + caller_timeout.min(route_timeout);
     let object = match parts.headers.get(H::AFFINITY_KEY) {
