Bound the limit that is split among instances

An upstream that named a limit beyond what a count can hold was split into a quota for one instance and none for the others, which then sent it a request every few seconds; callers were rejected or moved although it took everything.

Cause: the parts of a share saturate, so that their difference is 0. A limit beyond 1e12 a second does not bind and is cut there. The new test failed before.

--- a/policy/src/steer/instance_share.rs
+++ b/policy/src/steer/instance_share.rs
@@ -1,3 +1,6 @@
+/// Highest limit that is split; a higher one does not bind.
+const MAX_LIMIT: f64 = 1e12;
+
 /// Share of one instance in a limit that holds for all instances together. The instances are put in
 /// an order; what rounding leaves over is spread over them in that order.
 ///
@@ -26,7 +29,7 @@
     /// Returns this instance's part of a limit. The parts of all instances add up to the limit,
     /// rounded down.
     pub fn quota(&self, limit: f64) -> usize {
-        let limit = limit.max(0.0).floor();
+        let limit = limit.clamp(0.0, MAX_LIMIT).floor();
         let up_to = |weight: f64| (limit * weight / self.total) as usize;
         up_to(self.before + self.own) - up_to(self.before)
     }
--- a/policy/tests/steer/limits.rs
+++ b/policy/tests/steer/limits.rs
@@ -253,3 +253,16 @@
     };
     assert_eq!((decision.upstream, decision.at_limit), (UpstreamKey(1), 1));
 }
+
+// Guards against an upstream that gets next to nothing because it names a limit beyond any demand.
+#[test]
+fn choose_upstream_with_a_huge_limit_gets_all_requests() {
+    for limit_per_s in [1e18, 1e300, f64::MAX] {
+        let start = Instant::now();
+        for balancer in &mut limited_balancers(9, limit_per_s, start) {
+            let mut sent =
+                (0..50).map(|_| send(balancer, LimitNotice::PerSecond(limit_per_s), start));
+            assert!(sent.all(|is_sent| is_sent), "{limit_per_s}");
+        }
+    }
+}
