Stop sending to upstreams that announce in an answer that they leave

An upstream that leaves says so in all its answers; nothing read the header, so it got requests until the list showed it.

Cause and class: as with the waits, words of an upstream that no code reads. The answer goes before the list while the list shows the upstream as ready; it holds until the list shows that the upstream has returned: ready after it was leaving or missing. The state belongs to the entry of one ID and address. What an upstream announces is for instances, so callers do not get the header.

A wait ends with a new start that the list shows (missing, then cold); a gap in the list alone does not end it.

--- a/daemon/src/roles/answer_notices.rs
+++ b/daemon/src/roles/answer_notices.rs
@@ -1,10 +1,10 @@
-//! What upstreams say of themselves in the heads of their answers: a limit on their requests, and a
-//! time for which they want none. It is recorded for the load balancer, and changes are logged.
+//! What upstreams say of themselves in the heads of their answers: a limit on their requests, a time
+//! for which they want none, and that they leave. It is recorded for the load balancer, and changes are logged.
 
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderValue, StatusCode};
-use laburnumdeal_policy::steer::{LimitNotice, UpstreamKey, WaitNotice};
+use laburnumdeal_policy::steer::{LeavingNotice, LimitNotice, UpstreamKey, WaitNotice};
 use slog::{info, warn};
 use tokio::time::Instant;
 
@@ -25,6 +25,7 @@
 ) {
     record_limit(state, upstream, id, H::limit(headers));
     record_wait(state, upstream, id, H::wait(status, headers));
+    record_leaving(state, upstream, id, H::leaving(headers));
 }
 
 /// Logs a request that is sent although its upstream wants none, and counts it.
@@ -104,6 +105,32 @@
     }
 }
 
+/// Records that an upstream leaves, and logs the first answer that announces it.
+fn record_leaving(state: &EntryState, key: UpstreamKey, id: &HeaderValue, notice: LeavingNotice) {
+    if notice == LeavingNotice::Absent {
+        return;
+    }
+    let mut load_balancer = state.load_balancer();
+    let is_leaving = notice == LeavingNotice::Leaving;
+    if is_leaving && !load_balancer.record_leaving(key) {
+        return;
+    }
+    let upstream = load_balancer.endpoint(key).0.to_owned();
+    drop(load_balancer);
+    if is_leaving {
+        state.metrics.count_announced_leaving();
+    }
+    let Some(log) = state.log.limited(true) else {
+        return;
+    };
+    match is_leaving {
+        true => info!(log, "upstream announced that it leaves"; "upstream" => upstream,
+            "id" => text(id)),
+        false => warn!(log, "unreadable announcement of an upstream"; "upstream" => upstream,
+            "id" => text(id)),
+    }
+}
+
 fn text(id: &HeaderValue) -> String {
     String::from_utf8_lossy(id.as_bytes()).into_owned()
 }
--- a/daemon/src/roles/header_codec.rs
+++ b/daemon/src/roles/header_codec.rs
@@ -2,7 +2,7 @@
 
 use http::header::HeaderName;
 use http::{HeaderMap, HeaderValue, StatusCode};
-use laburnumdeal_policy::steer::{LimitNotice, UpstreamLoad, WaitNotice};
+use laburnumdeal_policy::steer::{LeavingNotice, LimitNotice, UpstreamLoad, WaitNotice};
 
 /// Names and value formats of the headers that an entry instance exchanges with callers and
 /// upstreams.
@@ -17,6 +17,9 @@
     /// ID of the only upstream that may run the request.
     const EXPECTED_UPSTREAM: HeaderName;
 
+    /// Header by which an upstream announces that it leaves. It is for instances, not for callers.
+    const LEAVING: HeaderName;
+
     /// Returns whether the headers of an answer say that the upstream did not run the request.
     fn reports_not_run(headers: &HeaderMap) -> bool;
 
@@ -30,6 +33,9 @@
     /// the headers of an answer.
     fn wait(status: StatusCode, headers: &HeaderMap) -> WaitNotice;
 
+    /// Returns whether the headers of an answer announce that the upstream leaves.
+    fn leaving(headers: &HeaderMap) -> LeavingNotice;
+
     /// Formats the delay after which a caller should retry, as the value of `Retry-After`.
     fn retry_after(delay: Duration) -> HeaderValue;
 }
--- a/daemon/src/roles/node_metrics.rs
+++ b/daemon/src/roles/node_metrics.rs
@@ -36,6 +36,7 @@
     limited_upstreams: Gauge,
     waits: Family<ResultLabels, Counter>,
     sent_in_wait: Counter,
+    announced_leaving: Counter,
     reaches_upstreams: Gauge,
     helped: Family<HelpLabels, Counter>,
     help_refused: Family<ReasonLabels, Counter>,
@@ -153,6 +154,12 @@
             "Attempts at upstreams that wanted no requests at that time",
             sent_in_wait.clone(),
         );
+        let announced_leaving = Counter::default();
+        registry.register(
+            "announced_leaving",
+            "Upstreams that announced in an answer that they leave, before the list showed it",
+            announced_leaving.clone(),
+        );
         let reaches_upstreams = Gauge::default();
         reaches_upstreams.set(1);
         registry.register(
@@ -189,6 +196,7 @@
             limited_upstreams,
             waits,
             sent_in_wait,
+            announced_leaving,
             reaches_upstreams,
             helped,
             help_refused,
@@ -285,6 +293,11 @@
         self.sent_in_wait.inc();
     }
 
+    /// Counts an upstream that announced that it leaves.
+    pub fn count_announced_leaving(&self) {
+        self.announced_leaving.inc();
+    }
+
     /// Sets whether upstreams can be connected to.
     pub fn set_reaches_upstreams(&self, reaches: bool) {
         self.reaches_upstreams.set(i64::from(reaches));
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -372,6 +372,7 @@
     let failed = status.is_server_error();
     let (mut parts, incoming) = response.into_parts();
     parts.headers = header::end_to_end(&parts.headers);
+    parts.headers.remove(H::LEAVING);
     let held_bytes = in_flight.state.link.held_answer_bytes();
     match receive(incoming, held_bytes, request.wait_until).await {
         Ok(ReceivedBody::Whole(bytes)) => {
--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -264,25 +264,25 @@
         self.entry(key).answered_at
     }
 
-    /// Returns whether an upstream has left the list without having been shown as leaving before.
+    /// Returns whether an upstream has left the list without notice.
     pub fn left_unannounced(&self, key: UpstreamKey) -> bool {
         let entry = self.entry(key);
-        !entry.is_listed && !entry.record.leaving
+        !entry.is_listed && !entry.is_leaving()
     }
 
-    /// Returns whether an upstream must get no further request: it left or leaves the list, or its
-    /// availability zone is evacuated.
+    /// Returns whether an upstream must get no further request: it left or leaves, or its availability
+    /// zone is evacuated.
     pub fn is_withdrawn(&self, key: UpstreamKey) -> bool {
         let entry = self.entry(key);
         let is_evacuated = self.evacuated_zones.contains(&entry.record.zone);
-        !entry.is_listed || entry.record.leaving || is_evacuated
+        !entry.is_in_service() || is_evacuated
     }
 
     /// Returns how many upstreams of a service are listed, and how many of them get no requests.
     pub fn service_reach(&self, service: &str, now: Instant) -> ServiceReach {
         let keys = self.by_service.get(service).map_or(&[][..], |keys| keys);
         let entries = keys.iter().map(|key| self.entry(*key));
-        let listed = entries.filter(|entry| entry.is_listed && !entry.record.leaving);
+        let listed = entries.filter(|entry| entry.is_in_service());
         let mut reach = ServiceReach::default();
         for entry in listed {
             reach.listed += 1;
@@ -380,6 +380,12 @@
         }
     }
 
+    /// Records that an answer announced that the upstream leaves; returns whether it was not known.
+    /// That holds until the list shows that the upstream has returned.
+    pub fn record_leaving(&mut self, key: UpstreamKey) -> bool {
+        self.entry_mut(key).announce_leaving()
+    }
+
     /// Returns the time for which an upstream still wants no requests from this instance.
     pub fn wait_left(&self, key: UpstreamKey, now: Instant) -> Duration {
         self.entry(key).wait.left(now)
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -14,6 +14,7 @@
 mod helper_instances;
 mod instance_record;
 mod instance_share;
+mod leaving_notice;
 mod limit_notice;
 mod link_capacity;
 mod load_balancer;
@@ -50,6 +51,7 @@
 pub use helper_instances::{HelperInstances, HelperKey, HelperOutcome};
 pub use instance_record::InstanceRecord;
 pub use instance_share::InstanceShare;
+pub use leaving_notice::LeavingNotice;
 pub use limit_notice::LimitNotice;
 pub use link_capacity::LinkCapacity;
 pub use load_balancer::{
--- a/policy/src/steer/region_weights.rs
+++ b/policy/src/steer/region_weights.rs
@@ -128,7 +128,7 @@
     /// return from them change the steady part as well.
     fn region_weight(&self, entry: &UpstreamEntry, now: Instant) -> RegionWeight {
         let has_failed = self.has_failed(entry);
-        let is_used = entry.is_listed && !entry.record.leaving && !has_failed;
+        let is_used = entry.is_in_service() && !has_failed;
         // The first shares are those of instances that run already, so all upstreams count whole.
         let is_first = !self.region_shares[entry.service.0 as usize].is_set();
         let fraction = match is_used {
--- a/policy/src/steer/upstream_entry.rs
+++ b/policy/src/steer/upstream_entry.rs
@@ -63,6 +63,8 @@
     limit_changed_at: Option<Instant>,
     /// Time for which the upstream wants no requests from this instance.
     pub wait: UpstreamWait,
+    /// Whether an answer to this instance announced that the upstream leaves.
+    has_announced_leaving: bool,
     cold_until: Option<Instant>,
     /// Failures to connect since the last answer. Above 0 the upstream may have restarted
     /// unnoticed, so that it counts as cold.
@@ -95,6 +97,7 @@
             own_limit: None,
             limit_changed_at: None,
             wait: UpstreamWait::default(),
+            has_announced_leaving: false,
             cold_until: None,
             connect_failures: 0,
             backoff_until: None,
@@ -109,6 +112,14 @@
 
     /// Updates the entry from its record in the list of upstreams.
     pub fn update_record(&mut self, record: &UpstreamRecord, now: Instant) {
+        let has_returned = !self.is_listed || (self.record.leaving && !record.leaving);
+        if has_returned {
+            self.has_announced_leaving = false;
+        }
+        // A new start under the same ID is cold; it has not asked for anything.
+        if !self.is_listed && record.cold_ms > 0 {
+            self.wait = UpstreamWait::default();
+        }
         if record.cold_ms > 0 {
             self.mark_cold_until(now + Duration::from_millis(record.cold_ms));
         }
@@ -127,9 +138,9 @@
     }
 
     /// Returns whether the upstream could not be reached since its last answer, or left the list
-    /// without having been shown as leaving before.
+    /// without notice.
     pub fn has_failed(&self) -> bool {
-        self.connect_failures > 0 || (!self.is_listed && !self.record.leaving)
+        self.connect_failures > 0 || (!self.is_listed && !self.is_leaving())
     }
 
     /// Returns whether the upstream could not be reached since its last answer.
@@ -148,7 +159,19 @@
 
     /// Returns whether the upstream is listed and stays.
     pub fn is_in_service(&self) -> bool {
-        self.is_listed && !self.record.leaving
+        self.is_listed && !self.is_leaving()
+    }
+
+    /// Returns whether the list shows the upstream as leaving, or it announced that in an answer.
+    pub fn is_leaving(&self) -> bool {
+        self.record.leaving || self.has_announced_leaving
+    }
+
+    /// Records that an answer announced that the upstream leaves; returns whether it was not known.
+    pub fn announce_leaving(&mut self) -> bool {
+        let was_known = self.is_leaving();
+        self.has_announced_leaving = true;
+        !was_known
     }
 
     pub fn accepts_requests(&self, now: Instant) -> bool {
--- a/policy/tests/steer/waits.rs
+++ b/policy/tests/steer/waits.rs
@@ -197,3 +197,46 @@
     assert_eq!(delays[3], Duration::from_secs(5));
     assert_eq!(spread_delay(Duration::from_secs(600), 1.0).as_secs(), 601);
 }
+
+/// Guards against DRAIN: requests go to an upstream that announced that it leaves, until the list
+/// shows it; and against one that gets none after it has returned.
+#[test]
+fn record_leaving_holds_until_the_list_shows_that_it_returned() {
+    let start = Instant::now();
+    let key = UpstreamKey(0);
+    let records = |leaving| {
+        let mut first = upstream(0, "a1", 9);
+        first.leaving = leaving;
+        [first, upstream(1, "a1", 9)]
+    };
+    let mut balancer = two_upstreams(start);
+    assert!(balancer.record_leaving(key));
+    assert!(!balancer.record_leaving(key), "it is known");
+    balancer.update_upstreams(&records(false), start);
+    assert!(balancer.is_withdrawn(key), "the list is late");
+    balancer.update_upstreams(&records(true), start);
+    balancer.update_upstreams(&records(false), start);
+    assert!(!balancer.is_withdrawn(key));
+    balancer.record_leaving(key);
+    balancer.update_upstreams(&records(false)[1..], start);
+    assert!(!balancer.left_unannounced(key), "it is no crash");
+    balancer.update_upstreams(&records(false), start);
+    assert!(!balancer.is_withdrawn(key));
+}
+
+/// Guards against a wait of an earlier start under the same ID, and against one that a gap in the
+/// list ends early.
+#[test]
+fn update_upstreams_new_start_under_the_id_does_not_wait() {
+    let start = Instant::now();
+    let key = UpstreamKey(0);
+    for (cold_ms, left_s) in [(2_000, 0), (0, 5)] {
+        let mut balancer = two_upstreams(start);
+        balancer.record_wait(key, wait(5.0), start);
+        balancer.update_upstreams(&[upstream(1, "a1", 9)], start);
+        let mut returned = upstream(0, "a1", 9);
+        returned.cold_ms = cold_ms;
+        balancer.update_upstreams(&[returned, upstream(1, "a1", 9)], start);
+        assert_eq!(balancer.wait_left(key, start), Duration::from_secs(left_s));
+    }
+}
