Read what an answer says of its upstream after the timeout

An upstream rejects a request in its queue when its time is over; from another region that answer comes later than the 60 ms for which it is waited beyond the deadline. The connection was closed then, so the wait, limit and leaving in it were not read, and the next requests went to the same upstream.

The answer is now read for 250 ms more, for its head only. The caller has its answer before, and the upstream has stopped work at the deadline. No request is sent in that time: one that has not gone out by the timeout is given up. Answers to callers that left are still not read, since only closing the connection stops the upstream.

The load in a 421 is no longer recorded: it is that of another upstream.

Failed before: forward_after_a_wait_in_an_unusual_answer_sends_nothing, for the late answer (with the time set to 0); the two other kinds passed.

--- a/daemon/src/connection.rs
+++ b/daemon/src/connection.rs
@@ -93,13 +93,28 @@
         request: Request<RequestBody>,
         deadline: Instant,
     ) -> Result<Response<Incoming>, ExchangeError> {
-        match tokio::time::timeout_at(deadline, self.sender.ready()).await {
-            Ok(Ok(())) => {}
-            Ok(Err(_)) | Err(_) => return Err(ExchangeError::NotSent),
+        self.send_and_wait(request, deadline, deadline).await
+    }
+
+    /// Sends a request by `send_by`, and returns the head of its answer as [`send`](Self::send)
+    /// does if it arrives by `answer_by`.
+    ///
+    /// # Errors
+    ///
+    /// The same as those of [`send`](Self::send).
+    pub async fn send_and_wait(
+        &mut self,
+        request: Request<RequestBody>,
+        send_by: Instant,
+        answer_by: Instant,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        match tokio::time::timeout_at(send_by, self.sender.ready()).await {
+            Ok(Ok(())) if Instant::now() < send_by => {}
+            _ => return Err(ExchangeError::NotSent),
         }
         self.head_budget.start();
         let sending = self.sender.try_send_request(request);
-        match tokio::time::timeout_at(deadline, sending).await {
+        match tokio::time::timeout_at(answer_by, sending).await {
             Ok(Ok(response)) => {
                 self.head_budget.stop();
                 self.mark_active();
--- a/daemon/src/exchange_guard.rs
+++ b/daemon/src/exchange_guard.rs
@@ -65,6 +65,11 @@
         &mut self.connection
     }
 
+    /// Returns the pool that the connection belongs to.
+    pub fn pool(&self) -> &ConnectionPool {
+        &self.pool
+    }
+
     /// Ends a complete exchange: the connection may carry the next one.
     pub fn complete(self) {
         if let Some(attempt) = self.attempt {
--- a/daemon/src/roles/answer_notices.rs
+++ b/daemon/src/roles/answer_notices.rs
@@ -1,5 +1,5 @@
-//! What upstreams say of themselves in the heads of their answers: a limit on their requests, a time
-//! for which they want none, and that they leave. It is recorded for the load balancer, and changes are logged.
+//! What upstreams say of themselves in the heads of their answers: their load, a limit on their
+//! requests, a time for which they want none, and that they leave. It is recorded for the load balancer, and changes are logged.
 
 use std::time::Duration;
 
@@ -23,6 +23,10 @@
     status: StatusCode,
     headers: &HeaderMap,
 ) {
+    if let Some(load) = H::load(headers) {
+        let mut load_balancer = state.load_balancer();
+        load_balancer.record_load(upstream, load, Instant::now());
+    }
     record_limit(state, upstream, id, H::limit(headers));
     record_wait(state, upstream, id, H::wait(status, headers));
     record_leaving(state, upstream, id, H::leaving(headers));
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -8,7 +8,7 @@
 use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use laburnumdeal_policy::steer::{AttemptOutcome, Decision, RequestFingerprints};
+use laburnumdeal_policy::steer::{AttemptOutcome, Decision, RequestFingerprints, UpstreamKey};
 use slog::info;
 use tokio::time::Instant;
 
@@ -30,6 +30,10 @@
 /// Longest answer of an upstream.
 pub(super) const MAX_ANSWER_BYTES: u64 = 1024 * 1024 * 1024;
 
+/// Time after the timeout of a request for which its answer is still read, for what the upstream says
+/// of itself. The upstream stops work at the deadline, so that this takes none of its time.
+const LATE_ANSWER_WAIT: Duration = Duration::from_millis(250);
+
 /// Interval at which an upstream is checked for a crash while an attempt waits for its answer.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 
@@ -310,15 +314,15 @@
 
 async fn exchange<H: HeaderCodec>(
     mut in_flight: InFlightAttempt,
-    mut guard: ExchangeGuard,
+    guard: ExchangeGuard,
     request: &AttemptRequest,
     message: Request<RequestBody>,
 ) -> AttemptResult {
     in_flight.is_sent = true;
     answer_notices::check_wait(&in_flight.state, in_flight.decision.upstream, &request.id);
-    let sent = send(&in_flight, &mut guard, message, request.wait_until).await;
-    let response = match sent {
-        Ok(response) => response,
+    let sent = send::<H>(&in_flight, guard, message, request.wait_until).await;
+    let (response, mut guard) = match sent {
+        Ok(answered) => answered,
         Err(ExchangeError::NotSent | ExchangeError::Refused(_)) => {
             in_flight.is_sent = false;
             return AttemptResult::NotRun {
@@ -331,19 +335,15 @@
             return unknown("the connection broke before the answer", false, true);
         }
         Err(ExchangeError::TimedOut) => {
-            guard.timed_out();
             in_flight.outcome = AttemptOutcome::TimedOut;
             return unknown("no answer in time", true, false);
         }
     };
-    if response.headers().get(H::REQUEST_ID) != Some(&request.id) {
+    let upstream = in_flight.decision.upstream;
+    if !record_notices::<H>(&in_flight.state, upstream, &request.id, &response) {
         in_flight.outcome = AttemptOutcome::Broken;
         return unknown("the answer belongs to another request", false, false);
     }
-    if let Some(load) = H::load(response.headers()) {
-        let mut load_balancer = in_flight.state.load_balancer();
-        load_balancer.record_load(in_flight.decision.upstream, load, Instant::now());
-    }
     let status = response.status();
     if status == StatusCode::MISDIRECTED_REQUEST {
         in_flight.outcome = AttemptOutcome::WrongUpstream;
@@ -352,13 +352,6 @@
             arrived: true,
         };
     }
-    answer_notices::record::<H>(
-        &in_flight.state,
-        in_flight.decision.upstream,
-        &request.id,
-        status,
-        response.headers(),
-    );
     if H::reports_not_run(response.headers()) && !status.is_success() {
         in_flight.outcome = AttemptOutcome::Shed;
         guard.connection().record_refused(request.id.clone());
@@ -404,17 +397,24 @@
 /// Sends a request and returns the head of its answer. While there is none, the upstream is checked
 /// for a crash at intervals: one that ended silently is not told from a slow one otherwise before
 /// the timeout of the request.
-async fn send(
+async fn send<H: HeaderCodec>(
     in_flight: &InFlightAttempt,
-    guard: &mut ExchangeGuard,
+    mut guard: ExchangeGuard,
     message: Request<RequestBody>,
     wait_until: Instant,
-) -> Result<Response<Incoming>, ExchangeError> {
-    let sending = guard.connection().send(message, wait_until);
-    tokio::pin!(sending);
+) -> Result<(Response<Incoming>, ExchangeGuard), ExchangeError> {
+    let (pool, opened_at) = (guard.pool().clone(), guard.connection().opened_at());
+    let late_until = wait_until + LATE_ANSWER_WAIT;
+    let mut sending = Box::pin(async move {
+        let connection = guard.connection();
+        let sent = connection.send_and_wait(message, wait_until, late_until);
+        sent.await.map(|response| (response, guard))
+    });
     loop {
-        match tokio::time::timeout(SILENCE_CHECK_INTERVAL, sending.as_mut()).await {
+        let check_at = wait_until.min(Instant::now() + SILENCE_CHECK_INTERVAL);
+        match tokio::time::timeout_at(check_at, sending.as_mut()).await {
             Ok(sent) => return sent,
+            Err(_) if Instant::now() >= wait_until => break,
             Err(_) => crash_checks::start_if_due(
                 &in_flight.state,
                 in_flight.decision.upstream,
@@ -422,6 +422,31 @@
             ),
         }
     }
+    pool.retire(opened_at);
+    let (state, upstream) = (in_flight.state.clone(), in_flight.decision.upstream);
+    let id = in_flight.id.clone();
+    tokio::spawn(async move {
+        if let Ok((response, _)) = sending.await {
+            record_notices::<H>(&state, upstream, &id, &response);
+        }
+    });
+    Err(ExchangeError::TimedOut)
+}
+
+/// Records what an answer says of its upstream; returns whether it is the answer to the request `id`
+/// by the upstream that was asked.
+fn record_notices<H: HeaderCodec>(
+    state: &EntryState,
+    upstream: UpstreamKey,
+    id: &HeaderValue,
+    response: &Response<Incoming>,
+) -> bool {
+    let (status, headers) = (response.status(), response.headers());
+    let is_own = headers.get(H::REQUEST_ID) == Some(id);
+    if is_own && status != StatusCode::MISDIRECTED_REQUEST {
+        answer_notices::record::<H>(state, upstream, id, status, headers);
+    }
+    is_own
 }
 
 /// Body of an answer, as far as it was received before its first byte goes to the caller.
