Tell callers their own time to return, not that of one upstream

An upstream's 503 that does not say that the request did not run goes to the caller; with it went its Retry-After, which is what the upstream asks of the instance. The caller stayed away for that time although another upstream had room.

The value is replaced: none while another upstream accepts requests, otherwise the time until the first wait ends, spread as for rejections. The status, body and other headers are the upstream's.

--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -1,7 +1,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{Response, StatusCode};
+use http::header::RETRY_AFTER;
+use http::{HeaderMap, Response, StatusCode};
 use laburnumdeal_policy::steer::{
     Decision, RequestContext, Route, Selection, UpstreamKey, spread_delay,
 };
@@ -196,12 +197,26 @@
         None
     }
 
+    /// Replaces the time that an upstream names for this instance by the one that holds for callers:
+    /// none if another upstream accepts requests.
+    fn replace_retry_after<H: HeaderCodec>(&self, headers: &mut HeaderMap) {
+        headers.remove(RETRY_AFTER);
+        if let Some(delay) = self.wait_of_all() {
+            headers.insert(RETRY_AFTER, H::retry_after(delay));
+        }
+    }
+
     /// Returns the time after which the caller should retry: the default one, or that until the
     /// first upstream accepts requests, if all have asked to wait.
     fn retry_after(&self) -> Duration {
+        self.wait_of_all().unwrap_or(DEFAULT_RETRY_AFTER)
+    }
+
+    /// Returns the time after which the caller should retry if all upstreams have asked to wait.
+    fn wait_of_all(&self) -> Option<Duration> {
         match self.choose_among(&[]) {
-            Selection::Waiting { retry_after } => spread_delay(retry_after, rand::random()),
-            _ => DEFAULT_RETRY_AFTER,
+            Selection::Waiting { retry_after } => Some(spread_delay(retry_after, rand::random())),
+            _ => None,
         }
     }
 
@@ -249,7 +264,7 @@
         let metrics = &self.state.metrics;
         metrics.count_attempt(self.service, region, outcome);
         match result {
-            AttemptResult::Answer(response) => self.on_answer(response, is_replayable),
+            AttemptResult::Answer(response) => self.on_answer::<H>(response, is_replayable),
             AttemptResult::NotRun { reason, arrived } => {
                 self.count_arrival(arrived, is_retry);
                 self.on_not_run(reason, is_replayable)
@@ -268,13 +283,16 @@
         }
     }
 
-    fn on_answer(
+    fn on_answer<H: HeaderCodec>(
         &mut self,
-        response: Response<AnswerBody>,
+        mut response: Response<AnswerBody>,
         is_replayable: bool,
     ) -> Option<ForwardOutcome> {
         let is_retry = self.progress.arrivals > 0;
         self.count_arrival(true, is_retry);
+        if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+            self.replace_retry_after::<H>(response.headers_mut());
+        }
         let failed = response.status() == StatusCode::INTERNAL_SERVER_ERROR;
         if failed && self.may_retry(is_replayable) {
             self.progress.failure = Some(response);
