--- a/daemon/src/roles/answer_notices.rs
+++ b/daemon/src/roles/answer_notices.rs
@@ -1,5 +1,6 @@
 //! What upstreams say of themselves in the heads of their answers: their load, a limit on their
-//! requests, a time for which they want none, and that they leave. It is recorded for the load balancer, and changes are logged.
+//! requests, a time for which they want none, and that they leave. It is recorded for the load
+//! balancer, and changes are logged.
 
 use std::time::Duration;
 
