--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,6 +11,7 @@
 mod operator;
 mod record;
 mod upstream;
+mod weights;
 
 use record::Record;
 
@@ -27,6 +28,7 @@
         "long-body" => long_body::run,
         "long-log" => long_log::run,
         "memory" => memory::run,
+        "weights" => weights::run,
         _ => std::process::exit(2),
     };
     let result = std::panic::catch_unwind(|| run(&record, trouble));
