--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -25,8 +25,11 @@
 "cloud":{"address":"CLOUD","rate_per_s":47.0,"duties":[],"max_lag_s":0.8}}"#;
 
 /// Zones with their regions; machine N is in zone N modulo their number.
-pub const ZONES: [(&str, &str); 3] =
-    [("cairo-nasr", "cairo"), ("alex-smouha", "alex"), ("delta-tanta", "delta")];
+pub const ZONES: [(&str, &str); 3] = [
+    ("cairo-nasr", "cairo"),
+    ("alex-smouha", "alex"),
+    ("delta-tanta", "delta"),
+];
 
 pub struct Node {
     pub name: String,
@@ -44,7 +47,9 @@
     pub fn memory_kib(&self) -> u64 {
         let id = self.child.as_ref().map_or(0, Child::id);
         let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-        let mut lines = status.lines().filter_map(|line| line.strip_prefix("VmRSS:"));
+        let mut lines = status
+            .lines()
+            .filter_map(|line| line.strip_prefix("VmRSS:"));
         let number = lines.next().and_then(|text| text.split_whitespace().next());
         number.and_then(|number| number.parse().ok()).unwrap_or(0)
     }
@@ -142,7 +147,12 @@
     }
 
     pub fn start_all(&mut self) {
-        let seeds: Vec<SocketAddr> = self.controls.iter().take(3).map(|node| node.address).collect();
+        let seeds: Vec<SocketAddr> = self
+            .controls
+            .iter()
+            .take(3)
+            .map(|node| node.address)
+            .collect();
         for number in 0..self.controls.len() {
             self.start(false, number, &seeds, true);
         }
@@ -153,7 +163,11 @@
 
     fn start(&mut self, is_entry: bool, number: usize, seeds: &[SocketAddr], bootstrap: bool) {
         let (folder, list_address) = (self.folder.clone(), self.list_address);
-        let node = if is_entry { &mut self.entries[number] } else { &mut self.controls[number] };
+        let node = if is_entry {
+            &mut self.entries[number]
+        } else {
+            &mut self.controls[number]
+        };
         let (address, second) = (node.address, node.second_address);
         let listen = match is_entry {
             true => format!(r#"{{"front":"{address}","ready":"{second}"}}"#),
@@ -168,7 +182,14 @@
             .replace("NAME", &node.name)
             .replace("ROLE", if is_entry { "entry" } else { "control" })
             .replace("CLASS", if is_entry { "edge" } else { "core" })
-            .replace("SERVES", if is_entry { r#"["edge"]"# } else { r#"["control_plane","directory"]"# })
+            .replace(
+                "SERVES",
+                if is_entry {
+                    r#"["edge"]"#
+                } else {
+                    r#"["control_plane","directory"]"#
+                },
+            )
             .replace("\"IP\"", &format!("\"{}\"", node.ip))
             .replace("ZONE", ZONES[node.zone].0)
             .replace("REGION", ZONES[node.zone].1)
@@ -176,7 +197,14 @@
             .replace("SEEDS", &format!("[{}]", seeds.join(",")))
             .replace("BOOTSTRAP", &bootstrap.to_string())
             .replace("COUNTED", &(!is_entry).to_string())
-            .replace("DATA", &if is_entry { "null".to_owned() } else { format!("{data:?}") })
+            .replace(
+                "DATA",
+                &if is_entry {
+                    "null".to_owned()
+                } else {
+                    format!("{data:?}")
+                },
+            )
             .replace("CLOUD", &list_address.to_string());
         let settings = folder.join(format!("{}.json", node.name));
         std::fs::write(&settings, text).expect("the settings can be written");
@@ -187,19 +215,31 @@
             .expect("the log can be written");
         // The command of the deploy file, with the environment that its page describes.
         let mut command = Command::new("target/release/laburnumdeald");
-        command.env_clear().env("LABURNUMDEAL_BOOT", &settings).stdin(Stdio::null());
+        command
+            .env_clear()
+            .env("LABURNUMDEAL_BOOT", &settings)
+            .stdin(Stdio::null());
         for name in ["PATH", "HOME", "LANG"] {
             if let Some(value) = std::env::var_os(name) {
                 command.env(name, value);
             }
         }
-        command.stdout(log.try_clone().expect("a descriptor is free")).stderr(log);
+        command
+            .stdout(log.try_clone().expect("a descriptor is free"))
+            .stderr(log);
         match command.spawn() {
             Ok(child) => {
-                self.record.line(format!("{} started with process id {}", node.name, child.id()));
+                self.record.line(format!(
+                    "{} started with process id {}",
+                    node.name,
+                    child.id()
+                ));
                 node.child = Some(child);
             }
-            Err(error) => unusable(&self.record, &format!("{} does not start: {error}", node.name)),
+            Err(error) => unusable(
+                &self.record,
+                &format!("{} does not start: {error}", node.name),
+            ),
         }
     }
 
@@ -222,7 +262,12 @@
 
     /// Starts a control instance again.
     pub fn restart_control(&mut self, number: usize) {
-        let seeds: Vec<SocketAddr> = self.controls.iter().take(3).map(|node| node.address).collect();
+        let seeds: Vec<SocketAddr> = self
+            .controls
+            .iter()
+            .take(3)
+            .map(|node| node.address)
+            .collect();
         self.start(false, number, &seeds, false);
     }
 
@@ -251,7 +296,9 @@
             let to = self.controls[turn % self.controls.len()].address;
             let answer = http::call(to, &request, Duration::from_secs(1));
             let status = answer.as_ref().map_or(0, http::Message::status);
-            self.record.line(format!("operator sends the first configuration to {to}: {status}"));
+            self.record.line(format!(
+                "operator sends the first configuration to {to}: {status}"
+            ));
             if status != 200 {
                 std::thread::sleep(Duration::from_millis(300));
             }
@@ -303,15 +350,23 @@
         while let Some(request) = connection.read_message() {
             let zone = request.path().split("zone=").nth(1).map(str::to_owned);
             let list = list.lock().expect("no holder panics").clone();
-            let zones = ZONES.iter().filter(|(name, _)| zone.as_ref().is_none_or(|z| z == name));
+            let zones = ZONES
+                .iter()
+                .filter(|(name, _)| zone.as_ref().is_none_or(|z| z == name));
             let tables: Vec<String> = zones
                 .map(|(name, _)| {
-                    let own: Vec<&str> =
-                        list.iter().filter(|(z, _)| z == name).map(|(_, e)| e.as_str()).collect();
+                    let own: Vec<&str> = list
+                        .iter()
+                        .filter(|(z, _)| z == name)
+                        .map(|(_, e)| e.as_str())
+                        .collect();
                     format!("\"{name}\":[{}]", own.join(","))
                 })
                 .collect();
-            let body = format!("{{\"instances\":{{{}}},\"next_page_token\":null}}", tables.join(","));
+            let body = format!(
+                "{{\"instances\":{{{}}},\"next_page_token\":null}}",
+                tables.join(",")
+            );
             let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
             let answer = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
             if connection.write(answer.as_bytes()).is_err() {
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -19,7 +19,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let mut matching = self.headers.iter().filter(|(other, _)| other.eq_ignore_ascii_case(name));
+        let mut matching = self
+            .headers
+            .iter()
+            .filter(|(other, _)| other.eq_ignore_ascii_case(name));
         matching.next().map(|(_, value)| value.as_str())
     }
 
@@ -28,7 +31,11 @@
     }
 
     pub fn status(&self) -> u16 {
-        self.start.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
+        self.start
+            .split(' ')
+            .nth(1)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -40,7 +47,9 @@
 impl Connection {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { reader: BufReader::new(stream) }
+        Self {
+            reader: BufReader::new(stream),
+        }
     }
 
     pub fn open(address: SocketAddr, timeout: Duration) -> std::io::Result<Self> {
@@ -69,7 +78,9 @@
                 (false, true) => message.start = line.to_owned(),
                 (false, false) => {
                     let (name, value) = line.split_once(':').unwrap_or((line, ""));
-                    message.headers.push((name.to_owned(), value.trim().to_owned()));
+                    message
+                        .headers
+                        .push((name.to_owned(), value.trim().to_owned()));
                 }
             }
         }
@@ -77,12 +88,17 @@
 
     /// Reads the body that follows a head.
     pub fn read_body(&mut self, message: &mut Message) {
-        let is_chunked = message.header("transfer-encoding").is_some_and(|v| v.contains("chunked"));
+        let is_chunked = message
+            .header("transfer-encoding")
+            .is_some_and(|v| v.contains("chunked"));
         if is_chunked {
             message.is_cut = self.read_chunks(&mut message.body).is_none();
             return;
         }
-        let length = message.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let length = message
+            .header("content-length")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         let mut body = Vec::new();
         let read = self.reader.by_ref().take(length).read_to_end(&mut body);
         message.is_cut = read.is_err() || body.len() as u64 != length;
@@ -122,7 +138,9 @@
 /// Returns a request with a body of a known length.
 pub fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut text = format!("{method} {path} HTTP/1.1\r\n");
-    headers.iter().for_each(|(name, value)| text += &format!("{name}: {value}\r\n"));
+    headers
+        .iter()
+        .for_each(|(name, value)| text += &format!("{name}: {value}\r\n"));
     if !body.is_empty() || !matches!(method, "GET" | "DELETE") {
         text += &format!("Content-Length: {}\r\n", body.len());
     }
@@ -133,7 +151,9 @@
 /// Returns a request with a body in chunks.
 pub fn chunked_request(method: &str, path: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let mut bytes = format!("{method} {path} HTTP/1.1\r\n").into_bytes();
-    let lines = headers.iter().map(|(name, value)| format!("{name}: {value}\r\n"));
+    let lines = headers
+        .iter()
+        .map(|(name, value)| format!("{name}: {value}\r\n"));
     lines.for_each(|line| bytes.extend_from_slice(line.as_bytes()));
     bytes.extend_from_slice(b"Transfer-Encoding: chunked\r\n\r\n");
     for chunk in body.chunks(16 * 1024) {
--- a/review/standin/long_body.rs
+++ b/review/standin/long_body.rs
@@ -29,18 +29,30 @@
         ];
         let body = vec![b'a' + object as u8; BODY_BYTES];
         let request = http::chunked_request("POST", "/unsafe/charge", &headers, &body);
-        record.line(format!("client sends request {id} with {BODY_BYTES} bytes in chunks"));
-        let answer = http::call(deployment.entries[0].address, &request, Duration::from_secs(4));
+        record.line(format!(
+            "client sends request {id} with {BODY_BYTES} bytes in chunks"
+        ));
+        let answer = http::call(
+            deployment.entries[0].address,
+            &request,
+            Duration::from_secs(4),
+        );
         let status = answer.as_ref().map_or(0, http::Message::status);
         record.line(format!("client gets {status} for request {id}"));
         let runs = upstreams.runs.lock().expect("no holder panics");
-        let run = runs.iter().find(|run| run.request.header("x-request-id") == Some(&id));
+        let run = runs
+            .iter()
+            .find(|run| run.request.header("x-request-id") == Some(&id));
         run.map(|run| run.server.clone()).unwrap_or_default()
     };
     let servers: Vec<String> = (0..OBJECTS).map(&mut send).collect();
     // The server that most objects go to.
     let count = |id: &String| servers.iter().filter(|other| *other == id).count();
-    let crashed = servers.iter().max_by_key(|id| count(id)).cloned().unwrap_or_default();
+    let crashed = servers
+        .iter()
+        .max_by_key(|id| count(id))
+        .cloned()
+        .unwrap_or_default();
     std::thread::sleep(Duration::from_secs(1));
     if trouble {
         upstreams.crash(&crashed);
@@ -58,7 +70,10 @@
     let mut is_broken = false;
     for run in upstreams.runs.lock().expect("no holder panics").iter() {
         let id = run.request.header("x-request-id").unwrap_or("");
-        let sent = run.request.header("x-affinity-key").and_then(|key| key.parse::<u8>().ok());
+        let sent = run
+            .request
+            .header("x-affinity-key")
+            .and_then(|key| key.parse::<u8>().ok());
         let is_own = |byte: &u8| Some(*byte) == sent.map(|object| b'a' + object);
         if run.request.body.len() != BODY_BYTES || !run.request.body.iter().all(is_own) {
             is_broken = true;
--- a/review/standin/long_log.rs
+++ b/review/standin/long_log.rs
@@ -17,7 +17,11 @@
 pub fn run(record: &Record, trouble: bool) -> bool {
     let mut deployment = Deployment::started(3, 1, 3, record).0;
     let operator = Operator {
-        controls: deployment.controls.iter().map(|node| node.address).collect(),
+        controls: deployment
+            .controls
+            .iter()
+            .map(|node| node.address)
+            .collect(),
         record: record.clone(),
         changes: CHANGES,
         routes: ROUTES,
@@ -40,7 +44,10 @@
     record.line("CONFIG: what was acknowledged cannot be read back");
     for number in 0..3 {
         let name = &deployment.controls[number].name;
-        record.line(format!("last lines of {name}:\n{}", deployment.log_tail(name, 10)));
+        record.line(format!(
+            "last lines of {name}:\n{}",
+            deployment.log_tail(name, 10)
+        ));
     }
     true
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -23,7 +23,14 @@
     };
     let record = Record::create(path);
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    record.line(format!("case {case}, {}", if trouble { "with the disruption" } else { "without" }));
+    record.line(format!(
+        "case {case}, {}",
+        if trouble {
+            "with the disruption"
+        } else {
+            "without"
+        }
+    ));
     let run: fn(&Record, bool) -> bool = match case.as_str() {
         "long-body" => long_body::run,
         "long-log" => long_log::run,
--- a/review/standin/memory.rs
+++ b/review/standin/memory.rs
@@ -23,7 +23,11 @@
 pub fn run(record: &Record, trouble: bool) -> bool {
     let mut deployment = Deployment::started(3, 1, 3, record).0;
     let operator = Operator {
-        controls: deployment.controls.iter().map(|node| node.address).collect(),
+        controls: deployment
+            .controls
+            .iter()
+            .map(|node| node.address)
+            .collect(),
         record: record.clone(),
         changes: CHANGES,
         routes: if trouble { ROUTES } else { 1 },
@@ -35,7 +39,9 @@
             let used_kib = deployment.controls[number].memory_kib();
             most_kib[number] = most_kib[number].max(used_kib);
             if used_kib > MEMORY_KIB {
-                record.line(format!("core-{number} uses {used_kib} KiB, over its {MEMORY_KIB}"));
+                record.line(format!(
+                    "core-{number} uses {used_kib} KiB, over its {MEMORY_KIB}"
+                ));
                 deployment.kill_control(number);
                 std::thread::sleep(RESTART_DELAY);
                 deployment.restart_control(number);
@@ -54,8 +60,12 @@
     while std::time::Instant::now() < until {
         watch(&mut deployment);
     }
-    record.line(format!("{acknowledged} of {CHANGES} changes are acknowledged"));
-    record.line(format!("ends for memory: {ends:?}; most used, KiB: {most_kib:?}"));
+    record.line(format!(
+        "{acknowledged} of {CHANGES} changes are acknowledged"
+    ));
+    record.line(format!(
+        "ends for memory: {ends:?}; most used, KiB: {most_kib:?}"
+    ));
     let is_broken = ends.iter().filter(|ends| **ends >= ENDS).count() * 2 >= ends.len();
     if is_broken {
         record.line("Fault: on half of the core, processes end for memory three times or more");
--- a/review/standin/operator.rs
+++ b/review/standin/operator.rs
@@ -32,7 +32,10 @@
             )
         };
         let routes: Vec<String> = (0..self.routes).map(route).collect();
-        format!(r#"{{"upsert":{{"routes":{{{}}}}},"remove":{{"routes":[]}}}}"#, routes.join(","))
+        format!(
+            r#"{{"upsert":{{"routes":{{{}}}}},"remove":{{"routes":[]}}}}"#,
+            routes.join(",")
+        )
     }
 
     /// Sends a request to the control instances in turn until one answers 200.
@@ -66,7 +69,9 @@
                 let change = self.change(version);
                 let request = http::request("PATCH", "/config", &headers, change.as_bytes());
                 let Some((by, _)) = self.until_success(&request) else {
-                    self.record.line(format!("version {version} is not acknowledged in {PATIENCE:?}"));
+                    self.record.line(format!(
+                        "version {version} is not acknowledged in {PATIENCE:?}"
+                    ));
                     next.store(self.changes, Ordering::Relaxed);
                     return;
                 };
@@ -91,12 +96,15 @@
         let last = FIRST_VERSION + self.changes - 1;
         let request = http::request("GET", "/config", &[("Host", "control")], b"");
         let Some((by, answer)) = self.until_success(&request) else {
-            self.record.line(format!("operator reads the configuration for {PATIENCE:?}, and gets none"));
+            self.record.line(format!(
+                "operator reads the configuration for {PATIENCE:?}, and gets none"
+            ));
             return false;
         };
         let text = String::from_utf8_lossy(&answer.body).into_owned();
         let count = text.matches(&format!("\"version\":{last}")).count();
-        self.record.line(format!("{by} shows {count} routes of version {last}"));
+        self.record
+            .line(format!("{by} shows {count} routes of version {last}"));
         count == self.routes
     }
 }
--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -14,7 +14,10 @@
 impl Record {
     pub fn create(path: &str) -> Self {
         let file = File::create(path).expect("the record can be written");
-        Self { file: Arc::new(Mutex::new(file)), started_at: Instant::now() }
+        Self {
+            file: Arc::new(Mutex::new(file)),
+            started_at: Instant::now(),
+        }
     }
 
     pub fn line(&self, text: impl AsRef<str>) {
--- a/review/standin/upstream.rs
+++ b/review/standin/upstream.rs
@@ -27,7 +27,11 @@
 
 impl Upstreams {
     pub fn new(record: Record) -> Self {
-        Self { runs: Arc::default(), record, serving: Arc::default() }
+        Self {
+            runs: Arc::default(),
+            record,
+            serving: Arc::default(),
+        }
     }
 
     /// Starts a server and returns its address.
@@ -37,7 +41,10 @@
         let (own, id) = (self.clone(), id.to_owned());
         let name = id.clone();
         let serving = http::serve(listener, move |connection| own.serve(&name, connection));
-        self.serving.lock().expect("no holder panics").insert(id, serving);
+        self.serving
+            .lock()
+            .expect("no holder panics")
+            .insert(id, serving);
         address
     }
 
@@ -66,7 +73,11 @@
                 "request {request_id} {} with {} bytes{}",
                 request.start,
                 request.body.len(),
-                if request.is_cut { " of a body that broke off" } else { "" }
+                if request.is_cut {
+                    " of a body that broke off"
+                } else {
+                    ""
+                }
             );
             if request.is_cut {
                 self.record.line(format!("{id} does not run {shown}"));
@@ -75,13 +86,20 @@
             let head = format!("X-Request-Id: {request_id}\r\nX-Server-Load: 1,0,8\r\n");
             let expected = request.header("x-expect-instance").unwrap_or(id).to_owned();
             let answer = if expected != id {
-                format!("HTTP/1.1 421 Misdirected Request\r\n{head}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+                format!(
+                    "HTTP/1.1 421 Misdirected Request\r\n{head}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                )
             } else {
                 self.record.line(format!("{id} runs {shown}"));
-                let run = Run { server: id.to_owned(), request: request.clone() };
+                let run = Run {
+                    server: id.to_owned(),
+                    request: request.clone(),
+                };
                 self.runs.lock().expect("no holder panics").push(run);
                 std::thread::sleep(RUN_TIME);
-                format!("HTTP/1.1 200 OK\r\n{head}X-Server-Stamp: {id}.{request_id}\r\nContent-Length: 3\r\n\r\nok\n")
+                format!(
+                    "HTTP/1.1 200 OK\r\n{head}X-Server-Stamp: {id}.{request_id}\r\nContent-Length: 3\r\n\r\nok\n"
+                )
             };
             if connection.write(answer.as_bytes()).is_err() {
                 return;
--- a/review/standin/weights.rs
+++ b/review/standin/weights.rs
@@ -28,7 +28,10 @@
         )
     };
     let routes: Vec<String> = (0..ROUTES).map(route).collect();
-    let body = format!(r#"{{"upsert":{{"routes":{{{}}}}},"remove":{{"routes":[]}}}}"#, routes.join(","));
+    let body = format!(
+        r#"{{"upsert":{{"routes":{{{}}}}},"remove":{{"routes":[]}}}}"#,
+        routes.join(",")
+    );
     let headers = [("Host", "control"), ("Content-Type", "application/json")];
     let request = http::request("PATCH", "/config", &headers, body.as_bytes());
     let read = http::request("GET", "/config", &[("Host", "control")], b"");
@@ -50,13 +53,18 @@
     for number in 0..ROUTES {
         let own = text.split(&format!("\"r-{number}\":")).nth(1).unwrap_or("");
         let weights = own.split("\"weight\":").skip(1);
-        let mut numbers = weights.filter_map(|text| text.split(['}', ',']).next()?.parse::<f64>().ok());
+        let mut numbers =
+            weights.filter_map(|text| text.split(['}', ',']).next()?.parse::<f64>().ok());
         let (got, sent) = (numbers.next(), weight(number, trouble));
         if got != Some(sent) {
             different += 1;
-            record.line(format!("CONFIG: weight {sent:?} of r-{number} is read back as {got:?}"));
+            record.line(format!(
+                "CONFIG: weight {sent:?} of r-{number} is read back as {got:?}"
+            ));
         }
     }
-    record.line(format!("{different} of {ROUTES} routes are not what was sent"));
+    record.line(format!(
+        "{different} of {ROUTES} routes are not what was sent"
+    ));
     different > 0
 }
