--- a/model/src/item.rs
+++ b/model/src/item.rs
@@ -39,6 +39,24 @@
     pub original: String,
 }
 
+impl Item {
+    /// Returns whether two texts of one version have the same contents. Builds up to 2026-12 stored
+    /// every number as the nearest one that their JSON parser could represent, so that an item which
+    /// they stored and the same one sent again may differ in the notation of numbers.
+    pub(crate) fn has_same_contents(&self, other: &Self) -> bool {
+        self.value == other.value
+            && (self.original == other.original
+                || reformatted(&self.original).as_ref() == Some(&other.original)
+                || reformatted(&other.original).as_ref() == Some(&self.original))
+    }
+}
+
+/// Returns a JSON text as builds up to 2026-12 stored it.
+fn reformatted(text: &str) -> Option<String> {
+    let value: serde_json::Value = serde_json::from_str(text).ok()?;
+    Some(value.to_string())
+}
+
 /// An item with its key, as part of a change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NamedItem {
--- a/model/src/items.rs
+++ b/model/src/items.rs
@@ -120,7 +120,10 @@
             return Err(invalid_item(&named.key, reason));
         }
         match self.map.get(&named.key) {
-            Some(stored) if stored.version == named.item.version && **stored != named.item => {
+            Some(stored)
+                if stored.version == named.item.version
+                    && !stored.has_same_contents(&named.item) =>
+            {
                 Err(Refusal::ItemConflict {
                     item: named.key.to_string(),
                     version: stored.version,
--- a/model/tests/items.rs
+++ b/model/tests/items.rs
@@ -64,6 +64,32 @@
     assert_eq!(again, items);
 }
 
+// Guards against CONFIG: a change that an older build acknowledged is refused when it is sent again.
+#[test]
+fn merged_same_version_in_the_notation_of_older_builds_is_accepted() {
+    let with_text = |text: &str| {
+        let mut route = route(7, route_item("catalog"));
+        route.item.original = text.to_owned();
+        [service("catalog", 7), route]
+    };
+    // The second text of each pair is the one that builds up to 2026-12 stored for the first.
+    for (sent, stored) in [
+        (r#"{"weight":1e2}"#, r#"{"weight":100.0}"#),
+        (
+            r#"{"weight":0.9211873080859775}"#,
+            r#"{"weight":0.9211873080859776}"#,
+        ),
+    ] {
+        for (first, again) in [(sent, stored), (stored, sent)] {
+            let items = Items::default().merged(&with_text(first)).unwrap();
+            assert_eq!(items.merged(&with_text(again)).unwrap(), items);
+        }
+    }
+    let items = Items::default().merged(&with_text(r#"{"weight":1}"#));
+    let refusal = items.unwrap().merged(&with_text(r#"{"weight":2}"#));
+    assert!(matches!(refusal, Err(Refusal::ItemConflict { .. })));
+}
+
 #[test]
 fn merged_same_version_with_other_contents_is_refused() {
     let items = initial_items().merged(&[service("billing", 3)]).unwrap();
