Send the body of a request once, or as it was sent

Cause: an attempt took the body before it had a connection, and taking a long body left an empty whole one in its place. Whether the request could be sent again was asked afterwards, of that one, so the answer was always yes. A refused connection, an upstream without room and one that has lost its address led there for all requests, an answer with status 500 and a broken connection for those that may be repeated. Other entry instances were sent such requests in the same way.

Change: a long body that was taken is `Spent`, and `take` returns nothing for it, so that every sender has to handle this. An attempt takes the body once it has a connection, and gives it back if no byte was sent: `Connection::send` returns the request with that error. A request whose connection was refused goes to another upstream with its body, in place of being given up.

Evidence: `forward_long_body_after_a_refused_connection_is_run_whole` and `forward_long_body_after_a_failed_attempt_is_run_whole_or_not_at_all` send bodies of 0, 1, 131072, 131073 and 204800 bytes, with a length and in chunks, to both kinds of routes, and compare what upstreams ran with what was sent. The stand-ins of upstreams read chunks and can crash for it.

Related paths: calls between instances and status checks hold their bodies whole. The instances of the project's own form return nothing for a body that was streamed before, so they never sent another one.

--- a/daemon/src/attempt.rs
+++ b/daemon/src/attempt.rs
@@ -72,7 +72,7 @@
     );
     let (response, guard) = match sent.await {
         Ok(answered) => answered,
-        Err(error) => return from_exchange_error(state, name, error),
+        Err(failure) => return from_exchange_error(state, name, failure.error),
     };
     state.fault_points.pause_at(FaultPoint::AnswerHead).await;
     if is_shed(&response) {
@@ -114,7 +114,7 @@
     let name = &state.topology.instance(peer).name;
     let (response, guard) = match sent.await {
         Ok(answered) => answered,
-        Err(error) => return from_exchange_error(state, name, error),
+        Err(failure) => return from_exchange_error(state, name, failure.error),
     };
     let outcome = header::text(response.headers(), &header::OUTCOME).map(str::to_owned);
     let reason = header::text(response.headers(), &header::REASON)
--- a/daemon/src/connection.rs
+++ b/daemon/src/connection.rs
@@ -9,6 +9,7 @@
 use crate::bounded_head_io::HeadBudget;
 use crate::exchange_error::ExchangeError;
 use crate::request_body::RequestBody;
+use crate::send_error::SendError;
 
 /// Time since its last answer within which a connection counts as recently active.
 const RECENT_ACTIVITY: Duration = Duration::from_millis(250);
@@ -87,12 +88,13 @@
     ///
     /// # Errors
     ///
-    /// [`ExchangeError::NotSent`] proves that no byte was sent; the other errors do not.
+    /// Returns the request with [`ExchangeError::NotSent`], which proves that no byte was sent; the
+    /// other errors do not.
     pub async fn send(
         &mut self,
         request: Request<RequestBody>,
         deadline: Instant,
-    ) -> Result<Response<Incoming>, ExchangeError> {
+    ) -> Result<Response<Incoming>, SendError> {
         self.send_and_wait(request, deadline, deadline).await
     }
 
@@ -107,10 +109,10 @@
         request: Request<RequestBody>,
         send_by: Instant,
         answer_by: Instant,
-    ) -> Result<Response<Incoming>, ExchangeError> {
+    ) -> Result<Response<Incoming>, SendError> {
         match tokio::time::timeout_at(send_by, self.sender.ready()).await {
             Ok(Ok(())) if Instant::now() < send_by => {}
-            _ => return Err(ExchangeError::NotSent),
+            _ => return Err(SendError::not_sent(ExchangeError::NotSent, request)),
         }
         self.head_budget.start();
         let sending = self.sender.try_send_request(request);
@@ -121,10 +123,10 @@
                 Ok(response)
             }
             Ok(Err(mut error)) => match error.take_message() {
-                Some(_) => Err(ExchangeError::NotSent),
-                None => Err(ExchangeError::Broken(error.into_error())),
+                Some(request) => Err(SendError::not_sent(ExchangeError::NotSent, request)),
+                None => Err(ExchangeError::Broken(error.into_error()).into()),
             },
-            Err(_) => Err(ExchangeError::TimedOut),
+            Err(_) => Err(ExchangeError::TimedOut.into()),
         }
     }
 }
--- a/daemon/src/exchange.rs
+++ b/daemon/src/exchange.rs
@@ -14,6 +14,7 @@
 use crate::exchange_guard::{ExchangeGuard, UpstreamSlot};
 use crate::header;
 use crate::request_body::RequestBody;
+use crate::send_error::SendError;
 
 /// Longest answer that is buffered whole before its first byte goes to the caller.
 const MAX_BUFFERED_ANSWER_BYTES: u64 = 64 * 1024;
@@ -22,32 +23,32 @@
 ///
 /// # Errors
 ///
-/// Returns how the exchange failed; the slot is released and the upstream's health updated
-/// accordingly.
+/// Returns how the exchange failed, with the request if no byte of it was sent; the slot is released
+/// and the upstream's health updated accordingly.
 pub async fn send(
     pool: &ConnectionPool,
     freshness: Freshness,
     request: Request<RequestBody>,
     deadline: Instant,
     upstream_slot: Option<UpstreamSlot>,
-) -> Result<(Response<Incoming>, ExchangeGuard), ExchangeError> {
+) -> Result<(Response<Incoming>, ExchangeGuard), SendError> {
     let connection = match pool.acquire(freshness, deadline).await {
         Ok(connection) => connection,
         Err(error) => {
             release(upstream_slot, AttemptOutcome::Refused);
-            return Err(error);
+            return Err(SendError::not_sent(error, request));
         }
     };
     let mut guard = ExchangeGuard::new(connection, pool.clone(), upstream_slot);
     match guard.connection().send(request, deadline).await {
         Ok(response) => Ok((response, guard)),
-        Err(error) => {
-            match error {
+        Err(failure) => {
+            match failure.error {
                 ExchangeError::TimedOut => guard.timed_out(),
                 ExchangeError::NotSent => guard.not_sent(),
                 ExchangeError::Broken(_) | ExchangeError::Refused(_) => guard.fail(),
             }
-            Err(error)
+            Err(failure)
         }
     }
 }
--- a/daemon/src/peer_client.rs
+++ b/daemon/src/peer_client.rs
@@ -80,8 +80,9 @@
         let deadline = Instant::now() + timeout;
         let pool = &self.shared.pools[to.index()];
         let request = self.request(to, message)?;
-        let (response, guard) =
-            exchange::send(pool, Freshness::Any, request, deadline, None).await?;
+        let (response, guard) = exchange::send(pool, Freshness::Any, request, deadline, None)
+            .await
+            .map_err(|failure| failure.error)?;
         let status = response.status();
         let limited = Limited::new(response.into_body(), MAX_MESSAGE_BYTES);
         let body = match tokio::time::timeout_at(deadline, limited.collect()).await {
--- a/daemon/src/prepared_request.rs
+++ b/daemon/src/prepared_request.rs
@@ -1,3 +1,4 @@
+use std::collections::VecDeque;
 use std::net::IpAddr;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::header;
+use crate::long_body::LongBody;
 use crate::pipeline::ArrivedAt;
 use crate::request_body::RequestBody;
 use crate::request_error::RequestError;
@@ -150,10 +152,7 @@
                 ..
             } => {
                 let inner = incoming.lock().expect("no panic while locked").take()?;
-                Some(RequestBody::Stream {
-                    inner,
-                    remaining_bytes: *max_bytes,
-                })
+                Some(LongBody::new(VecDeque::new(), inner, *max_bytes).into())
             }
         }
     }
--- a/daemon/src/roles/buffered_body.rs
+++ b/daemon/src/roles/buffered_body.rs
@@ -6,6 +6,7 @@
 use http_body::Body;
 use http_body_util::BodyExt;
 
+use crate::long_body::LongBody;
 use crate::request_body::RequestBody;
 
 /// Longest body that is buffered whole, so that the request can be sent again.
@@ -14,10 +15,12 @@
 /// Body of a request from a caller, buffered as far as retries need it.
 #[derive(Debug)]
 pub(super) enum BufferedBody {
-    /// The whole body.
+    /// The whole body, for any number of attempts.
     Whole(Bytes),
-    /// Beginning of a long body, and the rest as it arrives.
-    Long(VecDeque<Bytes>, IncomingBody),
+    /// Long body, for one attempt that sends it.
+    Long(LongBody),
+    /// Long body of which an attempt may have sent a part, so that no other one can send it.
+    Spent,
 }
 
 /// Reports why a body could not be read.
@@ -55,7 +58,7 @@
                 return Err(BufferedBodyError::TooLong);
             }
             if length > MAX_BUFFERED_BYTES {
-                return Ok(Self::Long(buffered, incoming));
+                return Ok(Self::Long(LongBody::new(buffered, incoming, max_bytes)));
             }
         }
         let mut whole = BytesMut::with_capacity(length);
@@ -65,35 +68,41 @@
         Ok(Self::Whole(whole.freeze()))
     }
 
-    /// Returns whether the body is buffered whole and can be sent again.
-    pub fn is_replayable(&self) -> bool {
-        matches!(self, Self::Whole(_))
+    /// Returns whether an attempt can send the body.
+    pub fn can_be_sent(&self) -> bool {
+        !matches!(self, Self::Spent)
     }
 
     /// Returns the whole body, or the beginning of a long one, as input of the request fingerprint.
     /// It does not depend on the pieces in which the body arrived.
     pub fn prefix(&self) -> Cow<'_, [u8]> {
-        let buffered = match self {
+        let held = match self {
             Self::Whole(bytes) => return Cow::Borrowed(bytes),
-            Self::Long(buffered, _) => buffered,
+            Self::Long(body) => body.held(),
+            Self::Spent => return Cow::default(),
         };
-        let mut prefix: Vec<u8> = buffered.iter().flatten().copied().collect();
+        let mut prefix: Vec<u8> = held.iter().flatten().copied().collect();
         prefix.truncate(MAX_BUFFERED_BYTES);
         Cow::Owned(prefix)
     }
 
-    /// Returns the body for one attempt. A long body can be taken once; after that it is empty.
-    pub fn take(&mut self, max_bytes: u64) -> RequestBody {
-        match std::mem::replace(self, Self::Whole(Bytes::new())) {
+    /// Returns the body for one attempt, or `None` if an earlier one may have sent a part of it. A
+    /// long body is spent unless it is [restored](Self::restore).
+    pub fn take(&mut self) -> Option<RequestBody> {
+        match std::mem::replace(self, Self::Spent) {
             Self::Whole(bytes) => {
                 *self = Self::Whole(bytes.clone());
-                RequestBody::whole(bytes)
+                Some(RequestBody::whole(bytes))
             }
-            Self::Long(held, inner) => RequestBody::PartiallyRead {
-                held,
-                inner,
-                remaining_bytes: max_bytes,
-            },
+            Self::Long(body) => Some(RequestBody::Long(body)),
+            Self::Spent => None,
+        }
+    }
+
+    /// Takes back the body of an attempt that sent no byte of it.
+    pub fn restore(&mut self, unsent: RequestBody) {
+        if let RequestBody::Long(body) = unsent {
+            *self = Self::Long(body);
         }
     }
 }
--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -145,7 +145,6 @@
             service: routed.service,
             request: attempt,
             body,
-            max_body_bytes: routed.max_body_bytes,
             started_at: routed.started_at,
             progress: Progress::default(),
             origin: routed.origin,
--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -62,7 +62,6 @@
     pub service: &'a str,
     pub request: AttemptRequest,
     pub body: BufferedBody,
-    pub max_body_bytes: u64,
     pub started_at: Instant,
     /// Results of the attempts so far.
     pub progress: Progress,
@@ -176,8 +175,8 @@
             tried.push(key);
             let name = self.state.helpers().name(key).to_owned();
             self.progress.helper = Some(name);
-            let body = self.body.take(self.max_body_bytes);
-            let result = helper_request::send::<H>(self.state, key, &self.request, body).await;
+            let sending = helper_request::send::<H>(self.state, key, &self.request, &mut self.body);
+            let result = sending.await;
             self.state.metrics.count_helped(result.outcome());
             match result {
                 HelperResult::Answer(response) => return Some(ForwardOutcome::Answer(response)),
@@ -185,9 +184,7 @@
                     let reason = "no answer of the other instance";
                     return Some(ForwardOutcome::Unknown { reason, timed_out });
                 }
-                HelperResult::CannotForward | HelperResult::Behind
-                    if !self.body.is_replayable() =>
-                {
+                HelperResult::CannotForward | HelperResult::Behind if !self.body.can_be_sent() => {
                     let reason = "the other instance cannot forward";
                     return Some(self.give_up(reason, DEFAULT_RETRY_AFTER));
                 }
@@ -244,12 +241,15 @@
     /// Makes one attempt; returns the outcome of the request, or `None` if another attempt should
     /// follow.
     async fn attempt<H: HeaderCodec>(&mut self, decision: Decision) -> Option<ForwardOutcome> {
-        let body = self.body.take(self.max_body_bytes);
-        let is_replayable = self.body.is_replayable();
         let is_retry = self.progress.arrivals > 0;
-        let result =
-            upstream_attempt::run::<H>(self.state, decision, &self.route.name, &self.request, body)
-                .await;
+        let result = upstream_attempt::run::<H>(
+            self.state,
+            decision,
+            &self.route.name,
+            &self.request,
+            &mut self.body,
+        )
+        .await;
         self.progress.tried.push(decision.upstream);
         let outcome = match &result {
             AttemptResult::Answer(_) => "answer",
@@ -264,10 +264,10 @@
         let metrics = &self.state.metrics;
         metrics.count_attempt(self.service, region, outcome);
         match result {
-            AttemptResult::Answer(response) => self.on_answer::<H>(response, is_replayable),
+            AttemptResult::Answer(response) => self.on_answer::<H>(response),
             AttemptResult::NotRun { reason, arrived } => {
                 self.count_arrival(arrived, is_retry);
-                self.on_not_run(reason, is_replayable)
+                self.on_not_run(reason)
             }
             AttemptResult::Unknown {
                 reason,
@@ -278,7 +278,7 @@
                 if connection_broke {
                     crash_checks::wait(self.state, decision.upstream, CRASH_CHECK_WAIT).await;
                 }
-                self.on_unknown(reason, timed_out, is_replayable)
+                self.on_unknown(reason, timed_out)
             }
         }
     }
@@ -286,7 +286,6 @@
     fn on_answer<H: HeaderCodec>(
         &mut self,
         mut response: Response<AnswerBody>,
-        is_replayable: bool,
     ) -> Option<ForwardOutcome> {
         let is_retry = self.progress.arrivals > 0;
         self.count_arrival(true, is_retry);
@@ -294,16 +293,16 @@
             self.replace_retry_after::<H>(response.headers_mut());
         }
         let failed = response.status() == StatusCode::INTERNAL_SERVER_ERROR;
-        if failed && self.may_retry(is_replayable) {
+        if failed && self.may_retry() {
             self.progress.failure = Some(response);
             return None;
         }
         Some(ForwardOutcome::Answer(response))
     }
 
-    fn on_not_run(&mut self, reason: &'static str, is_replayable: bool) -> Option<ForwardOutcome> {
+    fn on_not_run(&mut self, reason: &'static str) -> Option<ForwardOutcome> {
         let unreached = self.progress.tried.len() - self.progress.arrivals as usize;
-        if !is_replayable
+        if !self.body.can_be_sent()
             || unreached >= MAX_UNREACHED_ATTEMPTS
             || self.progress.arrivals >= self.route.item.max_attempts
         {
@@ -313,21 +312,16 @@
         None
     }
 
-    fn on_unknown(
-        &mut self,
-        reason: &'static str,
-        timed_out: bool,
-        is_replayable: bool,
-    ) -> Option<ForwardOutcome> {
+    fn on_unknown(&mut self, reason: &'static str, timed_out: bool) -> Option<ForwardOutcome> {
         self.progress.unknown_outcome = Some((reason, timed_out));
-        if timed_out || !self.may_retry(is_replayable) {
+        if timed_out || !self.may_retry() {
             return Some(ForwardOutcome::Unknown { reason, timed_out });
         }
         None
     }
 
-    fn may_retry(&self, is_replayable: bool) -> bool {
-        is_replayable
+    fn may_retry(&self) -> bool {
+        self.body.can_be_sent()
             && self.request.idempotent
             && self.progress.arrivals < self.route.item.max_attempts
     }
--- a/daemon/src/roles/helper_request.rs
+++ b/daemon/src/roles/helper_request.rs
@@ -14,6 +14,7 @@
 use crate::header;
 use crate::request_body::RequestBody;
 use crate::roles::HeaderCodec;
+use crate::roles::buffered_body::BufferedBody;
 use crate::roles::entry_state::EntryState;
 use crate::roles::upstream_attempt::{
     AttemptEnd, AttemptRequest, MAX_ANSWER_BYTES, ReceivedBody, receive,
@@ -75,12 +76,13 @@
     }
 }
 
-/// Sends a request to another entry instance, which forwards it to an upstream.
+/// Sends a request to another entry instance, which forwards it to an upstream. Takes the body only
+/// once there is a connection.
 pub(super) async fn send<H: HeaderCodec>(
     state: &Arc<EntryState>,
     key: HelperKey,
     request: &AttemptRequest,
-    body: RequestBody,
+    body: &mut BufferedBody,
 ) -> HelperResult {
     state.helpers().begin(key);
     let mut in_flight = HelperInFlight {
@@ -101,7 +103,7 @@
     state: &Arc<EntryState>,
     key: HelperKey,
     request: &AttemptRequest,
-    body: RequestBody,
+    body: &mut BufferedBody,
 ) -> HelperResult {
     let address = state.helpers().address(key);
     let pool = state.helper_pool(address);
@@ -113,17 +115,28 @@
     let Ok(connection) = pool.acquire(freshness, until).await else {
         return HelperResult::CannotForward;
     };
+    let Some(taken) = body.take() else {
+        return HelperResult::CannotForward;
+    };
     let mut guard = ExchangeGuard::new(connection, pool, None);
-    let message = message::<H>(state, request, body);
+    let message = message::<H>(state, request, taken);
     let wait_until = request.wait_until + ANSWER_GRACE;
-    match guard.connection().send(message, wait_until).await {
+    let failure = match guard.connection().send(message, wait_until).await {
         Ok(response) => {
             let held_bytes = state.link.held_answer_bytes();
-            answer::<H>(response, guard, request, held_bytes, wait_until).await
+            return answer::<H>(response, guard, request, held_bytes, wait_until).await;
+        }
+        Err(failure) => failure,
+    };
+    match failure.error {
+        ExchangeError::NotSent | ExchangeError::Refused(_) => {
+            if let Some(unsent) = failure.into_unsent_body() {
+                body.restore(unsent);
+            }
+            HelperResult::CannotForward
         }
-        Err(ExchangeError::NotSent | ExchangeError::Refused(_)) => HelperResult::CannotForward,
-        Err(ExchangeError::Broken(_)) => HelperResult::Unknown { timed_out: false },
-        Err(ExchangeError::TimedOut) => {
+        ExchangeError::Broken(_) => HelperResult::Unknown { timed_out: false },
+        ExchangeError::TimedOut => {
             guard.timed_out();
             HelperResult::Unknown { timed_out: true }
         }
--- a/daemon/src/roles/rpc_client.rs
+++ b/daemon/src/roles/rpc_client.rs
@@ -81,8 +81,9 @@
         *request.uri_mut() = http::Uri::from_static(CALL_PATH);
         let host = HeaderValue::from_static("laburnumdeal");
         request.headers_mut().insert(http::header::HOST, host);
-        let (response, guard) =
-            exchange::send(&pool, Freshness::Any, request, deadline, None).await?;
+        let (response, guard) = exchange::send(&pool, Freshness::Any, request, deadline, None)
+            .await
+            .map_err(|failure| failure.error)?;
         let limited = Limited::new(response.into_body(), MAX_REPLY_BYTES);
         let body = match tokio::time::timeout_at(deadline, limited.collect()).await {
             Ok(Ok(collected)) => collected.to_bytes(),
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -20,9 +20,11 @@
 use crate::request_body::RequestBody;
 use crate::roles::HeaderCodec;
 use crate::roles::answer_notices;
+use crate::roles::buffered_body::BufferedBody;
 use crate::roles::crash_checks::{self, UnansweredAttempt};
 use crate::roles::entry_state::EntryState;
 use crate::roles::reach_probes;
+use crate::send_error::SendError;
 
 /// Timeout for opening a connection to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -212,13 +214,14 @@
     }
 }
 
-/// Sends a request to one upstream and receives its answer.
+/// Sends a request to one upstream and receives its answer. Takes the body only once there is a
+/// connection, so that another attempt can send a long body after one that reached no upstream.
 pub async fn run<H: HeaderCodec>(
     state: &Arc<EntryState>,
     decision: Decision,
     route: &str,
     request: &AttemptRequest,
-    body: RequestBody,
+    body: &mut BufferedBody,
 ) -> AttemptResult {
     let (id, address) = {
         let load_balancer = state.load_balancer();
@@ -251,8 +254,19 @@
             };
         }
     }
-    let message = upstream_request::<H>(request, &id, body);
-    exchange::<H>(in_flight, guard, request, message).await
+    let Some(taken) = body.take() else {
+        guard.complete();
+        return AttemptResult::NotRun {
+            reason: "the body was sent in an earlier attempt",
+            arrived: false,
+        };
+    };
+    let message = upstream_request::<H>(request, &id, taken);
+    let (result, unsent) = exchange::<H>(in_flight, guard, request, message).await;
+    if let Some(unsent) = unsent {
+        body.restore(unsent);
+    }
+    result
 }
 
 /// Returns why a request must no longer be sent to the upstream that was chosen for it.
@@ -312,33 +326,50 @@
     message
 }
 
+/// Sends the message and receives its answer. Returns the body with the result if no byte was sent.
 async fn exchange<H: HeaderCodec>(
     mut in_flight: InFlightAttempt,
     guard: ExchangeGuard,
     request: &AttemptRequest,
     message: Request<RequestBody>,
-) -> AttemptResult {
+) -> (AttemptResult, Option<RequestBody>) {
     in_flight.is_sent = true;
     answer_notices::check_wait(&in_flight.state, in_flight.decision.upstream, &request.id);
     let sent = send::<H>(&in_flight, guard, message, request.wait_until).await;
-    let (response, mut guard) = match sent {
-        Ok(answered) => answered,
-        Err(ExchangeError::NotSent | ExchangeError::Refused(_)) => {
+    let failure = match sent {
+        Ok((response, guard)) => {
+            let result = on_answer_head::<H>(in_flight, guard, request, response).await;
+            return (result, None);
+        }
+        Err(failure) => failure,
+    };
+    let result = match failure.error {
+        ExchangeError::NotSent | ExchangeError::Refused(_) => {
             in_flight.is_sent = false;
-            return AttemptResult::NotRun {
+            AttemptResult::NotRun {
                 reason: "no byte was sent",
                 arrived: false,
-            };
+            }
         }
-        Err(ExchangeError::Broken(_)) => {
+        ExchangeError::Broken(_) => {
             in_flight.outcome = AttemptOutcome::Broken;
-            return unknown("the connection broke before the answer", false, true);
+            unknown("the connection broke before the answer", false, true)
         }
-        Err(ExchangeError::TimedOut) => {
+        ExchangeError::TimedOut => {
             in_flight.outcome = AttemptOutcome::TimedOut;
-            return unknown("no answer in time", true, false);
+            unknown("no answer in time", true, false)
         }
     };
+    (result, failure.into_unsent_body())
+}
+
+/// Receives the rest of an answer whose head has arrived.
+async fn on_answer_head<H: HeaderCodec>(
+    mut in_flight: InFlightAttempt,
+    mut guard: ExchangeGuard,
+    request: &AttemptRequest,
+    response: Response<Incoming>,
+) -> AttemptResult {
     let upstream = in_flight.decision.upstream;
     if !record_notices::<H>(&in_flight.state, upstream, &request.id, &response) {
         in_flight.outcome = AttemptOutcome::Broken;
@@ -402,7 +433,7 @@
     mut guard: ExchangeGuard,
     message: Request<RequestBody>,
     wait_until: Instant,
-) -> Result<(Response<Incoming>, ExchangeGuard), ExchangeError> {
+) -> Result<(Response<Incoming>, ExchangeGuard), SendError> {
     let (pool, opened_at) = (guard.pool().clone(), guard.connection().opened_at());
     let late_until = wait_until + LATE_ANSWER_WAIT;
     let mut sending = Box::pin(async move {
@@ -430,7 +461,7 @@
             record_notices::<H>(&state, upstream, &id, &response);
         }
     });
-    Err(ExchangeError::TimedOut)
+    Err(ExchangeError::TimedOut.into())
 }
 
 /// Records what an answer says of its upstream; returns whether it is the answer to the request `id`
