Take only requests that can end before a planned stop does

Cause: an instance serves new requests for 0.6 of its stop time, whatever they may last, and then waits for those that run until the stop time ends. With a stop time of 6 s that leaves 2.2 s; a request with a time limit of 3 s that arrived in the last 0.8 s before could be cut off, and so could the first one of a connection that was opened just before, for 0.5 s more.

Change: `PlannedStop` admits a request only if its whole time is left. What comes later is rejected at once with 503 and `Retry-After: 0`, on a connection that closes: it has not run, and other instances take it. A request whose limit exceeds half of the stop is taken in the first half, and its upstream is given the time that is left, so that each request that was taken in a stop is answered. The same holds for each further attempt.

A request that was sent before the signal keeps its time limit; if that exceeds the stop time, it can still be cut off.

--- a/daemon/src/roles/entry_node.rs
+++ b/daemon/src/roles/entry_node.rs
@@ -31,6 +31,9 @@
 /// Margin before the end of the stop time by which the process has ended.
 const STOP_MARGIN: Duration = Duration::from_millis(200);
 
+/// Time from the deadline of a request until its answer has left, for the end of a planned stop.
+const LAST_ANSWER_TIME: Duration = Duration::from_millis(150);
+
 /// Running entry instance.
 pub struct EntryNode {
     state: Arc<EntryState>,
@@ -126,13 +129,16 @@
     }
 
     /// Announces that the instance leaves and serves new requests while callers may still have its
-    /// address, then finishes the requests in progress and stops all tasks.
+    /// address, then finishes the requests in progress and stops all tasks. Requests that might last
+    /// beyond the stop are refused.
     pub async fn stop(mut self) {
         let stop_time = Duration::from_millis(self.state.settings.stop_ms);
-        let stops_at = Instant::now() + stop_time - STOP_MARGIN.min(stop_time);
+        let serving_time = stop_time.saturating_sub(STOP_MARGIN);
+        let stops_at = Instant::now() + serving_time;
         info!(self.state.log.unlimited(), "entry instance stops";
             "within_ms" => stop_time.as_millis() as u64);
-        self.state.start_leaving();
+        self.state
+            .start_leaving(serving_time.saturating_sub(LAST_ANSWER_TIME));
         self.presence.send().await;
         sleep_until(Instant::now() + self.state.settings.serve_time()).await;
         let remaining = stops_at.saturating_duration_since(Instant::now());
--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -1,13 +1,14 @@
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, RwLock};
+use std::time::Duration;
 
 use laburnumdeal_model::{Configuration, Target, WHOLE_PERMILLE};
 use laburnumdeal_policy::steer::{
-    CrashReport, HelperInstances, InstanceRecord, LinkCapacity, LoadBalancer, RegionShare,
-    RequestBlocks, RequestFingerprints, RetryBudgetShare, RouteTable, UpstreamKey, UpstreamReach,
-    hash_of,
+    CrashReport, HelperInstances, InstanceRecord, LinkCapacity, LoadBalancer, PlannedStop,
+    RegionShare, RequestBlocks, RequestFingerprints, RetryBudgetShare, RouteTable, UpstreamKey,
+    UpstreamReach, hash_of,
 };
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
@@ -83,7 +84,8 @@
     helper_pools: Mutex<HashMap<IpAddr, ConnectionPool>>,
     list: Mutex<UpstreamList>,
     roster_hash: AtomicU64,
-    leaving: AtomicBool,
+    /// Set once the instance stops as planned.
+    planned_stop: OnceLock<PlannedStop>,
     /// Notified when the instance may have become ready.
     pub readiness: Notify,
 }
@@ -112,7 +114,7 @@
             helper_pools: Mutex::default(),
             list: Mutex::default(),
             roster_hash: AtomicU64::new(0),
-            leaving: AtomicBool::new(false),
+            planned_stop: OnceLock::new(),
             readiness: Notify::new(),
             controls: Arc::new(KnownControls::new(seeds)),
             client: RpcClient::default(),
@@ -214,7 +216,7 @@
     /// Returns whether the instance is ready, leaving, or still without a configuration or a list
     /// of upstreams.
     pub fn presence(&self) -> PresenceState {
-        if self.leaving.load(Ordering::Relaxed) {
+        if self.is_leaving() {
             return PresenceState::Leaving;
         }
         let configured = self.active().configuration.is_some();
@@ -274,12 +276,22 @@
 
     /// Returns whether the instance is stopping.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.planned_stop.get().is_some()
     }
 
-    /// Marks the instance as stopping.
-    pub fn start_leaving(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
+    /// Marks the instance as stopping. No request is answered after `length`.
+    pub fn start_leaving(&self, length: Duration) {
+        let stop = PlannedStop::begin(length, Instant::now());
+        let _ = self.planned_stop.set(stop);
+    }
+
+    /// Returns the time by which a request has to end that could last until `deadline`, or `None` if
+    /// it comes too late in a planned stop.
+    pub fn admit(&self, deadline: Instant) -> Option<Instant> {
+        match self.planned_stop.get() {
+            Some(stop) => stop.admit(deadline, Instant::now()),
+            None => Some(deadline),
+        }
     }
 
     /// Returns the hash of the names of the entry instances; 0 until they are known.
--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -25,6 +25,12 @@
 /// Default retry delay for a request that is given up without an answer.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Reason for refusing a request during a planned stop.
+const STOPPING_REASON: &str = "the instance stops before the request's time limit";
+
+/// Retry delay for a request that arrives too late in a planned stop; other instances take it.
+const STOPPING_RETRY_AFTER: Duration = Duration::ZERO;
+
 /// Reason for refusing a request that crashed upstreams.
 pub(super) const BLOCKED_REASON: &str = "the request crashed upstreams before";
 
@@ -114,6 +120,10 @@
     /// Sends the request until an upstream answers or no further attempt is allowed.
     pub async fn run<H: HeaderCodec>(&mut self) -> ForwardOutcome {
         loop {
+            match self.state.admit(self.request.deadline) {
+                Some(deadline) => self.request.end_by(deadline),
+                None => return self.give_up(STOPPING_REASON, STOPPING_RETRY_AFTER),
+            }
             if self.origin == Origin::Caller
                 && self.progress.arrivals == 0
                 && self.state.reach().is_lost()
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -64,6 +64,13 @@
 }
 
 impl AttemptRequest {
+    /// Moves the end of the request forward to an earlier deadline.
+    pub fn end_by(&mut self, deadline: Instant) {
+        let excess = self.deadline.saturating_duration_since(deadline);
+        self.deadline -= excess;
+        self.wait_until -= excess;
+    }
+
     /// Returns the time left until the deadline in whole milliseconds, at least one, as a header.
     pub fn remaining_ms(&self) -> HeaderValue {
         let remaining = self.deadline.saturating_duration_since(Instant::now());
--- a/policy/tests/steer/main.rs
+++ b/policy/tests/steer/main.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod link;
 mod load;
+mod planned_stop;
 mod reach;
 mod region_shares;
 mod request_blocks;
