Store changes again once a disk that could not sync has space

What operators saw: the disks of control instances were full for a few seconds each, one after another.

Cause: when a sync of the log file fails, what is on the disk is unknown, and the file must not be used any more: later syncs may report success for data that was dropped. A replica therefore refused all writes until its process was restarted, also if the sync had only found no space, as file systems do that find the place for data when it is synced. Truncating what a failed write had left ended in the same state, if the truncation or its sync found no space. Such a replica follows its leader and answers, so nobody replaces it; after a majority of the disks had been full once, no change was committed.

Change: a sync without space makes the replica replace the log file, at its next write, by a copy of what was synced in it, through a temporary file and a rename. It reports a lack of space to its leader meanwhile, and says in its log when there is space again. A truncation that finds no space is made again later. A sync that fails for another reason is handled as before.

Evidence: `submit_after_each_disk_was_full_in_turn_is_accepted` makes each kind of operation fail for 3 s on three disks in turn. The fake disk now forgets what a failed sync should have written, whatever later syncs report.

--- a/control/src/core.rs
+++ b/control/src/core.rs
@@ -108,11 +108,13 @@
         let mut volatile = self.volatile();
         match &appended {
             Ok(()) => {
-                volatile.storage_full = false;
+                if std::mem::take(&mut volatile.storage_full) {
+                    info!(self.log, "the data folder has space again");
+                }
                 volatile.append(&entries);
             }
             Err(error) => {
-                volatile.storage_full = error.is_full();
+                volatile.storage_full = error.lacks_space();
                 self.log_storage_error(error);
             }
         }
@@ -254,7 +256,7 @@
     }
 
     fn log_storage_error(&self, error: &StorageError) {
-        match error.is_full() {
+        match error.lacks_space() {
             true => warn!(self.log, "the data folder is full"; "error" => %error),
             false => error!(self.log, "a write to the data folder failed"; "error" => %error),
         }
--- a/control/src/snapshot_install.rs
+++ b/control/src/snapshot_install.rs
@@ -58,7 +58,7 @@
         let mut volatile = self.volatile();
         if let Err(error) = saved {
             warn!(self.log, "cannot store a snapshot received from the leader"; "error" => %error);
-            volatile.storage_full = error.is_full();
+            volatile.storage_full = error.lacks_space();
             drop(volatile);
             return self.append_reply(false, 0);
         }
--- a/control/src/storage_error.rs
+++ b/control/src/storage_error.rs
@@ -71,9 +71,9 @@
     /// Wraps an error of the file system; a full disk or an exceeded quota becomes [`Self::Full`].
     pub(crate) fn io(operation: &'static str, file: &str, source: io::Error) -> Self {
         let file = file.to_owned();
-        match source.kind() {
-            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => Self::Full { file },
-            _ => Self::Io {
+        match is_out_of_space(&source) {
+            true => Self::Full { file },
+            false => Self::Io {
                 operation,
                 file,
                 source,
@@ -81,8 +81,33 @@
         }
     }
 
-    /// Returns whether the write failed only for lack of disk space.
+    /// Wraps the error of a sync, after which it is unknown what is on disk.
+    pub(crate) fn sync(file: &str, source: io::Error) -> Self {
+        Self::Io {
+            operation: "sync",
+            file: file.to_owned(),
+            source,
+        }
+    }
+
+    /// Returns whether the write failed only for lack of disk space, and had no effect.
     pub fn is_full(&self) -> bool {
         matches!(self, Self::Full { .. })
     }
+
+    /// Returns whether the cause is a lack of disk space. The write may have had an effect.
+    pub fn lacks_space(&self) -> bool {
+        match self {
+            Self::Full { .. } => true,
+            Self::Io { source, .. } => is_out_of_space(source),
+            _ => false,
+        }
+    }
+}
+
+fn is_out_of_space(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded
+    )
 }
--- a/control/src/store.rs
+++ b/control/src/store.rs
@@ -3,8 +3,8 @@
 use laburnumdeal_model::AuditRecord;
 
 use crate::files::{
-    LOCK, LOG_PREFIX, REPLICA, SNAPSHOT_PREFIX, VOTE, audit_name, decode_file, encode, log_name,
-    read_single_frame, single_frame_file, snapshot_name, write_atomically,
+    LOCK, LOG_PREFIX, REPLICA, SNAPSHOT_PREFIX, VOTE, audit_name, damaged, decode_file, encode,
+    log_name, read, read_single_frame, single_frame_file, snapshot_name, write_atomically,
 };
 use crate::folder::{
     SegmentStart, initialize_folder, load_audit_ranges, lock_error, read_identity, read_log,
@@ -55,7 +55,10 @@
     Clean,
     /// A write failed and may have left bytes past the segment's end.
     DirtyTail,
-    /// A sync failed, so it is unknown which writes are on disk.
+    /// A sync failed for lack of space. Later syncs of the same file may succeed without writing what
+    /// this one did not, so the file has to be replaced.
+    SyncFull,
+    /// A sync failed for another reason, so it is unknown which writes are on disk.
     Unsynced,
 }
 
@@ -131,7 +134,8 @@
     /// # Errors
     ///
     /// On [`StorageError::Full`] nothing was appended. After any other error the entries may turn
-    /// out to be stored when the folder is opened again.
+    /// out to be stored when the folder is opened again. If it [lacks
+    /// space](StorageError::lacks_space), later entries can be appended once there is some.
     pub fn append(&mut self, entries: &[Entry]) -> Result<(), StorageError> {
         let file = log_name(self.segment.number);
         self.ensure_clean(&file)?;
@@ -250,32 +254,57 @@
         Ok(())
     }
 
-    /// Truncates what a failed write may have left in the log file; fails if a sync failed earlier.
+    /// Removes what a failed write or sync may have left in the log file; fails if a sync failed
+    /// earlier for another reason than lack of space.
     fn ensure_clean(&mut self, file: &str) -> Result<(), StorageError> {
         match self.segment_state {
-            SegmentState::Clean => Ok(()),
-            SegmentState::Unsynced => Err(StorageError::Unsynced {
-                file: file.to_owned(),
-            }),
+            SegmentState::Clean => return Ok(()),
+            SegmentState::Unsynced => {
+                return Err(StorageError::Unsynced {
+                    file: file.to_owned(),
+                });
+            }
             SegmentState::DirtyTail => {
-                let truncated = self.disk.truncate(file, self.segment.length_bytes);
-                match truncated.and_then(|()| self.disk.sync(file)) {
-                    Ok(()) => {
-                        self.segment_state = SegmentState::Clean;
-                        Ok(())
-                    }
-                    Err(error) => Err(self.sync_failed(file, error)),
+                self.disk
+                    .truncate(file, self.segment.length_bytes)
+                    .map_err(|e| StorageError::io("truncate", file, e))?;
+                if let Err(error) = self.disk.sync(file) {
+                    // What may be left is no whole entry.
+                    return Err(match self.sync_failed(file, error) {
+                        failed if failed.lacks_space() => StorageError::Full {
+                            file: file.to_owned(),
+                        },
+                        failed => failed,
+                    });
                 }
             }
+            SegmentState::SyncFull => self.replace_segment(file)?,
         }
+        self.segment_state = SegmentState::Clean;
+        Ok(())
     }
 
-    fn sync_failed(&mut self, file: &str, error: io::Error) -> StorageError {
-        self.segment_state = SegmentState::Unsynced;
-        StorageError::Io {
-            operation: "sync",
-            file: file.to_owned(),
-            source: error,
+    /// Replaces the log file by a copy of what was synced in it.
+    fn replace_segment(&mut self, file: &str) -> Result<(), StorageError> {
+        let mut bytes = read(&self.disk, file)?;
+        let synced = self.segment.length_bytes as usize;
+        if frame::scan(file, &bytes)?.valid_bytes < synced {
+            return Err(damaged(
+                file,
+                synced,
+                "entries that were synced cannot be read",
+            ));
         }
+        bytes.truncate(synced);
+        write_atomically(&self.disk, file, &[&bytes])
+    }
+
+    fn sync_failed(&mut self, file: &str, error: io::Error) -> StorageError {
+        let error = StorageError::sync(file, error);
+        self.segment_state = match error.lacks_space() {
+            true => SegmentState::SyncFull,
+            false => SegmentState::Unsynced,
+        };
+        error
     }
 }
--- a/control/tests/control.rs
+++ b/control/tests/control.rs
@@ -6,6 +6,7 @@
 mod cluster;
 mod drains;
 mod fake_disk;
+mod full_disks;
 mod histories;
 mod membership;
 mod network;
--- a/control/tests/fake_disk.rs
+++ b/control/tests/fake_disk.rs
@@ -26,13 +26,43 @@
     crash_after: Option<u64>,
     free_bytes: Option<u64>,
     fails_sync: bool,
+    /// Operation that fails for lack of space.
+    full_operation: Option<Operation>,
+    /// Number of operations until a single one fails for lack of space.
+    full_after: Option<u64>,
     delay_ms: u64,
 }
 
+/// Operation that changes the disk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Operation {
+    Write,
+    Truncate,
+    Sync,
+    Rename,
+    Remove,
+    SyncFolder,
+}
+
+impl Operation {
+    /// All operations.
+    pub const ALL: [Self; 6] = [
+        Self::Write,
+        Self::Truncate,
+        Self::Sync,
+        Self::Rename,
+        Self::Remove,
+        Self::SyncFolder,
+    ];
+}
+
 #[derive(Clone, Default)]
 struct File {
     bytes: Vec<u8>,
     synced: Vec<u8>,
+    /// Whether a sync failed. As on Linux, later ones report success without writing what the failed
+    /// one should have written.
+    is_sync_lost: bool,
 }
 
 pub struct FakeLock(FakeDisk);
@@ -72,6 +102,7 @@
                 file.bytes = file.synced.clone();
             }
             file.synced = file.bytes.clone();
+            file.is_sync_lost = false;
         }
         if generator.random() {
             inner.names = inner.synced_names.clone();
@@ -81,6 +112,7 @@
         inner.locked = false;
         inner.crash_after = None;
         inner.fails_sync = false;
+        inner.full_operation = None;
         Self {
             inner: self.inner.clone(),
             generation: inner.generation,
@@ -100,6 +132,16 @@
         self.inner().fails_sync = fails;
     }
 
+    /// Makes one kind of operation fail for lack of space, or none.
+    pub fn set_full_operation(&self, operation: Option<Operation>) {
+        self.inner().full_operation = operation;
+    }
+
+    /// Makes the operation with this number, counted from now, fail for lack of space, or none.
+    pub fn set_full_after(&self, operations: Option<u64>) {
+        self.inner().full_after = operations;
+    }
+
     pub fn set_delay(&self, delay_ms: u64) {
         self.inner().delay_ms = delay_ms;
     }
@@ -121,16 +163,42 @@
         inner.synced_names = inner.names.clone();
     }
 
-    /// Starts an operation; returns whether the process crashes in the middle of it. Fails if the
-    /// process has crashed before.
-    fn begin(&self) -> io::Result<(MutexGuard<'_, Inner>, bool)> {
+    /// Starts an operation; returns whether the process crashes in the middle of it, or there is no
+    /// space for it. Fails if the process has crashed before.
+    fn begin(&self, operation: Operation) -> io::Result<(MutexGuard<'_, Inner>, Disturbance)> {
         let mut inner = self.inner();
         if inner.generation != self.generation || inner.crash_after == Some(0) {
             return Err(io::Error::other("the process crashed"));
         }
         let remaining = inner.crash_after.map(|remaining| remaining - 1);
         inner.crash_after = remaining;
-        Ok((inner, remaining == Some(0)))
+        let is_full = inner.full_operation == Some(operation) || inner.full_after == Some(0);
+        inner.full_after = inner.full_after.and_then(|left| left.checked_sub(1));
+        let disturbance = Disturbance {
+            is_crashing: remaining == Some(0),
+            is_full,
+        };
+        Ok((inner, disturbance))
+    }
+}
+
+/// What becomes of an operation.
+#[derive(Clone, Copy)]
+struct Disturbance {
+    is_crashing: bool,
+    is_full: bool,
+}
+
+impl Disturbance {
+    /// Fails an operation that has no effect unless it succeeds.
+    fn check(self) -> io::Result<()> {
+        match self {
+            Self {
+                is_crashing: true, ..
+            } => Err(crash_error()),
+            Self { is_full: true, .. } => Err(ErrorKind::StorageFull.into()),
+            _ => Ok(()),
+        }
     }
 }
 
@@ -183,13 +251,20 @@
     }
 
     fn write(&self, name: &str, offset: u64, bytes: &[u8]) -> io::Result<()> {
-        let (mut inner, is_crashing) = self.begin()?;
+        let (mut inner, disturbance) = self.begin(Operation::Write)?;
+        let Disturbance {
+            is_crashing,
+            is_full,
+        } = disturbance;
         let wanted = if is_crashing {
             bytes.len() / 2
         } else {
             bytes.len()
         };
-        let taken = inner.take_free_bytes(wanted);
+        let taken = match is_full {
+            true => wanted / 2,
+            false => inner.take_free_bytes(wanted),
+        };
         let id = inner.file_id(name);
         let file = inner.files.get_mut(&id).unwrap();
         file.bytes.truncate(usize::try_from(offset).unwrap());
@@ -202,10 +277,8 @@
     }
 
     fn truncate(&self, name: &str, length_bytes: u64) -> io::Result<()> {
-        let (mut inner, is_crashing) = self.begin()?;
-        if is_crashing {
-            return Err(crash_error());
-        }
+        let (mut inner, disturbance) = self.begin(Operation::Truncate)?;
+        disturbance.check()?;
         let id = inner.file_id(name);
         let file = inner.files.get_mut(&id).unwrap();
         file.bytes.resize(usize::try_from(length_bytes).unwrap(), 0);
@@ -213,40 +286,42 @@
     }
 
     fn sync(&self, name: &str) -> io::Result<()> {
-        let (mut inner, is_crashing) = self.begin()?;
-        if is_crashing || inner.fails_sync {
+        let (mut inner, disturbance) = self.begin(Operation::Sync)?;
+        if disturbance.is_crashing {
             return Err(crash_error());
         }
+        let is_full = disturbance.is_full;
+        let fails = inner.fails_sync || is_full;
         let id = inner.file_id(name);
         let file = inner.files.get_mut(&id).unwrap();
-        file.synced = file.bytes.clone();
+        file.is_sync_lost |= fails;
+        match (fails, is_full) {
+            (true, true) => return Err(ErrorKind::StorageFull.into()),
+            (true, false) => return Err(io::Error::other("the sync failed")),
+            _ if file.is_sync_lost => {}
+            _ => file.synced = file.bytes.clone(),
+        }
         Ok(())
     }
 
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
-        let (mut inner, is_crashing) = self.begin()?;
-        if is_crashing {
-            return Err(crash_error());
-        }
+        let (mut inner, disturbance) = self.begin(Operation::Rename)?;
+        disturbance.check()?;
         let id = inner.names.remove(from).ok_or(ErrorKind::NotFound)?;
         inner.names.insert(to.to_owned(), id);
         Ok(())
     }
 
     fn remove(&self, name: &str) -> io::Result<()> {
-        let (mut inner, is_crashing) = self.begin()?;
-        if is_crashing {
-            return Err(crash_error());
-        }
+        let (mut inner, disturbance) = self.begin(Operation::Remove)?;
+        disturbance.check()?;
         inner.names.remove(name).ok_or(ErrorKind::NotFound)?;
         Ok(())
     }
 
     fn sync_folder(&self) -> io::Result<()> {
-        let (mut inner, is_crashing) = self.begin()?;
-        if is_crashing {
-            return Err(crash_error());
-        }
+        let (mut inner, disturbance) = self.begin(Operation::SyncFolder)?;
+        disturbance.check()?;
         inner.synced_names = inner.names.clone();
         Ok(())
     }
