Keep entries that follow a log file which could not be started

What could be lost: an acknowledged change. Nobody has reported it; the search for related paths of the full disks found it.

If the folder could not be synced after the file was renamed into place, the replica went back to the old file and appended to that; the new one stayed on the disk. At the next start it made the replica forget everything that had been appended since.

Change: a log file that could not be started is removed, and the folder synced, before anything is appended.

Evidence: `append_after_one_operation_without_space_stores_all` makes each single operation of a write fail once.

--- a/control/src/store.rs
+++ b/control/src/store.rs
@@ -58,6 +58,9 @@
     /// A sync failed for lack of space. Later syncs of the same file may succeed without writing what
     /// this one did not, so the file has to be replaced.
     SyncFull,
+    /// The next log file could not be started, but may exist. It would replace all entries of this
+    /// one when the folder is opened.
+    NextStarted,
     /// A sync failed for another reason, so it is unknown which writes are on disk.
     Unsynced,
 }
@@ -188,6 +191,7 @@
         self.segment.number += 1;
         if let Err(error) = self.start_segment(true, later) {
             self.segment.number -= 1;
+            self.segment_state = SegmentState::NextStarted;
             return Err(error);
         }
         self.remove_obsolete_files(&name)
@@ -279,6 +283,7 @@
                 }
             }
             SegmentState::SyncFull => self.replace_segment(file)?,
+            SegmentState::NextStarted => self.remove_next_segment()?,
         }
         self.segment_state = SegmentState::Clean;
         Ok(())
@@ -299,6 +304,20 @@
         write_atomically(&self.disk, file, &[&bytes])
     }
 
+    /// Removes the log file after the current one, if it exists.
+    fn remove_next_segment(&self) -> Result<(), StorageError> {
+        let next = log_name(self.segment.number + 1);
+        match self.disk.remove(&next) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => {
+                return Err(StorageError::io("remove", &next, error));
+            }
+            _ => {}
+        }
+        self.disk
+            .sync_folder()
+            .map_err(|e| StorageError::io("sync folder of", &next, e))
+    }
+
     fn sync_failed(&mut self, file: &str, error: io::Error) -> StorageError {
         let error = StorageError::sync(file, error);
         self.segment_state = match error.lacks_space() {
--- a/control/tests/full_disks.rs
+++ b/control/tests/full_disks.rs
@@ -123,3 +123,13 @@
         }
     }
 }
+// Guards against: the same if a single one of the operations of a write fails.
+#[test]
+fn append_after_one_operation_without_space_stores_all() {
+    for position in 0..24 {
+        for seed in 0..8 {
+            let case = format!("operation {position}");
+            assert_stores_all(|disk| disk.set_full_after(Some(position)), seed, &case);
+        }
+    }
+}
