Do not send requests on a connection that still carries a long body

What callers saw: a request waited for its whole timeout and was then rejected, although its upstream was idle.

Cause: an upstream may answer before it has read a long body, and read on later. The connection went back to the pool with the answer, while it was still sending that body, and the next request waited there for its end.

Change: a connection remembers whether the long body of its last request has been taken to its end, and is not used again before.

Evidence: `forward_after_an_early_answer_does_not_wait_for_its_body` failed with 503 for the first later request, after its timeout of 1 s; the next ones are answered within 500 ms now.

A whole body of up to 128 KiB that an upstream does not read is not covered: its end is in the buffers of the connection by then.

--- a/daemon/src/connection.rs
+++ b/daemon/src/connection.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use http::{HeaderValue, Request, Response};
@@ -28,6 +30,8 @@
     head_budget: HeadBudget,
     /// IDs of the requests that were refused on it.
     refused: Vec<HeaderValue>,
+    /// Whether the long body of the last request has been sent; `None` if that had no long body.
+    body_has_ended: Option<Arc<AtomicBool>>,
 }
 
 impl Connection {
@@ -45,6 +49,7 @@
             active_at: now,
             head_budget,
             refused: Vec::new(),
+            body_has_ended: None,
         }
     }
 
@@ -63,9 +68,18 @@
         self.idle_for() < RECENT_ACTIVITY
     }
 
-    /// Returns whether it may carry another request: neither side is known to have closed.
+    /// Returns whether it may carry another request: neither side is known to have closed, and no
+    /// body is being sent whose answer came early.
     pub fn is_open(&self) -> bool {
-        !self.sender.is_closed() && !self.driver.is_finished() && self.refused.len() < MAX_REFUSED
+        !self.sender.is_closed()
+            && !self.driver.is_finished()
+            && self.refused.len() < MAX_REFUSED
+            && !self.is_sending_body()
+    }
+
+    fn is_sending_body(&self) -> bool {
+        let has_ended = self.body_has_ended.as_ref();
+        has_ended.is_some_and(|has_ended| !has_ended.load(Ordering::Relaxed))
     }
 
     /// Records that the request with this ID was refused.
@@ -114,6 +128,10 @@
             Ok(Ok(())) if Instant::now() < send_by => {}
             _ => return Err(SendError::not_sent(ExchangeError::NotSent, request)),
         }
+        self.body_has_ended = match request.body() {
+            RequestBody::Whole(_) => None,
+            RequestBody::Long(body) => Some(body.has_ended()),
+        };
         self.head_budget.start();
         let sending = self.sender.try_send_request(request);
         match tokio::time::timeout_at(answer_by, sending).await {
--- a/daemon/src/long_body.rs
+++ b/daemon/src/long_body.rs
@@ -1,5 +1,7 @@
 use std::collections::VecDeque;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
@@ -18,6 +20,7 @@
     rest: IncomingBody,
     /// Maximum number of bytes of `rest`.
     remaining_bytes: u64,
+    has_ended: Arc<AtomicBool>,
 }
 
 impl LongBody {
@@ -28,6 +31,7 @@
             held,
             rest,
             remaining_bytes,
+            has_ended: Arc::default(),
         }
     }
 
@@ -35,6 +39,22 @@
     pub fn held(&self) -> &VecDeque<Bytes> {
         &self.held
     }
+
+    /// Returns a flag that is set once all of the body has been taken to be sent.
+    pub fn has_ended(&self) -> Arc<AtomicBool> {
+        self.has_ended.clone()
+    }
+
+    fn next_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(bytes) = self.held.pop_front() {
+            return Poll::Ready(Some(Ok(Frame::data(bytes))));
+        }
+        let frame = ready!(Pin::new(&mut self.rest).poll_frame(cx));
+        Poll::Ready(frame.map(|frame| enforce_limit(frame?, &mut self.remaining_bytes)))
+    }
 }
 
 impl Body for LongBody {
@@ -45,11 +65,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if let Some(bytes) = self.held.pop_front() {
-            return Poll::Ready(Some(Ok(Frame::data(bytes))));
+        let frame = ready!(self.next_frame(cx));
+        if frame.is_none() || self.is_end_stream() {
+            self.has_ended.store(true, Ordering::Relaxed);
         }
-        let frame = ready!(Pin::new(&mut self.rest).poll_frame(cx));
-        Poll::Ready(frame.map(|frame| enforce_limit(frame?, &mut self.remaining_bytes)))
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
