Count the held part of a long body towards the limit on bodies

What upstreams saw: a body in chunks that was up to 128 KiB longer than the limit was run.

Cause: the rest of a long body was allowed the whole limit again, whatever had been held of it before.

Evidence: `forward_long_body_beyond_the_limit_is_not_run` sends bodies of the limit and of one byte more; the second one in chunks was run and answered 200 before, and is not run now. Its caller gets 502, since the attempt has begun when the limit is passed.

--- a/daemon/src/roles/buffered_body.rs
+++ b/daemon/src/roles/buffered_body.rs
@@ -58,7 +58,12 @@
                 return Err(BufferedBodyError::TooLong);
             }
             if length > MAX_BUFFERED_BYTES {
-                return Ok(Self::Long(LongBody::new(buffered, incoming, max_bytes)));
+                let remaining_bytes = max_bytes - length as u64;
+                return Ok(Self::Long(LongBody::new(
+                    buffered,
+                    incoming,
+                    remaining_bytes,
+                )));
             }
         }
         let mut whole = BytesMut::with_capacity(length);
