Answer operators' calls that are in progress at a planned stop

What operators saw: a call to a control instance that stopped as planned was cut off without an answer.

The servers of operators and callers were dropped as soon as the replica had stopped, before the answers to calls in progress had left. And a follower that had passed a change on waited for its leader's reply whatever became of itself, for longer than any of the servers would.

A change that was passed on, or a read that waits for the leader, ends when the replica stops; the outcome of the change is unknown then, and the operator sends it again to another instance.

--- a/control/src/core.rs
+++ b/control/src/core.rs
@@ -245,6 +245,15 @@
         }
     }
 
+    /// Runs `work` for as long as the replica does; returns `None` if that stops before.
+    pub async fn unless_stopped<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        let mut stopped = self.stopped.subscribe();
+        tokio::select! {
+            result = work => Some(result),
+            _ = stopped.wait_for(|stopped| *stopped) => None,
+        }
+    }
+
     /// Spawns a task that is aborted when the replica stops.
     pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         if *self.stopped.borrow() {
--- a/control/src/replica.rs
+++ b/control/src/replica.rs
@@ -173,10 +173,12 @@
             call: self.core.next_call_number.fetch_add(1, Ordering::Relaxed),
             submission: submission.clone(),
         };
-        match self.core.link.call(leader, request).await {
-            Ok(ControlReply::Submitted(outcome)) => outcome,
-            Ok(_) => Err(unknown_outcome(&submission, "the leader stopped")),
-            Err(error) => Err(unknown_outcome(&submission, &error.to_string())),
+        let calling = self.core.link.call(leader, request);
+        match self.core.unless_stopped(calling).await {
+            Some(Ok(ControlReply::Submitted(outcome))) => outcome,
+            Some(Ok(_)) => Err(unknown_outcome(&submission, "the leader stopped")),
+            Some(Err(error)) => Err(unknown_outcome(&submission, &error.to_string())),
+            None => Err(unknown_outcome(&submission, "the replica stopped")),
         }
     }
 
@@ -185,7 +187,10 @@
         let leader = self.leader();
         let confirmed = match leader {
             Some(leader) if leader == self.core.settings.me => true,
-            Some(leader) => self.catch_up_with(leader).await,
+            Some(leader) => {
+                let catching_up = self.catch_up_with(leader);
+                self.core.unless_stopped(catching_up).await == Some(true)
+            }
             None => false,
         };
         let volatile = self.core.volatile();
