Bound messages between control instances by their length

What operators saw: two of three control instances lost their disks, 11 s apart, after 300 changes of 350 routes.

Cause: a message held up to 256 entries of the log, whatever their length, and a replica refuses one of more than 32 MiB. The leader sent the same one again for ever, and took the replica for silent. Replies with audit records were bounded by their number, too.

Change: both hold 4 MiB at most, or a single entry or record that is longer. Their form is the same, so older builds read them.

--- a/control/src/audit_backfill.rs
+++ b/control/src/audit_backfill.rs
@@ -6,7 +6,7 @@
 
 use crate::audit_trail::{AuditRange, AuditTrail, continues, first_gap};
 use crate::core::Core;
-use crate::entry::{steered_block_count, truncate_to_max_blocks};
+use crate::entry::{fitting_count, steered_block_count};
 use crate::{ControlReply, ControlRequest, Disk, PeerLink};
 
 /// Maximum number of audit records in one reply.
@@ -113,9 +113,10 @@
             warn!(self.log, "cannot read audit records"; "error" => %error);
         }
         let before = records.list.len();
-        truncate_to_max_blocks(&mut records.list, |record| {
+        let fitting = fitting_count(records.list.iter(), |record| {
             steered_block_count(&record.change)
         });
+        records.list.truncate(fitting);
         if records.list.len() < before {
             records.through_index = records.list.last().map_or(0, |record| record.index);
         }
--- a/control/src/entry.rs
+++ b/control/src/entry.rs
@@ -1,3 +1,5 @@
+use std::io::{self, Write};
+
 use laburnumdeal_model::{AuditRecord, Change, Term};
 use serde::{Deserialize, Serialize};
 
@@ -7,6 +9,11 @@
 /// block is an IP network that a change steers to zones.
 const MAX_BLOCKS_PER_MESSAGE: usize = 20_000;
 
+/// Maximum encoded length of the entries or audit records in one message, in bytes, unless a single
+/// one is longer. Members refuse messages of more than 32 MiB, and confirm a longer one later than a
+/// leader waits.
+const MAX_MESSAGE_BYTES: u64 = 4 * 1024 * 1024;
+
 /// Entry of the replicated log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -36,16 +43,42 @@
     }
 }
 
-/// Truncates a list so that it names at most [`MAX_BLOCKS_PER_MESSAGE`] steered blocks. The first
-/// item is always kept.
-pub(crate) fn truncate_to_max_blocks<T>(list: &mut Vec<T>, block_count: impl Fn(&T) -> usize) {
-    let mut sum = 0;
-    let fitting = list.iter().take_while(|item| {
-        sum += block_count(item);
-        sum <= MAX_BLOCKS_PER_MESSAGE
+/// Returns how many of the first items fit into one message, by the steered blocks that they name and
+/// by their encoded length. The first item always fits.
+pub(crate) fn fitting_count<'a, T: Serialize + 'a>(
+    items: impl Iterator<Item = &'a T>,
+    block_count: impl Fn(&T) -> usize,
+) -> usize {
+    let (mut blocks, mut bytes) = (0, 0);
+    let fitting = items.take_while(|item| {
+        blocks += block_count(item);
+        bytes += encoded_bytes(item);
+        blocks <= MAX_BLOCKS_PER_MESSAGE && bytes <= MAX_MESSAGE_BYTES
     });
-    let fitting = fitting.count();
-    list.truncate(fitting.max(1));
+    fitting.count().max(1)
+}
+
+fn encoded_bytes(item: &impl Serialize) -> u64 {
+    let mut counter = ByteCounter::default();
+    rmp_serde::encode::write(&mut counter, item).expect("the value encodes as MessagePack");
+    counter.bytes
+}
+
+/// Counts the bytes that are written to it.
+#[derive(Default)]
+struct ByteCounter {
+    bytes: u64,
+}
+
+impl Write for ByteCounter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.bytes += bytes.len() as u64;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
 }
 
 /// Contents of an entry.
--- a/control/src/replication.rs
+++ b/control/src/replication.rs
@@ -5,9 +5,8 @@
 use tokio::time::{Instant, timeout};
 
 use crate::core::Core;
-use crate::entry::truncate_to_max_blocks;
 use crate::progress::Progress;
-use crate::{ControlReply, ControlRequest, Disk, Entry, Member, PeerLink, ReplicaIdentity};
+use crate::{ControlReply, ControlRequest, Disk, Member, PeerLink, ReplicaIdentity};
 
 /// Maximum number of entries in one request.
 const MAX_ENTRIES_PER_REQUEST: usize = 256;
@@ -164,8 +163,7 @@
         }
         let next_index = volatile.progress.get(&identity)?.next_index;
         let next_index = next_index.max(volatile.snapshot_index + 1);
-        let mut entries = volatile.entries_from(next_index, MAX_ENTRIES_PER_REQUEST);
-        truncate_to_max_blocks(&mut entries, Entry::steered_block_count);
+        let entries = volatile.message_from(next_index, MAX_ENTRIES_PER_REQUEST);
         Some(ControlRequest::Append {
             header: self.header(&volatile, identity),
             previous_index: next_index - 1,
--- a/control/src/volatile_state.rs
+++ b/control/src/volatile_state.rs
@@ -5,6 +5,7 @@
 use tokio::time::{Duration, Instant};
 
 use crate::call_deduplicator::CallDeduplicator;
+use crate::entry::fitting_count;
 use crate::progress::Progress;
 use crate::{AuditRange, ClusterId, Entry, Members, Payload, ReplicaIdentity, Role, State, Vote};
 
@@ -104,6 +105,14 @@
         later.map(|entry| Entry::clone(entry)).collect()
     }
 
+    /// Returns the entries starting at an index that fit into one message, at most `limit`.
+    pub fn message_from(&self, index: u64, limit: usize) -> Vec<Entry> {
+        let skipped = index.saturating_sub(self.snapshot_index + 1);
+        let later = self.entries.iter().skip(skipped as usize).take(limit);
+        let count = fitting_count(later.map(|entry| &**entry), Entry::steered_block_count);
+        self.entries_from(index, count)
+    }
+
     /// Appends stored entries to the log, replacing the entries from the first one's index on.
     pub fn append(&mut self, entries: &[Entry]) {
         let Some(first) = entries.first() else {
--- a/control/tests/network.rs
+++ b/control/tests/network.rs
@@ -9,6 +9,9 @@
 
 use crate::fake_disk::FakeDisk;
 
+/// Longest message that instances accept, as the daemon's.
+const MAX_MESSAGE_BYTES: usize = 32 * 1024 * 1024;
+
 pub type TestReplica = Replica<TestLink, FakeDisk>;
 
 /// Simulated network that can be partitioned, and that delays, loses, duplicates and reorders
@@ -144,6 +147,9 @@
 
     async fn call(&self, to: InstanceId, request: ControlRequest) -> Result<ControlReply, String> {
         let bytes = rmp_serde::to_vec(&request).unwrap();
+        if bytes.len() > MAX_MESSAGE_BYTES {
+            return Err(format!("a message of {} bytes is refused", bytes.len()));
+        }
         let request: ControlRequest = rmp_serde::from_slice(&bytes).unwrap();
         if self.network.chance(|inner| inner.duplicated_permille) {
             let (network, from, duplicate) = (self.network.clone(), self.from, request.clone());
@@ -153,6 +159,9 @@
         match tokio::time::timeout(Duration::from_millis(2000), delivery).await {
             Ok(Some(reply)) => {
                 let bytes = rmp_serde::to_vec(&reply).unwrap();
+                if bytes.len() > MAX_MESSAGE_BYTES {
+                    return Err(format!("a reply of {} bytes is refused", bytes.len()));
+                }
                 Ok(rmp_serde::from_slice(&bytes).unwrap())
             }
             _ => Err("no reply within 2000 ms".to_owned()),
--- a/control/tests/quorum.rs
+++ b/control/tests/quorum.rs
@@ -1,5 +1,7 @@
 use laburnumdeal_control::{Disk, NotRun, SubmitError};
-use laburnumdeal_model::{Change, InstanceId, Submission, Verdict, Version};
+use laburnumdeal_model::{
+    Change, InstanceId, Item, ItemKey, LimitsItem, NamedItem, Submission, Verdict, Version,
+};
 
 use crate::cluster::{Cluster, LEASE_MS, cap_shift, is_not_run, sleep, submission};
 
@@ -279,6 +281,50 @@
     }
 }
 
+/// Number of changes of 1 MiB that exceed the longest message together.
+const LONG_CHANGES: u64 = 34;
+
+/// Change of an item whose text has 1 MiB.
+fn long_change(number: u64) -> Submission {
+    let value = "x".repeat(1024 * 1024);
+    let item = Item {
+        version: number + 1,
+        value: Some(LimitsItem::default().into()),
+        original: value,
+    };
+    let key = ItemKey::Limits;
+    let items = vec![NamedItem { key, item }];
+    submission(&format!("l{number}"), Change::Items { items })
+}
+
+// Guards against CONFIG: a replica that lost its disk never catches up with changes that are too long
+// for one message together.
+#[tokio::test(start_paused = true)]
+async fn submit_long_changes_reach_replicas_that_lost_their_disks() {
+    // Without snapshots the log is sent, with them a snapshot and audit records.
+    for (entries_per_snapshot, lost_disks) in [(0, 2), (30, 1)] {
+        let mut cluster = Cluster::new(3, 13);
+        cluster.entries_per_snapshot = entries_per_snapshot;
+        cluster.start_all().await;
+        let leader = cluster.leader().await;
+        for number in 0..LONG_CHANGES {
+            cluster.submit(leader, long_change(number)).await;
+        }
+        cluster.wait_for_convergence().await;
+        let others = (0..3).filter(|number| *number != leader);
+        for lost in others.take(lost_disks) {
+            cluster.lose_disk(lost).await;
+            sleep(10_000).await;
+            cluster.wait_for_convergence().await;
+        }
+        let trail = cluster.replica(leader).audit_records(0, 100);
+        assert_eq!(trail.len() as u64, LONG_CHANGES);
+        for replica in cluster.running() {
+            assert!(replica.audit_records(0, 100) == trail);
+        }
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn submit_many_blocks_trigger_a_snapshot() {
     let mut cluster = Cluster::new(1, 12);
