--- a/control/src/entry.rs
+++ b/control/src/entry.rs
@@ -10,8 +10,8 @@
 const MAX_BLOCKS_PER_MESSAGE: usize = 20_000;
 
 /// Maximum encoded length of the entries or audit records in one message, in bytes, unless a single
-/// one is longer. Members refuse messages of more than 32 MiB, and confirm a longer one later than a
-/// leader waits.
+/// one is longer. Members refuse messages of more than 32 MiB, and a leader takes one that confirms
+/// late for silent.
 const MAX_MESSAGE_BYTES: u64 = 4 * 1024 * 1024;
 
 /// Entry of the replicated log.
--- a/model/src/item.rs
+++ b/model/src/item.rs
@@ -35,14 +35,15 @@
     pub version: u64,
     /// Contents; `None` if the item was removed.
     pub value: Option<ItemValue>,
-    /// Text of the item as its sender wrote it, returned when the configuration is read.
+    /// JSON text of the item, with the numbers as its sender wrote them; returned when the
+    /// configuration is read.
     pub original: String,
 }
 
 impl Item {
-    /// Returns whether two texts of one version have the same contents. Builds up to 2026-12 stored
-    /// every number as the nearest one that their JSON parser could represent, so that an item which
-    /// they stored and the same one sent again may differ in the notation of numbers.
+    /// Returns whether two items of one version have the same contents. Builds up to 2026-12 stored
+    /// each number as the nearest double, so an item that they stored and the same one sent again may
+    /// differ in the notation of numbers.
     pub(crate) fn has_same_contents(&self, other: &Self) -> bool {
         self.value == other.value
             && (self.original == other.original
