Hold customers as items of the configuration

Cause: no code knew customers; a configuration with them was accepted and they were forgotten, so that nothing tells one caller from another.

Change: a customer is an item with its keys, priority, rate, burst and regions, and a route may be public. Two customers that share a key, an empty key and a negative limit are refused with the item and the field, and no text shows a key. Builds without customers must read what is stored and sent: a customer is stored in the form of a service that no route names, whose text holds it, and a public route by a bit of its priority. Such builds keep both, and pass them on unchanged.

No former build was run.

--- a/daemon/tests/updates.rs
+++ b/daemon/tests/updates.rs
@@ -36,6 +36,7 @@
         services: vec![("svc00001".to_owned(), 900), ("svc00002".to_owned(), 100)],
         regions: Vec::new(),
         affinity: true,
+        is_public: false,
     };
     // As long as the text of one route in practice.
     let original = format!(
--- a/model/src/item.rs
+++ b/model/src/item.rs
@@ -1,14 +1,19 @@
-use derive_more::{Display, From};
+use derive_more::{Debug, Display, From};
 use serde::{Deserialize, Serialize};
 
-use crate::{LimitsItem, RouteItem, ServiceItem};
+use crate::stored_item::{StoredKey, StoredValue};
+use crate::{CustomerItem, LimitsItem, RouteItem, ServiceItem};
 
 /// Key of an item of the configuration: its kind, and its name where the kind has several.
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(from = "StoredKey", into = "StoredKey")]
 pub enum ItemKey {
     /// A route, by name.
     #[display("route {_0}")]
     Route(String),
+    /// A customer, by name. Its place in the order of keys is that of its stored form.
+    #[display("customer {_0}")]
+    Customer(String),
     /// A service, by name.
     #[display("service {_0}")]
     Service(String),
@@ -19,6 +24,7 @@
 
 /// Contents of an item.
 #[derive(Clone, Debug, From, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "StoredValue", into = "StoredValue")]
 pub enum ItemValue {
     /// A route.
     Route(RouteItem),
@@ -26,6 +32,8 @@
     Service(ServiceItem),
     /// The limits on callers.
     Limits(LimitsItem),
+    /// A customer.
+    Customer(CustomerItem),
 }
 
 /// A version of an item. A removed item keeps its version, so that older versions are ignored.
@@ -36,7 +44,8 @@
     /// Contents; `None` if the item was removed.
     pub value: Option<ItemValue>,
     /// JSON text of the item, with the numbers as its sender wrote them; returned when the
-    /// configuration is read.
+    /// configuration is read. It may hold keys, so that no log shows it.
+    #[debug(skip)]
     pub original: String,
 }
 
--- a/model/src/items.rs
+++ b/model/src/items.rs
@@ -1,9 +1,12 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Item, ItemKey, ItemValue, LimitsItem, NamedItem, Refusal, RouteItem, ServiceItem};
+use crate::stored_item::is_reserved;
+use crate::{
+    CustomerItem, Item, ItemKey, ItemValue, LimitsItem, NamedItem, Refusal, RouteItem, ServiceItem,
+};
 
 /// Items of the configuration, each with a version of its own. The highest version of an item is
 /// in force, whether it sets or removes the item.
@@ -41,6 +44,7 @@
                 next.check_services_exist(key, route)?;
             }
         }
+        next.check_keys_differ()?;
         Ok(next)
     }
 
@@ -80,6 +84,19 @@
             })
     }
 
+    /// Returns the name and contents of each customer that has not been removed, in the order of
+    /// names.
+    pub fn customers(&self) -> impl Iterator<Item = (&str, &CustomerItem)> {
+        self.map
+            .iter()
+            .filter_map(|(key, item)| match (key, &item.value) {
+                (ItemKey::Customer(name), Some(ItemValue::Customer(customer))) => {
+                    Some((name.as_str(), customer))
+                }
+                _ => None,
+            })
+    }
+
     /// Returns the limits on callers, if they are set.
     pub fn limits(&self) -> Option<&LimitsItem> {
         match &self.map.get(&ItemKey::Limits)?.value {
@@ -114,11 +131,19 @@
     }
 
     fn check_item(&self, named: &NamedItem) -> Result<(), Refusal> {
-        if let Some(ItemValue::Route(route)) = &named.item.value
-            && let Some(reason) = route.invalid_reason()
-        {
+        let reason = match &named.item.value {
+            Some(ItemValue::Route(route)) => route.invalid_reason(),
+            Some(ItemValue::Customer(customer)) => customer.invalid_reason(),
+            _ => None,
+        };
+        if let Some(reason) = reason {
             return Err(invalid_item(&named.key, reason));
         }
+        if let ItemKey::Service(name) = &named.key
+            && is_reserved(name)
+        {
+            return Err(invalid_item(&named.key, "the name is reserved"));
+        }
         match self.map.get(&named.key) {
             Some(stored)
                 if stored.version == named.item.version
@@ -133,6 +158,22 @@
         }
     }
 
+    /// Refuses a key that two customers have: it would not tell whose request it is.
+    fn check_keys_differ(&self) -> Result<(), Refusal> {
+        let mut owners = HashMap::new();
+        for (name, customer) in self.customers() {
+            for api_key in &customer.api_keys {
+                if let Some(owner) = owners.insert(api_key, name)
+                    && owner != name
+                {
+                    let reason = format!("customer {owner:?} has one of its keys");
+                    return Err(invalid_item(&ItemKey::Customer(name.to_owned()), &reason));
+                }
+            }
+        }
+        Ok(())
+    }
+
     fn check_services_exist(&self, key: &ItemKey, route: &RouteItem) -> Result<(), Refusal> {
         let is_present = |name: &str| {
             let service = self.map.get(&ItemKey::Service(name.to_owned()));
--- a/model/src/route_item.rs
+++ b/model/src/route_item.rs
@@ -1,7 +1,10 @@
 use serde::{Deserialize, Serialize};
 
+use crate::stored_item::StoredRoute;
+
 /// Rules for forwarding requests to one host and path prefix.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "StoredRoute", into = "StoredRoute")]
 pub struct RouteItem {
     /// Host in the requests of callers.
     pub host: String,
@@ -24,6 +27,8 @@
     pub regions: Vec<String>,
     /// Whether upstreams answer faster for objects that they handled recently.
     pub affinity: bool,
+    /// Whether the requests need no key of a customer.
+    pub is_public: bool,
 }
 
 impl RouteItem {
--- a/model/tests/items.rs
+++ b/model/tests/items.rs
@@ -26,6 +26,7 @@
         services: vec![(service.into(), 1_000)],
         regions: Vec::new(),
         affinity: true,
+        is_public: false,
     }
 }
 
--- a/policy/tests/steer/setup.rs
+++ b/policy/tests/steer/setup.rs
@@ -55,6 +55,7 @@
         services: vec![("catalog".into(), 1_000)],
         regions: Vec::new(),
         affinity: true,
+        is_public: false,
     };
     let service = ServiceItem {
         health_path: "/health".into(),
