Recognize callers by their customers' keys

Change: where the configuration has customers, a request needs the key of one unless its route is public; else it is answered 401 and does not run. Keys are looked up by a hash that depends on a secret of the process. The upstream, or another entry instance, gets the name of the customer in place of the key, whatever the caller sent. The priority of the customer goes before that of the route, and the regions of both bind, at upstreams and at other instances. Without customers nothing changes.

--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use laburnumdeal_model::{Configuration, Target, WHOLE_PERMILLE};
+use laburnumdeal_policy::customers::CustomerTable;
 use laburnumdeal_policy::steer::{
     CrashReport, HelperInstances, InstanceRecord, LinkCapacity, LoadBalancer, PlannedStop,
     RegionShare, RequestBlocks, RequestFingerprints, RetryBudgetShare, RouteTable, UpstreamKey,
@@ -57,6 +58,8 @@
     pub configuration: Option<Arc<Configuration>>,
     /// Route table of the configuration.
     pub routes: Arc<RouteTable>,
+    /// Customers of the configuration.
+    pub customers: Arc<CustomerTable>,
 }
 
 /// State shared by the tasks of an entry instance.
@@ -75,6 +78,8 @@
     pools: Mutex<HashMap<UpstreamKey, ConnectionPool>>,
     retries: Mutex<RetryBudgets>,
     active: RwLock<ActiveConfiguration>,
+    /// Secret that hashes of keys depend on.
+    secret: [u8; 32],
     blocks: Mutex<RequestBlocks>,
     pub crash_checks: CrashChecks,
     /// Crash reports of this instance for the control instances.
@@ -106,6 +111,7 @@
             pools: Mutex::default(),
             retries: Mutex::new(retries),
             active: RwLock::default(),
+            secret: rand::random(),
             blocks: Mutex::default(),
             crash_checks: CrashChecks::default(),
             crash_queue: CrashQueue::default(),
@@ -317,6 +323,7 @@
             current.is_some_and(|current| Arc::ptr_eq(&current.items, &configuration.items));
         if !same_items {
             active.routes = Arc::new(RouteTable::new(&configuration.items));
+            active.customers = Arc::new(CustomerTable::new(&configuration.items, &self.secret));
         }
         let routes = configuration.items.routes().count();
         info!(self.log.unlimited(), "configuration in force";
--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -5,6 +5,7 @@
 
 use crate::incoming_body::IncomingBody;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use laburnumdeal_policy::customers::{CallerTerms, Customer, CustomerTable};
 use laburnumdeal_policy::steer::{RequestFingerprints, Route, hash_of};
 use slog::info;
 use tokio::time::Instant;
@@ -15,6 +16,7 @@
 use crate::pipeline::ArrivedAt;
 use crate::roles::HeaderCodec;
 use crate::roles::buffered_body::{BufferedBody, BufferedBodyError};
+use crate::roles::caller_check;
 use crate::roles::entry_state::EntryState;
 use crate::roles::forwarding::{
     BLOCKED_REASON, BLOCKED_RETRY_AFTER, ForwardOutcome, Forwarding, Origin, Progress,
@@ -30,6 +32,10 @@
 /// Retry delay for callers of an instance that has no configuration yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Retry delay for a request whose route and customer have no region in common. Only a change of the
+/// configuration helps.
+const NO_REGION_RETRY_AFTER: Duration = Duration::from_secs(5);
+
 /// Marks a response of this instance to a request that did not run.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct NotRun;
@@ -44,6 +50,10 @@
 struct RoutedRequest<'a> {
     route: &'a Route,
     service: &'a str,
+    customers: &'a CustomerTable,
+    /// Customer that sent it; `None` if it needs no key.
+    customer: Option<&'a Customer>,
+    terms: CallerTerms<'a>,
     host: &'a str,
     caller: IpAddr,
     origin: Origin,
@@ -90,10 +100,29 @@
             self.log_rejected(&request, StatusCode::NOT_FOUND, "no route fits");
             return text_response(StatusCode::NOT_FOUND, "no route fits");
         };
+        let customers = &*active.customers;
+        let identity =
+            caller_check::identify::<H>(request.headers(), customers, &route.item, origin);
+        let customer = match identity {
+            Ok(customer) => customer.map(|key| customers.get(key)),
+            Err(cause) => {
+                let reason = cause.to_string();
+                self.log_rejected(&request, StatusCode::UNAUTHORIZED, &reason);
+                return text_response(StatusCode::UNAUTHORIZED, &reason);
+            }
+        };
+        let Some(terms) = CallerTerms::new(&route.item, customer) else {
+            let reason = "route and customer have no region in common";
+            self.log_rejected(&request, StatusCode::SERVICE_UNAVAILABLE, reason);
+            return unavailable_response::<H>(reason, NO_REGION_RETRY_AFTER);
+        };
         let service = route.pick_service(rand::random());
         let routed = RoutedRequest {
             route,
             service,
+            customers,
+            customer,
+            terms,
             host: &host,
             caller,
             origin,
@@ -143,6 +172,7 @@
             state: &self.state,
             route: routed.route,
             service: routed.service,
+            terms: &routed.terms,
             request: attempt,
             body,
             started_at: routed.started_at,
@@ -190,7 +220,9 @@
             "id" => String::from_utf8_lossy(id.as_bytes()).into_owned(),
             "fingerprint" => format!("{:016x}", forwarding.request.fingerprints.by_caller),
             "caller" => routed.caller.to_string(), "route" => &routed.route.name, "route_version" => routed.route.version,
-            "service" => routed.service, "upstream" => upstream, "region" => region,
+            "service" => routed.service,
+            "customer" => routed.customer.map_or("", |customer| &customer.name),
+            "upstream" => upstream, "region" => region,
             "rank" => last.map_or(0, |decision| decision.rank),
             "at_limit" => last.map_or(0, |decision| decision.at_limit),
             "expected_ms" => last.map_or(0, |decision| decision.expected_ms as u64),
@@ -283,6 +315,7 @@
     };
     let mut headers = header::end_to_end(&parts.headers);
     headers.remove(http::header::EXPECT);
+    caller_check::replace_headers::<H>(&mut headers, routed.customers, routed.customer);
     AttemptRequest {
         method: parts.method.clone(),
         uri: path.parse::<Uri>().unwrap_or_else(|_| parts.uri.clone()),
--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -3,6 +3,7 @@
 
 use http::header::RETRY_AFTER;
 use http::{HeaderMap, Response, StatusCode};
+use laburnumdeal_policy::customers::CallerTerms;
 use laburnumdeal_policy::steer::{
     Decision, RequestContext, Route, Selection, UpstreamKey, spread_delay,
 };
@@ -66,6 +67,7 @@
     pub state: &'a Arc<EntryState>,
     pub route: &'a Route,
     pub service: &'a str,
+    pub terms: &'a CallerTerms<'a>,
     pub request: AttemptRequest,
     pub body: BufferedBody,
     pub started_at: Instant,
@@ -180,7 +182,7 @@
         let mut tried = Vec::new();
         while tried.len() < MAX_HELPERS {
             let now = Instant::now();
-            let regions = &self.route.item.regions;
+            let regions = &self.terms.regions;
             let key = self.state.helpers().choose(regions, &tried, now)?;
             tried.push(key);
             let name = self.state.helpers().name(key).to_owned();
@@ -238,12 +240,12 @@
             route: &self.route.name,
             service: self.service,
             object: self.request.object,
-            regions: &self.route.item.regions,
+            regions: &self.terms.regions,
             tried,
             time_left: self.request.deadline.saturating_duration_since(now),
             elapsed: now.saturating_duration_since(self.started_at),
             target_latency: Duration::from_millis(self.route.item.target_latency_ms),
-            priority: self.route.item.priority,
+            priority: self.terms.priority,
         };
         self.state.load_balancer().choose(&request, now)
     }
--- a/daemon/src/roles/header_codec.rs
+++ b/daemon/src/roles/header_codec.rs
@@ -14,6 +14,10 @@
     /// Key of the object that a request concerns; requests with equal keys prefer the same
     /// upstreams.
     const AFFINITY_KEY: HeaderName;
+    /// Key of a customer's caller. It goes no further than the instance that the caller sends it to.
+    const CUSTOMER_KEY: HeaderName;
+    /// Name of the customer that sent a request, for upstreams.
+    const CUSTOMER: HeaderName;
     /// ID of the only upstream that may run the request.
     const EXPECTED_UPSTREAM: HeaderName;
 
--- a/daemon/src/roles/mod.rs
+++ b/daemon/src/roles/mod.rs
@@ -4,6 +4,7 @@
 
 mod answer_notices;
 mod buffered_body;
+mod caller_check;
 mod configuration_update;
 mod control_node;
 mod control_record;
--- a/model/src/items.rs
+++ b/model/src/items.rs
@@ -139,10 +139,15 @@
         if let Some(reason) = reason {
             return Err(invalid_item(&named.key, reason));
         }
-        if let ItemKey::Service(name) = &named.key
-            && is_reserved(name)
-        {
-            return Err(invalid_item(&named.key, "the name is reserved"));
+        match &named.key {
+            ItemKey::Service(name) if is_reserved(name) => {
+                return Err(invalid_item(&named.key, "the name is reserved"));
+            }
+            ItemKey::Customer(name) if name.is_empty() || name.contains(char::is_control) => {
+                let reason = "the name is empty or has a control character";
+                return Err(invalid_item(&named.key, reason));
+            }
+            _ => {}
         }
         match self.map.get(&named.key) {
             Some(stored)
--- a/model/tests/customers.rs
+++ b/model/tests/customers.rs
@@ -215,6 +215,14 @@
     assert!(refusal.unwrap_err().to_string().contains("reserved"));
 }
 
+#[test]
+fn merged_customer_whose_name_fits_no_header_is_refused() {
+    for name in ["", "am\nma"] {
+        let refusal = Items::default().merged(&[customer(name, 1, &["k-1"])]);
+        assert!(refusal.unwrap_err().to_string().contains("the name is"));
+    }
+}
+
 // Guards against: keys reach a log through the debug text of an item.
 #[test]
 fn debug_customer_leaves_out_its_keys() {
--- /dev/null
+++ b/policy/tests/customers/main.rs
@@ -0,0 +1,3 @@
+//! Customers: who is calling, and what holds for it.
+
+mod terms;
