Count the leader's lease by the boot clock too

The steady clock stands still while a machine is suspended, so a leader that woke up could confirm reads and changes by a lease that had ended, while another led. A lease now needs answers that are recent by CLOCK_BOOTTIME as well. Elections and the check of the quorum keep the steady clock: there it only makes a replica wait longer. Replica::leader_proof names the term and the committed version under such a lease, for entry instances that have to prove that their configuration is fresh.

The struct literal of the tests' cluster has the new field, a clock that tests can let run ahead.

--- a/control/src/core.rs
+++ b/control/src/core.rs
@@ -212,8 +212,9 @@
     /// Returns whether this replica is the established leader and holds a valid lease, so that no
     /// other replica can lead at this moment.
     pub fn has_lease(&self, volatile: &VolatileState) -> bool {
+        let since_boot = (self.settings.since_boot)();
         volatile.is_established_leader()
-            && volatile.majority_responded_within(self.settings.lease_duration())
+            && volatile.majority_supports_lease(self.settings.lease_duration(), since_boot)
     }
 
     /// Returns the header for a request to the replica `receiver`.
--- a/control/src/progress.rs
+++ b/control/src/progress.rs
@@ -1,6 +1,7 @@
-use tokio::time::{Duration, Instant};
+use tokio::time::Duration;
 
 use crate::ReplicaIdentity;
+use crate::sent_at::SentAt;
 
 /// Replication progress of another member, as its leader knows it.
 #[derive(Clone, Debug)]
@@ -10,7 +11,7 @@
     /// Last entry known to be synced by the member and equal to the leader's.
     pub matched_index: u64,
     /// Time when the latest request that the member responded to was sent.
-    pub last_acked_sent_at: Option<Instant>,
+    pub last_acked_sent_at: Option<SentAt>,
     /// Whether the member last reported that its data folder is full.
     pub storage_full: bool,
     /// Identity of a blank replica that answers on the member's instance instead of the member.
@@ -33,6 +34,13 @@
     /// Returns whether the member responded to a request that was sent less than `within` ago.
     pub fn responded_within(&self, within: Duration) -> bool {
         self.last_acked_sent_at
-            .is_some_and(|at| at.elapsed() < within)
+            .is_some_and(|at| at.instant.elapsed() < within)
+    }
+
+    /// Returns whether the member responded to a request that was sent less than `within` ago by
+    /// both clocks. `since_boot` is the time of the boot clock.
+    pub fn supports_lease(&self, within: Duration, since_boot: Duration) -> bool {
+        self.last_acked_sent_at
+            .is_some_and(|at| at.is_within(within, since_boot))
     }
 }
--- a/control/src/replica.rs
+++ b/control/src/replica.rs
@@ -21,8 +21,8 @@
 use crate::volatile_state::VolatileState;
 use crate::{
     Committed, ConfigurationRead, ControlError, ControlReply, ControlRequest, Disk, FileDisk,
-    NotRun, PeerLink, ReplaceError, ReplicaSettings, ReplicaStatus, Role, Status, StorageError,
-    SubmitError,
+    LeaderProof, NotRun, PeerLink, ReplaceError, ReplicaSettings, ReplicaStatus, Role, Status,
+    StorageError, SubmitError,
 };
 
 /// Maximum number of proposals that are queued while the leader commits a batch.
@@ -270,6 +270,15 @@
         self.core.has_lease(&self.core.volatile())
     }
 
+    /// Returns what is committed if this replica leads with a valid lease.
+    pub fn leader_proof(&self) -> Option<LeaderProof> {
+        let volatile = self.core.volatile();
+        self.core.has_lease(&volatile).then(|| LeaderProof {
+            term: volatile.vote.term,
+            version: volatile.state.configuration.version,
+        })
+    }
+
     /// Returns the members as of the last log entry.
     pub fn members(&self) -> Vec<crate::Member> {
         self.core.volatile().members.list.clone()
--- a/control/src/replica_settings.rs
+++ b/control/src/replica_settings.rs
@@ -4,7 +4,10 @@
 
 use laburnumdeal_model::{InstanceId, Topology};
 
-use crate::{AutoMembershipSettings, ControlError, InjectedFaults, InstanceNames, ReplicaIdentity};
+use crate::{
+    AutoMembershipSettings, ControlError, InjectedFaults, InstanceNames, ReplicaIdentity,
+    boot_clock,
+};
 
 /// Default interval between two heartbeats of a leader.
 const HEARTBEAT_INTERVAL_MS: u64 = 100;
@@ -48,6 +51,8 @@
     pub entries_per_snapshot: u64,
     /// Returns the time in milliseconds since the Unix epoch.
     pub now_ms: fn() -> u64,
+    /// Returns the time since the machine started, including the time for which it was suspended.
+    pub since_boot: fn() -> Duration,
     /// Returns an identity for a blank folder, which must differ from all earlier ones.
     pub new_identity: fn() -> ReplicaIdentity,
     /// Faults that tests inject.
@@ -76,6 +81,7 @@
             seed: rand::random(),
             entries_per_snapshot: ENTRIES_PER_SNAPSHOT,
             now_ms: unix_now_ms,
+            since_boot: boot_clock::since_boot,
             new_identity: ReplicaIdentity::random,
             faults: InjectedFaults::default(),
         }
--- a/control/src/replication.rs
+++ b/control/src/replication.rs
@@ -6,6 +6,7 @@
 
 use crate::core::Core;
 use crate::progress::Progress;
+use crate::sent_at::SentAt;
 use crate::{ControlReply, ControlRequest, Disk, Member, PeerLink, ReplicaIdentity};
 
 /// Maximum number of entries in one request.
@@ -76,7 +77,10 @@
             let Some(request) = self.next_request(identity, term, &mut outgoing).await else {
                 break;
             };
-            let sent_at = Instant::now();
+            let sent_at = SentAt {
+                instant: Instant::now(),
+                since_boot: (self.settings.since_boot)(),
+            };
             let within = self.settings.lease_duration();
             let has_more = match self.call(to, request, within).await {
                 Ok(reply) => {
@@ -92,7 +96,7 @@
                 let pause = self
                     .settings
                     .heartbeat_interval()
-                    .saturating_sub(sent_at.elapsed());
+                    .saturating_sub(sent_at.instant.elapsed());
                 let _ = timeout(pause, self.wait_for_entries(identity, term, &mut changed)).await;
             }
         }
@@ -221,7 +225,7 @@
         &self,
         identity: ReplicaIdentity,
         term: Term,
-        sent_at: Instant,
+        sent_at: SentAt,
         reply: ControlReply,
         outgoing: &mut Option<OutgoingSnapshot>,
     ) -> bool {
--- a/control/src/volatile_state.rs
+++ b/control/src/volatile_state.rs
@@ -195,6 +195,16 @@
         })
     }
 
+    /// Returns whether a majority responded to requests that were sent less than `within` ago, also
+    /// if the machine was suspended meanwhile. `since_boot` is the time of the boot clock.
+    pub fn majority_supports_lease(&self, within: Duration, since_boot: Duration) -> bool {
+        self.members.has_majority(|member| {
+            let progress = self.progress.get(&member.identity);
+            member.identity == self.identity
+                || progress.is_some_and(|progress| progress.supports_lease(within, since_boot))
+        })
+    }
+
     /// Returns whether a majority has disk space for changes, as last reported by each member.
     pub fn majority_has_space(&self) -> bool {
         self.members.has_majority(|member| {
--- a/control/tests/cluster.rs
+++ b/control/tests/cluster.rs
@@ -22,6 +22,7 @@
 thread_local! {
     static IDENTITIES: Cell<u128> = const { Cell::new(0) };
     static STARTED_AT: Cell<Option<Instant>> = const { Cell::new(None) };
+    static SUSPENDED: Cell<Duration> = const { Cell::new(Duration::ZERO) };
 }
 
 /// Wall-clock time at the start of every cluster, in milliseconds since the Unix epoch.
@@ -33,6 +34,18 @@
     CLUSTER_START_MS + u64::try_from(elapsed.as_millis()).unwrap()
 }
 
+/// Returns the time of a boot clock that matches tokio's paused clock, plus the time for which the
+/// machines were suspended.
+fn since_boot() -> Duration {
+    let elapsed = STARTED_AT.get().map_or(Duration::ZERO, |at| at.elapsed());
+    elapsed + SUSPENDED.get()
+}
+
+/// Suspends all machines: their steady clocks stand still, their boot clocks go on.
+pub fn suspend(duration: Duration) {
+    SUSPENDED.set(SUSPENDED.get() + duration);
+}
+
 /// Returns the next identity of a deterministic sequence, so that runs are reproducible.
 fn new_identity() -> ReplicaIdentity {
     IDENTITIES.set(IDENTITIES.get() + 1);
@@ -121,6 +134,7 @@
             seed: self.seed * 1000 + self.seed_offset,
             entries_per_snapshot: self.entries_per_snapshot,
             now_ms,
+            since_boot,
             new_identity,
             faults: self.faults,
         };
--- a/control/tests/quorum.rs
+++ b/control/tests/quorum.rs
@@ -1,9 +1,11 @@
+use std::time::Duration;
+
 use laburnumdeal_control::{Disk, NotRun, SubmitError};
 use laburnumdeal_model::{
     Change, InstanceId, Item, ItemKey, LimitsItem, NamedItem, Submission, Verdict, Version,
 };
 
-use crate::cluster::{Cluster, LEASE_MS, cap_shift, is_not_run, sleep, submission};
+use crate::cluster::{Cluster, LEASE_MS, cap_shift, is_not_run, sleep, submission, suspend};
 
 const ACCEPTED_1: Verdict = Verdict::Accepted {
     version: Version(1),
@@ -337,3 +339,35 @@
     sleep(100).await;
     assert!(cluster.replica(0).status().snapshot_index > 0);
 }
+
+// Guards against: a leader wakes from a suspension for which its steady clock stood still, and
+// confirms by a lease that ended long ago, while another replica leads.
+#[tokio::test(start_paused = true)]
+async fn leader_proof_of_a_leader_that_was_suspended_is_none() {
+    let cluster = Cluster::started(3, 7).await;
+    let leader = cluster.leader().await;
+    let proof = cluster.replica(leader).leader_proof().expect("a lease");
+    assert_eq!(proof.version, Version(0));
+    suspend(Duration::from_millis(LEASE_MS));
+    assert_eq!(cluster.replica(leader).leader_proof(), None);
+    assert!(!cluster.replica(leader).status().has_lease);
+    sleep(LEASE_MS).await;
+    assert!(cluster.replica(leader).leader_proof().is_some());
+}
+
+// Guards against: a replica that only follows, or a leader that is cut off, proves an old version.
+#[tokio::test(start_paused = true)]
+async fn leader_proof_names_what_is_committed_and_only_the_leader_has_one() {
+    let cluster = Cluster::started(3, 8).await;
+    let leader = cluster.leader().await;
+    cluster.submit(leader, cap_shift("a", 1)).await;
+    let proofs = (0..3).filter_map(|number| cluster.replica(number).leader_proof());
+    let versions: Vec<Version> = proofs.map(|proof| proof.version).collect();
+    assert_eq!(versions, [Version(1)]);
+    for other in (0..3).filter(|other| *other != leader) {
+        let (leader, other) = (InstanceId(leader as u16), InstanceId(other as u16));
+        cluster.network.partition(leader, other);
+    }
+    sleep(LEASE_MS).await;
+    assert_eq!(cluster.replica(leader).leader_proof(), None);
+}
