--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -45,6 +45,7 @@
 mod claim_sync;
 mod claim_table;
 mod claim_token;
+pub mod customers;
 mod departure;
 mod ejection;
 mod entry_instances;
