Divide customers' quotas among instances

A quota binds the requests of a customer over all instances, in touch or not, in every window. A bank at the leader gives each instance a share: requests that it may admit in any window. Shares end 4 s after they were asked for; the bank charges those of a silent instance for one window more. A new leader raises nothing until it knows all that may be held. Scarce room goes in proportion to what arrives, with rounding that changes.

--- a/policy/tests/customers/main.rs
+++ b/policy/tests/customers/main.rs
@@ -1,3 +1,11 @@
-//! Tests of what binds customers over all instances, while links are cut and messages are lost.
+//! Tests of what binds customers over all instances, while links are cut, messages are lost and the
+//! bank of the quotas changes its place.
 
+mod checker;
 mod key_lease;
+mod quota_bank;
+mod quota_cuts;
+mod quota_load;
+mod quota_random;
+mod quota_run;
+mod quota_share;
