Ask the leader for proofs and quota shares

Entry instances need the leader's word for the lease on customers' keys and for their shares of quotas. An instance whose lease has ended announces that it is starting. Call and Reply have one further kind each; builds without it refuse that message only, and the loop goes on.

--- a/daemon/src/roles/control_node.rs
+++ b/daemon/src/roles/control_node.rs
@@ -20,6 +20,7 @@
 use crate::roles::crash_file::{self, CrashFile};
 use crate::roles::crash_queue::CrashQueue;
 use crate::roles::crash_sender::{self, CrashSource};
+use crate::roles::customer_bank::CustomerBank;
 use crate::roles::fingerprints_text::fingerprints_text;
 use crate::roles::list_history::ListHistory;
 use crate::roles::list_refresher;
@@ -84,6 +85,8 @@
     /// Crash reports of entry instances for the other control instances.
     pub crash_queue: CrashQueue,
     pub reports: Mutex<ReportStore>,
+    /// Answers on customers while this instance leads.
+    pub customers: CustomerBank,
     pub metrics: NodeMetrics,
 }
 
@@ -102,6 +105,11 @@
 }
 
 impl ControlState {
+    /// Returns the address at which other instances reach this one.
+    pub fn own_address(&self) -> SocketAddr {
+        self.settings.peer_address(self.settings.address)
+    }
+
     /// Adds crash reports of another instance and logs the new ones. Returns the reports on requests
     /// of which something is new.
     pub fn add_crashes(&self, reports: &[CrashReport], source: IpAddr) -> Vec<CrashReport> {
@@ -127,7 +135,7 @@
     }
 
     fn receivers(&self) -> Vec<SocketAddr> {
-        let own_address = self.settings.peer_address(self.settings.address);
+        let own_address = self.own_address();
         let members = self.replica.members().into_iter();
         let addresses = members.filter_map(|member| member.instance.parse().ok());
         addresses
@@ -178,6 +186,7 @@
             crashes_unsaved: Notify::new(),
             crash_queue: CrashQueue::default(),
             reports: Mutex::default(),
+            customers: CustomerBank::new(settings.quota_settings()),
             metrics: NodeMetrics::new(),
             settings,
             log,
@@ -201,7 +210,7 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(receive_presence(state.clone(), socket));
         tasks.spawn(list_refresher::run(state.clone(), source));
-        tasks.spawn(log_leader_changes(state.clone()));
+        tasks.spawn(follow_leader(state.clone()));
         tasks.spawn(crash_file::keep(state.clone(), crash_file));
         tasks.spawn(crash_sender::run(state.clone(), state.client.clone()));
         info!(state.log, "control instance started"; "address" => own_address.to_string(),
@@ -383,8 +392,9 @@
     }
 }
 
-/// Logs each change of the leader of the change log, and whether there is one as a metric.
-async fn log_leader_changes(state: Arc<ControlState>) {
+/// Logs each change of the leader of the change log, and whether there is one as a metric. Tells the
+/// bank of customers' quotas while this instance leads.
+async fn follow_leader(state: Arc<ControlState>) {
     let mut previous = None;
     loop {
         let leader = state
@@ -396,6 +406,9 @@
                 "leader" => leader.clone().unwrap_or_else(|| "none".to_owned()));
         }
         state.metrics.set_led(leader.is_some());
+        if let Some(proof) = state.replica.leader_proof() {
+            state.customers.lead(proof);
+        }
         previous = leader;
         tokio::time::sleep(Duration::from_millis(500)).await;
     }
--- a/daemon/src/roles/entry_node.rs
+++ b/daemon/src/roles/entry_node.rs
@@ -12,6 +12,7 @@
 use crate::dialer::Dialer;
 use crate::http_server::HttpServer;
 use crate::roles::crash_sender;
+use crate::roles::customer_exchange;
 use crate::roles::entry_state::EntryState;
 use crate::roles::follower;
 use crate::roles::forward_handler::ForwardHandler;
@@ -107,6 +108,7 @@
             controls.clone(),
             client.clone(),
         ));
+        tasks.spawn(customer_exchange::run(state.clone(), client.clone()));
         tasks.spawn(crash_sender::run(state.clone(), client));
         let sender = presence.clone();
         tasks.spawn(async move { sender.run().await });
--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -4,7 +4,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, RwLock};
 use std::time::Duration;
 
-use laburnumdeal_model::{Configuration, Target, WHOLE_PERMILLE};
+use laburnumdeal_model::{Configuration, Target, Version, WHOLE_PERMILLE};
+use laburnumdeal_policy::customers::LeaseLost;
 use laburnumdeal_policy::steer::{
     CrashReport, HelperInstances, InstanceRecord, LinkCapacity, LoadBalancer, PlannedStop,
     RegionShare, RequestBlocks, RequestFingerprints, RetryBudgetShare, RouteTable, UpstreamKey,
@@ -19,6 +20,7 @@
 use crate::roles::crash_checks::{self, CrashChecks};
 use crate::roles::crash_queue::CrashQueue;
 use crate::roles::crash_sender::CrashSource;
+use crate::roles::customer_state::CustomerState;
 use crate::roles::entry_node::FOLLOWED_CONTROLS;
 use crate::roles::fingerprints_text::fingerprints_text;
 use crate::roles::known_controls::KnownControls;
@@ -84,6 +86,8 @@
     helper_pools: Mutex<HashMap<IpAddr, ConnectionPool>>,
     list: Mutex<UpstreamList>,
     roster_hash: AtomicU64,
+    /// What binds customers over all instances.
+    pub customers: CustomerState,
     /// Set once the instance stops as planned.
     planned_stop: OnceLock<PlannedStop>,
     /// Notified when the instance may have become ready.
@@ -114,6 +118,7 @@
             helper_pools: Mutex::default(),
             list: Mutex::default(),
             roster_hash: AtomicU64::new(0),
+            customers: CustomerState::new(&settings),
             planned_stop: OnceLock::new(),
             readiness: Notify::new(),
             controls: Arc::new(KnownControls::new(seeds)),
@@ -213,20 +218,30 @@
         self.active.read().expect("no holder panics").clone()
     }
 
-    /// Returns whether the instance is ready, leaving, or still without a configuration or a list
-    /// of upstreams.
+    /// Returns whether the instance is ready, leaving, or without a configuration, a list of
+    /// upstreams, or the proof that its customers' keys are fresh.
     pub fn presence(&self) -> PresenceState {
         if self.is_leaving() {
             return PresenceState::Leaving;
         }
         let configured = self.active().configuration.is_some();
         let listed = self.list().read_at.is_some();
-        match configured && listed {
+        match configured && listed && self.key_lease().is_ok() {
             true => PresenceState::Ready,
             false => PresenceState::Starting,
         }
     }
 
+    /// Checks that the customers' keys of the active configuration may be used, if there are any.
+    pub fn key_lease(&self) -> Result<(), LeaseLost> {
+        if !self.customers.is_configured() {
+            return Ok(());
+        }
+        let active = self.active().configuration;
+        let version = active.map_or(Version(0), |active| active.version);
+        self.customers.check_lease(version)
+    }
+
     /// Locks what is known of requests that crash upstreams.
     pub fn blocks(&self) -> MutexGuard<'_, RequestBlocks> {
         self.blocks.lock().expect("no holder panics")
--- a/daemon/src/roles/follow_message.rs
+++ b/daemon/src/roles/follow_message.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::roles::crash_exchange::CrashPosition;
+use crate::roles::customer_message::{CustomerReply, CustomerRequest};
 use crate::roles::follow_reply::FollowReply;
 
 /// Message to a control instance.
@@ -32,6 +33,8 @@
     },
     /// Question whether the receiver can connect to the upstream with an address.
     Probe(SocketAddr),
+    /// Question on customers for the leader of the change log.
+    Customers(CustomerRequest),
 }
 
 /// Reply to a [`Call`].
@@ -48,6 +51,8 @@
     Crashes,
     /// Whether the upstream can be connected to; `None` if it is not listed.
     Probe(Option<bool>),
+    /// Answer of the leader; `None` if none with a valid lease was reached.
+    Customers(Option<CustomerReply>),
 }
 
 /// Report of an entry instance on upstreams, and request for the reports of others.
--- a/daemon/src/roles/node_settings.rs
+++ b/daemon/src/roles/node_settings.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use laburnumdeal_policy::customers::QuotaSettings;
 use laburnumdeal_policy::steer::{LinkCapacity, LoadBalancerSettings};
 use serde::{Deserialize, Serialize};
 
@@ -59,6 +60,33 @@
     /// Bandwidth of the machine's link in each direction, in Mbit/s; `None` if it is not known.
     #[serde(default)]
     pub link_mbps: Option<f64>,
+    /// Time after the confirmation of its withdrawal by which no request runs with a customer's
+    /// key, also at instances that are cut off; `None` for no such bound.
+    #[serde(default)]
+    pub revoke_ms: Option<u64>,
+    /// Length of the sliding window of customers' quotas.
+    #[serde(default = "default_quota_window_ms")]
+    pub quota_window_ms: u64,
+    /// Fraction by which the requests of a customer in a window may exceed its quota.
+    #[serde(default = "default_quota_overshoot")]
+    pub quota_overshoot: f64,
+    /// Requests of a customer in a window by which they may exceed it in addition.
+    #[serde(default)]
+    pub quota_slack: f64,
+}
+
+/// Default length of the window of customers' quotas.
+pub const DEFAULT_QUOTA_WINDOW_MS: u64 = 5_000;
+
+/// Default fraction by which a customer's requests may exceed its quota.
+pub const DEFAULT_QUOTA_OVERSHOOT: f64 = 0.1;
+
+fn default_quota_window_ms() -> u64 {
+    DEFAULT_QUOTA_WINDOW_MS
+}
+
+fn default_quota_overshoot() -> f64 {
+    DEFAULT_QUOTA_OVERSHOOT
 }
 
 impl NodeSettings {
@@ -78,6 +106,16 @@
             .map_or_else(LinkCapacity::default, LinkCapacity::new)
     }
 
+    /// Returns the settings of customers' quotas.
+    pub fn quota_settings(&self) -> QuotaSettings {
+        QuotaSettings {
+            window: Duration::from_millis(self.quota_window_ms),
+            overshoot: self.quota_overshoot,
+            slack: self.quota_slack,
+            ..QuotaSettings::default()
+        }
+    }
+
     /// Returns the settings of the load balancer.
     pub fn load_balancer_settings(&self) -> LoadBalancerSettings {
         LoadBalancerSettings {
--- a/daemon/src/roles/registry.rs
+++ b/daemon/src/roles/registry.rs
@@ -102,6 +102,19 @@
         addresses.take(MAX_ADDRESSES).collect()
     }
 
+    /// Returns the names of all instances that announced themselves in the time for which the
+    /// roster keeps them, or `None` while this registry is younger than that.
+    pub fn known_names(&self, now: Instant) -> Option<Vec<String>> {
+        if now - self.started_at < ROSTER_TIMEOUT {
+            return None;
+        }
+        let entries = self.entries.lock().expect("no holder panics");
+        let known = entries
+            .iter()
+            .filter(|(_, entry)| now - entry.received_at < ROSTER_TIMEOUT);
+        Some(known.map(|(name, _)| name.clone()).collect())
+    }
+
     /// Returns the roster: a hash of the names and addresses of the entry instances, and the instances. Returns
     /// `None` until all have had time to announce themselves.
     pub fn roster(&self, now: Instant) -> Option<(u64, Vec<InstanceRecord>)> {
--- a/daemon/src/roles/rpc_handler.rs
+++ b/daemon/src/roles/rpc_handler.rs
@@ -17,6 +17,7 @@
 use crate::roles::control_node::ControlState;
 use crate::roles::control_record::ControlRecord;
 use crate::roles::crash_exchange::CrashPosition;
+use crate::roles::customer_message::{CustomerReply, CustomerRequest};
 use crate::roles::follow_message::{Call, FollowRequest, Reply, ReportRequest};
 use crate::roles::follow_reply::FollowReply;
 use crate::roles::known_list::KnownList;
@@ -36,6 +37,9 @@
 /// time for which that waits for the result.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Timeout of a question that is passed on to the leader; shorter than that of the entry instance.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(450);
+
 /// Handles messages from other instances.
 pub(super) struct RpcHandler {
     state: Arc<ControlState>,
@@ -66,6 +70,35 @@
                 Reply::Crashes
             }
             Call::Probe(upstream) => Reply::Probe(self.probe(upstream).await),
+            Call::Customers(request) => Reply::Customers(self.customers(request).await),
+        }
+    }
+
+    /// Answers a question on customers if this instance leads, or passes it on to the leader.
+    async fn customers(&self, request: CustomerRequest) -> Option<CustomerReply> {
+        let ControlState {
+            customers,
+            replica,
+            registry,
+            ..
+        } = &*self.state;
+        let proof = || replica.leader_proof();
+        let roster = || registry.known_names(Instant::now());
+        if let Some(reply) = customers.answer(&request, proof, roster) {
+            return Some(reply);
+        }
+        let leader = replica.leader_name().and_then(|name| name.parse().ok());
+        let leader: SocketAddr = leader.filter(|_| !request.is_relayed)?;
+        if leader == self.state.own_address() {
+            return None;
+        }
+        let call = Call::Customers(CustomerRequest {
+            is_relayed: true,
+            ..request
+        });
+        match self.state.client.call(leader, &call, RELAY_TIMEOUT).await {
+            Ok(Reply::Customers(reply)) => reply,
+            Ok(_) | Err(_) => None,
         }
     }
 
--- a/daemon/tests/messages.rs
+++ b/daemon/tests/messages.rs
@@ -5,17 +5,18 @@
 
 use laburnumdeal_control::{ControlReply, ControlRequest};
 use laburnumdeal_daemon::roles::{
-    Call, ConfigurationUpdate, ControlRecord, CrashPosition, FollowReply, FollowRequest,
-    ListUpdate, Presence, PresenceState, Reply, ReportRequest,
+    Call, ConfigurationUpdate, ControlRecord, CrashPosition, CustomerReply, CustomerRequest,
+    FollowReply, FollowRequest, ListUpdate, Presence, PresenceState, Reply, ReportRequest,
 };
 use laburnumdeal_daemon::{pack, unpack};
-use laburnumdeal_model::Version;
+use laburnumdeal_model::{Term, Version};
+use laburnumdeal_policy::customers::{QuotaGrant, QuotaLimit, QuotaReport, ReportHeader};
 use laburnumdeal_policy::steer::{
     CrashReport, InstanceRecord, SharedLimit, SharedLoad, SharedObject, SharedReport,
     UpstreamRecord,
 };
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 
 /// Messages of the build e446ecc: name and bytes as hexadecimal digits.
 const FIXTURES: &str = include_str!("fixtures/messages-e446ecc.txt");
@@ -179,6 +180,71 @@
     assert_kept("reply-probe", &Reply::Probe(Some(true)));
 }
 
+/// Kinds of messages that the build e446ecc reads.
+#[derive(Debug, Deserialize)]
+enum EarlierCall {
+    Probe(SocketAddr),
+}
+
+fn customer_request() -> CustomerRequest {
+    let limit = QuotaLimit {
+        milli_per_s: 8_000,
+        burst: 9,
+    };
+    CustomerRequest {
+        header: ReportHeader {
+            instance: "e-1".into(),
+            start: 1,
+            uptime_ms: 2,
+            sequence: 3,
+            bank: Term(4),
+            version: Version(5),
+        },
+        reports: vec![QuotaReport {
+            customer: "ama".into(),
+            limit,
+            share: 6,
+            held: 7,
+            wanted: 8,
+        }],
+        is_relayed: false,
+    }
+}
+
+// Guards against: a message on customers that a build beside this one reads otherwise.
+#[test]
+fn customers_messages_have_the_recorded_bytes() {
+    let call = pack(&Call::Customers(customer_request())).unwrap();
+    let header = "96a3652d310102030405";
+    let report = "95a3616d6192cd1f4009060708";
+    let recorded = format!("0081a9437573746f6d65727393{header}91{report}c2");
+    assert_eq!(hex(&call), recorded);
+    let reply = CustomerReply {
+        term: Term(4),
+        version: Version(5),
+        is_settled: true,
+        grants: vec![QuotaGrant {
+            customer: "ama".into(),
+            share: 6,
+        }],
+    };
+    let reply = pack(&Reply::Customers(Some(reply))).unwrap();
+    assert_eq!(
+        hex(&reply),
+        "0081a9437573746f6d657273940405c39192a3616d6106"
+    );
+}
+
+// Guards against: a build that does not know customers takes their message for another.
+#[test]
+fn customers_message_is_refused_by_a_build_without_them() {
+    let call = pack(&Call::Customers(customer_request())).unwrap();
+    assert!(unpack::<EarlierCall>(&call, MAX_BYTES).is_err());
+    let probe = pack(&Call::Probe(address("10.0.0.1:8080"))).unwrap();
+    let EarlierCall::Probe(read) = unpack(&probe, MAX_BYTES).unwrap();
+    assert_eq!(read, address("10.0.0.1:8080"));
+}
+
 #[test]
 fn presence_has_the_recorded_bytes() {
     let bytes = rmp_serde::to_vec(&presence()).unwrap();
