Merge the lease on customers' keys and the quotas, and use them

Change: before a request with a key is forwarded, the instance that takes it checks its lease and the customer's share.

Evidence: with real processes, forward_requests_beyond_the_quota_are_refused_with_a_time and forward_request_with_a_key_without_control_is_refused_in_time pass.

--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -5,7 +5,10 @@
 
 use crate::incoming_body::IncomingBody;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
-use laburnumdeal_policy::customers::{CallerTerms, Customer, CustomerTable};
+use laburnumdeal_model::Version;
+use laburnumdeal_policy::customers::{
+    CallerTerms, Customer, CustomerTable, QuotaLimit, QuotaRefusal,
+};
 use laburnumdeal_policy::steer::{RequestFingerprints, Route, hash_of};
 use slog::info;
 use tokio::time::Instant;
@@ -36,6 +39,10 @@
 /// configuration helps.
 const NO_REGION_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// Retry delay for a request that comes while the keys of customers may not be used. A proof is asked
+/// for several times in that time.
+const LEASE_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+
 /// Marks a response of this instance to a request that did not run.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct NotRun;
@@ -92,15 +99,24 @@
     ) -> Response<AnswerBody> {
         let started_at = ArrivedAt::of(request.extensions());
         let active = self.state.active();
-        if active.configuration.is_none() {
+        let Some(configuration) = &active.configuration else {
             return unavailable_response::<H>("no configuration yet", STARTING_RETRY_AFTER);
-        }
+        };
         let host = host(request.headers(), request.uri());
         let Some(route) = active.routes.find(&host, request.uri().path()) else {
             self.log_rejected(&request, StatusCode::NOT_FOUND, "no route fits");
             return text_response(StatusCode::NOT_FOUND, "no route fits");
         };
         let customers = &*active.customers;
+        let needs_key = !customers.is_empty() && !route.item.is_public;
+        // Another instance has done both checks before it sent the request here.
+        let is_first = origin == Origin::Caller;
+        if needs_key
+            && is_first
+            && let Some(refusal) = self.refuse_stale(&request, configuration.version)
+        {
+            return refusal;
+        }
         let identity =
             caller_check::identify::<H>(request.headers(), customers, &route.item, origin);
         let customer = match identity {
@@ -116,6 +132,12 @@
             self.log_rejected(&request, StatusCode::SERVICE_UNAVAILABLE, reason);
             return unavailable_response::<H>(reason, NO_REGION_RETRY_AFTER);
         };
+        if is_first
+            && let Some(customer) = customer
+            && let Some(refusal) = self.refuse_beyond_quota(&request, customer).await
+        {
+            return refusal;
+        }
         let service = route.pick_service(rand::random());
         let routed = RoutedRequest {
             route,
@@ -184,6 +206,52 @@
         respond::<H>(forward_outcome)
     }
 
+    /// Refuses a request while it is not proven that the configuration holds every withdrawal of a
+    /// key that binds by now.
+    fn refuse_stale(
+        &self,
+        request: &Request<IncomingBody>,
+        version: Version,
+    ) -> Option<Response<AnswerBody>> {
+        let lost = self.state.customers.check_lease(version).err()?;
+        self.log_rejected(request, StatusCode::SERVICE_UNAVAILABLE, &lost.to_string());
+        let reason = "the keys of customers may be out of date here";
+        Some(unavailable_response::<H>(reason, LEASE_RETRY_AFTER))
+    }
+
+    /// Refuses a request beyond the limit of its customer.
+    async fn refuse_beyond_quota(
+        &self,
+        request: &Request<IncomingBody>,
+        customer: &Customer,
+    ) -> Option<Response<AnswerBody>> {
+        let limit = QuotaLimit {
+            milli_per_s: customer.rate_milli_per_s,
+            burst: customer.burst,
+        };
+        let refusal = self.state.customers.admit(&customer.name, limit).await;
+        let refusal = refusal.err()?;
+        let (status, retry_after, share_age) = match refusal {
+            QuotaRefusal::OverLimit {
+                retry_after,
+                share_age,
+            } => (StatusCode::TOO_MANY_REQUESTS, retry_after, share_age),
+            QuotaRefusal::Unknown {
+                retry_after,
+                share_age,
+            } => (StatusCode::SERVICE_UNAVAILABLE, retry_after, share_age),
+        };
+        let age_ms = share_age.map_or(-1, |age| age.as_millis() as i64);
+        let reason = format!(
+            "{refusal}; customer {}, share {age_ms} ms old",
+            customer.name
+        );
+        self.log_rejected(request, status, &reason);
+        let mut response = unavailable_response::<H>(&refusal.to_string(), retry_after);
+        *response.status_mut() = status;
+        Some(response)
+    }
+
     fn log_outcome(
         &self,
         id: &HeaderValue,
