--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -123,6 +123,9 @@
             Ok(customer) => customer.map(|key| customers.get(key)),
             Err(cause) => {
                 let reason = cause.to_string();
+                self.state
+                    .metrics
+                    .count_customer_request(None, "unidentified");
                 self.log_rejected(&request, StatusCode::UNAUTHORIZED, &reason);
                 return text_response(StatusCode::UNAUTHORIZED, &reason);
             }
@@ -215,6 +218,8 @@
     ) -> Option<Response<AnswerBody>> {
         let lost = self.state.customers.check_lease(version).err()?;
         self.log_rejected(request, StatusCode::SERVICE_UNAVAILABLE, &lost.to_string());
+        let metrics = &self.state.metrics;
+        metrics.count_customer_request(None, "unproven");
         let reason = "the keys of customers may be out of date here";
         Some(unavailable_response::<H>(reason, LEASE_RETRY_AFTER))
     }
@@ -241,6 +246,12 @@
                 share_age,
             } => (StatusCode::SERVICE_UNAVAILABLE, retry_after, share_age),
         };
+        let outcome = match status {
+            StatusCode::TOO_MANY_REQUESTS => "over-limit",
+            _ => "unknown-share",
+        };
+        let metrics = &self.state.metrics;
+        metrics.count_customer_request(Some(customer), outcome);
         let age_ms = share_age.map_or(-1, |age| age.as_millis() as i64);
         let reason = format!(
             "{refusal}; customer {}, share {age_ms} ms old",
@@ -268,6 +279,10 @@
         self.state
             .metrics
             .count_request(routed.service, outcome, took);
+        if routed.customer.is_some() {
+            let metrics = &self.state.metrics;
+            metrics.count_customer_request(routed.customer, outcome);
+        }
         let is_failure = outcome != "answer" || status >= 500;
         let Some(log) = self.state.log.limited(is_failure) else {
             return;
--- a/daemon/src/roles/node_metrics.rs
+++ b/daemon/src/roles/node_metrics.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use laburnumdeal_policy::customers::Customer;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -40,6 +41,7 @@
     reaches_upstreams: Gauge,
     helped: Family<HelpLabels, Counter>,
     help_refused: Family<ReasonLabels, Counter>,
+    customer_requests: Family<CustomerLabels, Counter>,
 }
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
@@ -47,6 +49,12 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct CustomerLabels {
+    customer: String,
+    outcome: &'static str,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ReasonLabels {
     reason: &'static str,
@@ -178,6 +186,12 @@
             "Requests of other entry instances that were not forwarded, by reason",
             Family::clone(&help_refused),
         );
+        let customer_requests = Family::default();
+        registry.register(
+            "customer_requests",
+            "Requests of the largest customers by outcome, and of all others together",
+            Family::clone(&customer_requests),
+        );
         Self {
             registry: Arc::new(registry),
             requests,
@@ -200,6 +214,7 @@
             reaches_upstreams,
             helped,
             help_refused,
+            customer_requests,
         }
     }
 
@@ -315,6 +330,21 @@
         self.help_refused.get_or_create(&labels).inc();
     }
 
+    /// Counts a request of a customer by its outcome. Customers that are not shown count together.
+    pub fn count_customer_request(&self, customer: Option<&Customer>, outcome: &'static str) {
+        let shown = customer.filter(|customer| customer.is_shown);
+        let unshown = if customer.is_some() {
+            "(others)"
+        } else {
+            "(unknown)"
+        };
+        let labels = CustomerLabels {
+            customer: shown.map_or(unshown, |customer| &customer.name).to_owned(),
+            outcome,
+        };
+        self.customer_requests.get_or_create(&labels).inc();
+    }
+
     /// Renders all metrics in the OpenMetrics text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
--- a/policy/src/customers/caller_terms.rs
+++ b/policy/src/customers/caller_terms.rs
@@ -29,7 +29,7 @@
     /// # };
     /// # let customer = Customer {
     /// #     name: "amma".into(), priority: 1, rate_milli_per_s: 0, burst: 0,
-    /// #     regions: vec!["north".into()],
+    /// #     regions: vec!["north".into()], is_shown: false,
     /// # };
     ///
     /// let terms = CallerTerms::new(&route, Some(&customer)).unwrap();
--- a/policy/src/customers/customer.rs
+++ b/policy/src/customers/customer.rs
@@ -11,4 +11,7 @@
     pub burst: u64,
     /// Regions that may serve its requests; empty for all.
     pub regions: Vec<String>,
+    /// Whether metrics show it by name. Only so many customers are shown, those with the highest
+    /// rates.
+    pub is_shown: bool,
 }
--- a/policy/src/customers/customer_table.rs
+++ b/policy/src/customers/customer_table.rs
@@ -8,6 +8,9 @@
 /// Length of the secret that hashes of keys depend on.
 pub const SECRET_BYTES: usize = 32;
 
+/// Customers that metrics show by name, which bounds the number of series.
+const MAX_SHOWN: usize = 32;
+
 /// Key of a customer in a [`CustomerTable`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct CustomerKey(u32);
@@ -62,12 +65,14 @@
                 rate_milli_per_s: item.rate_milli_per_s,
                 burst: item.burst,
                 regions: item.regions.clone(),
+                is_shown: false,
             });
             table.by_name.insert(name.to_owned(), key);
             for api_key in &item.api_keys {
                 table.by_hash.insert(table.hash(api_key.as_bytes()), key);
             }
         }
+        table.show_largest();
         table
     }
 
@@ -100,6 +105,14 @@
         self.customers.iter()
     }
 
+    fn show_largest(&mut self) {
+        let mut largest: Vec<&mut Customer> = self.customers.iter_mut().collect();
+        largest.sort_by_key(|customer| std::cmp::Reverse(customer.rate_milli_per_s));
+        for customer in largest.into_iter().take(MAX_SHOWN) {
+            customer.is_shown = true;
+        }
+    }
+
     fn hash(&self, api_key: &[u8]) -> [u8; 32] {
         *blake3::keyed_hash(&self.secret, api_key).as_bytes()
     }
--- a/policy/tests/customers/main.rs
+++ b/policy/tests/customers/main.rs
@@ -9,4 +9,5 @@
 mod quota_random;
 mod quota_run;
 mod quota_share;
+mod table;
 mod terms;
--- a/policy/tests/customers/terms.rs
+++ b/policy/tests/customers/terms.rs
@@ -24,6 +24,7 @@
         rate_milli_per_s: 0,
         burst: 0,
         regions: names(regions),
+        is_shown: false,
     }
 }
 
