Check leases on keys in the random runs of quotas

The runs commit further versions, which instances get with a delay or not at all while they are cut off.

--- a/policy/tests/customers/checker.rs
+++ b/policy/tests/customers/checker.rs
@@ -1,12 +1,16 @@
 use std::collections::VecDeque;
 
-/// Counts the admissions of one customer over all instances in every window.
+/// Counts the admissions of one customer over all instances in every window, and the leases that
+/// held.
 #[derive(Debug, Default)]
 pub struct Checker {
     times_ms: VecDeque<u64>,
     /// Largest number by which a window exceeded what was allowed.
     pub excess: usize,
     pub total: usize,
+    /// Number of times that a lease held, and held wrongly.
+    pub leases: usize,
+    pub stale: usize,
 }
 
 impl Checker {
--- a/policy/tests/customers/quota_random.rs
+++ b/policy/tests/customers/quota_random.rs
@@ -8,13 +8,14 @@
 use laburnumdeal_policy::customers::{QuotaBank, QuotaLimit, QuotaSettings};
 use rand::Rng;
 
+use crate::checker::Checker;
 use crate::quota_run::{Link, QuotaRun};
 
 const RUN_MS: u64 = 60_000;
 const STEP_MS: u64 = 250;
 
-/// Plays one run and returns the largest excess of a window.
-fn play(seed: u64, prepare: impl Fn(&mut QuotaRun)) -> (usize, usize) {
+/// Plays one run.
+fn play(seed: u64, prepare: impl Fn(&mut QuotaRun)) -> Checker {
     let limit = QuotaLimit {
         milli_per_s: 1_000 * (5 + seed % 40),
         burst: seed % 30,
@@ -30,19 +31,29 @@
     while run.now_ms < RUN_MS {
         upset(&mut run);
         if run.generator.random_bool(0.01) && lowered_at_ms.is_none() {
-            newest.0.milli_per_s = newest.0.milli_per_s * 6 / 10;
-            newest.1 = newest.1.next();
-            lowered_at_ms = Some(u64::MAX);
+            run.commit();
+            if run.committed() > newest.1 {
+                newest.0.milli_per_s = newest.0.milli_per_s * 6 / 10;
+                lowered_at_ms = Some(u64::MAX);
+            }
+        }
+        if run.generator.random_bool(0.05) {
+            run.commit();
         }
+        newest.1 = run.committed();
         for number in 0..count {
-            if run.instances[number].limit != newest && run.generator.random_bool(0.3) {
+            let Link {
+                loses_asks,
+                loses_replies,
+            } = run.instances[number].link;
+            if !loses_asks && !loses_replies && run.generator.random_bool(0.3) {
                 run.instances[number].limit = newest;
             }
         }
         let all_know = run
             .instances
             .iter()
-            .all(|instance| instance.limit == newest);
+            .all(|instance| instance.limit.0 == newest.0);
         let window_ms = run.settings.window.as_millis() as u64;
         match lowered_at_ms {
             Some(u64::MAX) if all_know => lowered_at_ms = Some(run.now_ms),
@@ -54,7 +65,7 @@
         }
         run.run(STEP_MS);
     }
-    (run.checker.excess, run.checker.total)
+    run.checker
 }
 
 fn upset(run: &mut QuotaRun) {
@@ -80,21 +91,27 @@
 }
 
 // Guards against: any window of 5 s with more requests of a customer than its limit, whatever is
-// cut, lost, late, suspended, restarted or replaced.
+// cut, lost, late, suspended, restarted or replaced; and a lease on keys that holds although a change
+// that was confirmed 4 s ago has not arrived.
 #[test]
 fn admit_random_faults_never_exceeds_the_limit() {
-    let mut total = 0;
+    let (mut total, mut leases) = (0, 0);
     for seed in 0..100 {
-        let (excess, admitted) = play(seed, |_| {});
-        assert_eq!(excess, 0, "seed {seed}");
-        total += admitted;
+        let checker = play(seed, |_| {});
+        assert_eq!((checker.excess, checker.stale), (0, 0), "seed {seed}");
+        total += checker.total;
+        leases += checker.leases;
     }
-    println!("{total} admitted");
+    println!("{total} admitted, {leases} leases held");
+    assert!(leases > 10_000, "only {leases} leases held");
     assert!(total > 10_000, "only {total} admitted");
 }
 
 fn worst(prepare: impl Fn(&mut QuotaRun)) -> usize {
-    (0..40).map(|seed| play(seed, &prepare).0).max().unwrap()
+    (0..40)
+        .map(|seed| play(seed, &prepare).excess)
+        .max()
+        .unwrap()
 }
 
 // Shows that the checker finds a bank that gives a silent instance's share away too early.
@@ -118,3 +135,10 @@
 fn checker_detects_a_new_bank_that_raises_at_once() {
     assert!(worst(|run| run.forgets = true) > 0);
 }
+
+// Shows that the checker finds leases that count from the arrival of a proof.
+#[test]
+fn checker_detects_a_proof_from_its_arrival() {
+    let stale = |seed| play(seed, |run| run.proves_from_arrival = true).stale;
+    assert!((0..40).map(stale).sum::<usize>() > 0);
+}
--- a/policy/tests/customers/quota_run.rs
+++ b/policy/tests/customers/quota_run.rs
@@ -3,8 +3,8 @@
 
 use laburnumdeal_model::{Term, Version};
 use laburnumdeal_policy::customers::{
-    BootTime, QuotaBank, QuotaDecision, QuotaGrant, QuotaLimit, QuotaRefusal, QuotaReport,
-    QuotaSettings, QuotaShares, ReportHeader,
+    BootTime, KeyLease, QuotaBank, QuotaDecision, QuotaGrant, QuotaLimit, QuotaRefusal,
+    QuotaReport, QuotaSettings, QuotaShares, ReportHeader,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -14,6 +14,9 @@
 pub const TICK_MS: u64 = 5;
 pub const CUSTOMER: &str = "ama";
 
+/// Time for which a proof holds.
+const LEASE: Duration = Duration::from_secs(4);
+
 const INTERVAL_MS: u64 = 500;
 const MIN_INTERVAL_MS: u64 = 100;
 const TIMEOUT_MS: u64 = 600;
@@ -39,6 +42,7 @@
 pub struct Instance {
     pub name: String,
     pub shares: QuotaShares,
+    pub lease: KeyLease,
     pub start: u64,
     pub limit: (QuotaLimit, Version),
     pub link: Link,
@@ -54,12 +58,15 @@
 enum Message {
     Ask {
         from: usize,
+        asked_at: BootTime,
         header: ReportHeader,
         reports: Vec<QuotaReport>,
     },
     Reply {
         to: usize,
         start: u64,
+        asked_at: BootTime,
+        version: Version,
         sequence: u64,
         bank: Term,
         settled: bool,
@@ -84,6 +91,10 @@
     pub late: f64,
     /// Whether a new bank takes nothing to be held: a fault that the checker has to find.
     pub forgets: bool,
+    /// Whether proofs count from their arrival: another fault that the checker has to find.
+    pub proves_from_arrival: bool,
+    /// Times at which the versions after the first were confirmed.
+    pub confirmed_ms: Vec<u64>,
     pub checker: Checker,
     pub allowed: u32,
     pub messages: u64,
@@ -107,6 +118,8 @@
             doubled: 0.0,
             late: 0.0,
             forgets: false,
+            proves_from_arrival: false,
+            confirmed_ms: Vec::new(),
             checker: Checker::default(),
             allowed: settings.max_requests(limit),
             messages: 0,
@@ -129,6 +142,7 @@
         let start = self.generator.random();
         self.instances.push(Instance {
             shares: QuotaShares::new(&name, start, self.settings, self.now()),
+            lease: KeyLease::new(LEASE),
             name,
             start,
             limit,
@@ -150,6 +164,7 @@
         let instance = &mut self.instances[number];
         instance.start = start;
         instance.shares = QuotaShares::new(&instance.name, start, self.settings, now);
+        instance.lease = KeyLease::new(LEASE);
         instance.waiting.clear();
         instance.is_asking = false;
     }
@@ -163,6 +178,33 @@
         self.leader = Some((bank, term));
     }
 
+    /// Returns the committed version.
+    pub fn committed(&self) -> Version {
+        Version(1 + self.confirmed_ms.len() as u64)
+    }
+
+    /// Commits and confirms a further version, if there is a leader.
+    pub fn commit(&mut self) {
+        if self.leader.is_some() && self.bank_suspended_until_ms <= self.now_ms {
+            self.confirmed_ms.push(self.now_ms);
+        }
+    }
+
+    /// Checks that an instance whose lease holds has all that was confirmed a lease ago.
+    fn check_lease(&mut self, number: usize) {
+        let instance = &self.instances[number];
+        let active = instance.limit.1;
+        if instance.lease.check(active, self.now()).is_err() {
+            return;
+        }
+        let lacking = self.confirmed_ms.get(active.0 as usize - 1);
+        let oldest_ms = self.now_ms.saturating_sub(LEASE.as_millis() as u64);
+        self.checker.leases += 1;
+        if lacking.is_some_and(|confirmed_ms| *confirmed_ms < oldest_ms) {
+            self.checker.stale += 1;
+        }
+    }
+
     pub fn set_rates(&mut self, rate_per_s: impl Fn(usize) -> f64) {
         for (number, instance) in self.instances.iter_mut().enumerate() {
             instance.rate_per_s = rate_per_s(number);
@@ -200,6 +242,7 @@
         }
         for number in 0..self.instances.len() {
             if self.instances[number].suspended_until_ms <= self.now_ms {
+                self.check_lease(number);
                 self.serve(number);
                 self.ask(number);
             }
@@ -258,6 +301,7 @@
         let is_lost = instance.link.loses_asks;
         let message = || Message::Ask {
             from: number,
+            asked_at: now,
             header: header.clone(),
             reports: reports.clone(),
         };
@@ -286,20 +330,30 @@
         match message {
             Message::Ask {
                 from,
+                asked_at,
                 header,
                 reports,
-            } => self.answer(from, &header, &reports),
+            } => self.answer((from, asked_at), &header, &reports),
             Message::Reply {
                 to,
                 start,
+                asked_at,
+                version,
                 sequence,
                 bank,
                 settled,
                 grants,
             } => {
+                let now = self.now();
+                let proven_at = if self.proves_from_arrival {
+                    now
+                } else {
+                    asked_at
+                };
                 let instance = &mut self.instances[to];
                 if instance.start == start && instance.suspended_until_ms <= self.now_ms {
                     instance.is_asking = false;
+                    instance.lease.record(proven_at, version);
                     instance
                         .shares
                         .finish_report(sequence, bank, settled, &grants);
@@ -308,7 +362,12 @@
         }
     }
 
-    fn answer(&mut self, from: usize, header: &ReportHeader, reports: &[QuotaReport]) {
+    fn answer(
+        &mut self,
+        (from, asked_at): (usize, BootTime),
+        header: &ReportHeader,
+        reports: &[QuotaReport],
+    ) {
         let now = self.now();
         let Some((bank, term)) = self
             .leader
@@ -327,9 +386,12 @@
         };
         let settled = bank.is_settled();
         let is_lost = self.instances[from].link.loses_replies;
+        let version = self.committed();
         let reply = || Message::Reply {
             to: from,
             start: header.start,
+            asked_at,
+            version,
             sequence: header.sequence,
             bank: term,
             settled,
