--- a/policy/benches/customers.rs
+++ b/policy/benches/customers.rs
@@ -23,30 +23,39 @@
     format!("customer-{number}")
 }
 
+/// Requests between two answers of the bank, 2 s of 50,000 a second.
+const REQUESTS_PER_ANSWER: u32 = 100_000;
+
 fn decide(criterion: &mut Criterion) {
+    let customer = name(40);
     for (row, share) in [("decide/within", u32::MAX), ("decide/over", 0)] {
         let mut now = BootTime::from(Duration::from_secs(60));
         let mut shares = QuotaShares::new("entry-1", 1, QuotaSettings::default(), now);
-        for number in 0..CUSTOMERS {
-            shares.add_arrival(&name(number), LIMIT, now);
-        }
-        let customer = name(40);
+        let mut requests = 0;
         criterion.bench_function(row, |bencher| {
             bencher.iter(|| {
                 now = now + Duration::from_micros(20);
                 shares.add_arrival(&customer, LIMIT, now);
+                if requests % REQUESTS_PER_ANSWER == 0 {
+                    answer(&mut shares, &customer, share, now);
+                }
+                requests += 1;
                 black_box(shares.decide(&customer, now, now))
             });
-            let (header, _) = shares.begin_report(Version(1), now);
-            let grants = [QuotaGrant {
-                customer: customer.clone(),
-                share,
-            }];
-            shares.finish_report(header.sequence, Term(1), true, &grants);
         });
     }
 }
 
+fn answer(shares: &mut QuotaShares, customer: &str, share: u32, now: BootTime) {
+    for number in 0..CUSTOMERS {
+        shares.add_arrival(&name(number), LIMIT, now);
+    }
+    let (header, _) = shares.begin_report(Version(1), now);
+    let customer = customer.to_owned();
+    let grants = [QuotaGrant { customer, share }];
+    shares.finish_report(header.sequence, Term(1), true, &grants);
+}
+
 fn lease(criterion: &mut Criterion) {
     let mut lease = KeyLease::new(Duration::from_secs(4));
     let now = BootTime::from(Duration::from_secs(60));
