Let a new leader divide what instances hold

After a change of the leader nothing was raised until all shares of the earlier one had ended, 9 s, or all instances had reported. What some instances no longer needed stayed with them, and others were refused meanwhile. Instances that have answered the new leader now share the sum that they held then. Nobody else raises shares since it leads, so the sum and what others hold stay within the limit.

--- a/policy/src/customers/quota_account.rs
+++ b/policy/src/customers/quota_account.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
@@ -17,6 +17,15 @@
 /// Key of a sender of reports: a start of an instance.
 pub(super) type SenderKey = u32;
 
+/// What the bank knows of shares that an earlier leader may have given.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Knowledge {
+    /// All that may be held.
+    pub all: bool,
+    /// What the sender holds: its report is made after an answer of this bank.
+    pub sender: bool,
+}
+
 /// Quota of one customer, as the bank gives it out.
 #[derive(Clone, Debug, Default)]
 pub(super) struct QuotaAccount {
@@ -26,6 +35,10 @@
     charges: HashMap<SenderKey, Charge>,
     charged: u64,
     wanted: u64,
+    /// Senders that have told this bank what they hold, and the sum of it. Until the bank is
+    /// settled, they share only that.
+    known: HashSet<SenderKey>,
+    known_held: u64,
 }
 
 /// What the bank charges for a sender: the most that it may admit in any window.
@@ -37,13 +50,13 @@
 }
 
 impl QuotaAccount {
-    /// Takes the report of a sender and returns its share. Without `may_raise` nobody gets more
-    /// than it holds.
+    /// Takes the report of a sender and returns its share. A sender that has not answered this bank
+    /// keeps what it has until the bank is settled.
     pub fn report(
         &mut self,
         sender: SenderKey,
         (report, version): (&QuotaReport, Version),
-        may_raise: bool,
+        knowledge: Knowledge,
         settings: &QuotaSettings,
         now: BootTime,
     ) -> u32 {
@@ -51,11 +64,14 @@
             (self.version, self.limit) = (version, report.limit);
         }
         self.remove(sender);
-        let max = settings.max_requests(self.limit);
-        let wanted = report.wanted.min(max);
+        if knowledge.sender && self.known.insert(sender) {
+            self.known_held += u64::from(report.held);
+        }
+        let max = self.max(knowledge, settings);
+        let wanted = report.wanted.min(settings.max_requests(self.limit));
         let mut share = report.share;
-        if may_raise {
-            let target = self.target(sender, wanted, settings, now);
+        if knowledge.all || knowledge.sender {
+            let target = self.target((sender, wanted), max, settings, now);
             let free = u64::from(max).saturating_sub(self.charged);
             share = match target > share {
                 true => share.max(target.min(free as u32)),
@@ -75,16 +91,27 @@
         share
     }
 
+    /// Returns the number of requests in a window that the senders may share: the limit, or what the
+    /// known ones held together when they told it. That sum and what others hold are within the
+    /// limit, since nobody but this bank has raised a share since it leads.
+    fn max(&self, knowledge: Knowledge, settings: &QuotaSettings) -> u32 {
+        let limit = settings.max_requests(self.limit);
+        match knowledge.all {
+            true => limit,
+            false => u64::from(limit).min(self.known_held) as u32,
+        }
+    }
+
     /// Returns the share that a sender should come to hold: what it wants and some headroom, or its
     /// part in proportion to what all want.
     fn target(
         &self,
-        sender: SenderKey,
-        wanted: u32,
+        (sender, wanted): (SenderKey, u32),
+        max: u32,
         settings: &QuotaSettings,
         now: BootTime,
     ) -> u32 {
-        let max = f64::from(settings.max_requests(self.limit));
+        let max = f64::from(max);
         let all_wanted = (self.wanted + u64::from(wanted)) as f64;
         if wanted == 0 {
             return 0;
--- a/policy/src/customers/quota_bank.rs
+++ b/policy/src/customers/quota_bank.rs
@@ -3,7 +3,7 @@
 
 use laburnumdeal_model::Term;
 
-use crate::customers::quota_account::{QuotaAccount, SenderKey};
+use crate::customers::quota_account::{Knowledge, QuotaAccount, SenderKey};
 use crate::customers::{BootTime, QuotaGrant, QuotaReport, QuotaSettings, ReportHeader};
 
 /// Time by which charges outlast the shares of their senders, for clocks that run at different
@@ -20,7 +20,7 @@
 ///
 /// For each customer, the shares charged to all starts of instances together stay within the limit.
 /// A report lowers a charge at once; that of a silent sender stays until its share has ended, and
-/// one window more. A new leader lets instances keep what they hold, but raises nothing until it
+/// one window more. A new leader divides only what instances have told it that they hold, until it
 /// knows all that may be held.
 ///
 /// # Examples
@@ -120,12 +120,16 @@
         self.expire(now);
         let sender = self.sender(header, now)?;
         self.settle(header, roster, now);
+        let knowledge = Knowledge {
+            all: self.is_settled,
+            sender: header.bank == self.term,
+        };
         let grants = reports.iter().map(|report| {
             let account = self.accounts.entry(report.customer.clone()).or_default();
-            let (input, may_raise) = ((report, header.version), self.is_settled);
+            let input = (report, header.version);
             QuotaGrant {
                 customer: report.customer.clone(),
-                share: account.report(sender, input, may_raise, &self.settings, now),
+                share: account.report(sender, input, knowledge, &self.settings, now),
             }
         });
         Some(grants.collect())
--- a/policy/tests/customers/quota_bank.rs
+++ b/policy/tests/customers/quota_bank.rs
@@ -143,3 +143,19 @@
     assert!(!bank.is_settled());
     assert_eq!(share(&mut bank, "b", 1, 0, 10, 300), 0);
 }
+
+// Guards against: after a change of the leader, what some instances no longer need stays with them,
+// or more is given out than they held.
+#[test]
+fn exchange_of_a_new_leader_divides_what_is_known_to_be_held() {
+    let mut bank = bank(false);
+    assert_eq!(share(&mut bank, "a", 1, 0, 40, 0), 0);
+    let left = share(&mut bank, "b", 1, 20, 4, 10);
+    assert!(left < 20);
+    // It is charged with what it held until it reports less.
+    assert_eq!(share(&mut bank, "a", 2, 0, 40, 20), 0);
+    let left = share(&mut bank, "b", 2, left, 4, 500);
+    let raised = share(&mut bank, "a", 3, 0, 40, 510);
+    assert!(raised >= 16 && raised + left <= 20, "{raised} and {left}");
+    assert!(!bank.is_settled());
+}
