Let a new leader divide quotas once all that may hold shares have reported

Cause: a new leader relied on its registry only after 30 s of its own run, and waited for instances that had been gone for up to 30 s.

Change: it waits for those heard within the time that a share counts, once all have had time to announce themselves.

--- a/daemon/src/roles/registry.rs
+++ b/daemon/src/roles/registry.rs
@@ -102,16 +102,16 @@
         addresses.take(MAX_ADDRESSES).collect()
     }
 
-    /// Returns the names of all instances that announced themselves in the time for which the
-    /// roster keeps them, or `None` while this registry is younger than that.
-    pub fn known_names(&self, now: Instant) -> Option<Vec<String>> {
-        if now - self.started_at < ROSTER_TIMEOUT {
+    /// Returns the names of all instances that announced themselves within a time, or `None` until
+    /// all have had time to announce themselves.
+    pub fn known_names(&self, within: Duration, now: Instant) -> Option<Vec<String>> {
+        if now - self.started_at < ROSTER_WARM_UP {
             return None;
         }
         let entries = self.entries.lock().expect("no holder panics");
         let known = entries
             .iter()
-            .filter(|(_, entry)| now - entry.received_at < ROSTER_TIMEOUT);
+            .filter(|(_, entry)| now - entry.received_at < within);
         Some(known.map(|(name, _)| name.clone()).collect())
     }
 
--- a/daemon/src/roles/rpc_handler.rs
+++ b/daemon/src/roles/rpc_handler.rs
@@ -40,6 +40,10 @@
 /// Timeout of a question that is passed on to the leader; shorter than that of the entry instance.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(450);
 
+/// Time by which instances that may hold a share of a quota are looked for beyond its length: two
+/// announcements may be lost.
+const ROSTER_MARGIN: Duration = Duration::from_millis(1_500);
+
 /// Handles messages from other instances.
 pub(super) struct RpcHandler {
     state: Arc<ControlState>,
@@ -83,7 +87,9 @@
             ..
         } = &*self.state;
         let proof = || replica.leader_proof();
-        let roster = || registry.known_names(Instant::now());
+        // One that has been silent for longer holds nothing.
+        let within = self.state.settings.quota_settings().charge_length() + ROSTER_MARGIN;
+        let roster = || registry.known_names(within, Instant::now());
         if let Some(reply) = customers.answer(&request, proof, roster) {
             return Some(reply);
         }
--- a/daemon/tests/registry.rs
+++ b/daemon/tests/registry.rs
@@ -58,3 +58,20 @@
     let later = received_at + Duration::from_secs(2);
     assert!(registry.resolve("cairo", "nasr", later).is_empty());
 }
+
+/// An entry instance that holds a share of a quota has announced itself within the time that the share
+/// counts. One that has been silent for longer must not keep a new leader from dividing quotas.
+#[test]
+fn known_names_are_those_heard_within_the_time() {
+    let start = Instant::now();
+    let registry = Registry::new(start);
+    let within = Duration::from_secs(9);
+    registry.record(presence("e-1", PresenceState::Ready, 1), start);
+    assert_eq!(registry.known_names(within, start), None);
+    let later = start + Duration::from_secs(8);
+    registry.record(presence("e-2", PresenceState::Starting, 1), later);
+    let names = registry.known_names(within, later).unwrap();
+    assert_eq!(names, ["e-1", "e-2"]);
+    let names = registry.known_names(within, start + within).unwrap();
+    assert_eq!(names, ["e-2"]);
+}
