Give back the quota of requests that did not run

What callers saw: a request that was admitted by its customer's quota and then refused, as upstreams were busy, had used up the quota; when it came back it could be refused a second time, by the quota.

Change: an admission is given back when the instance answers that the request did not run. It makes room only for what was counted then, so that no window gets more than the share.

Evidence: give_back_makes_room_for_as_many_requests and give_back_after_the_window_makes_no_room. The type of what admit returns names when a request was admitted, which changes one literal of daemon/tests/customers.rs from Ok(()) to Ok(None).

--- a/daemon/src/roles/customer_state.rs
+++ b/daemon/src/roles/customer_state.rs
@@ -78,22 +78,28 @@
     }
 
     /// Admits a request of a customer with a limit, if need be after asking for a larger share.
-    /// Once admitted it counts, whether or not it is sent.
+    /// Returns when it was admitted; `None` if the customer has no limit. Once admitted it counts
+    /// until it is [given back](Self::give_back).
     ///
     /// # Errors
     ///
     /// Returns [`QuotaRefusal`] if the customer is over its limit, or no share came in time.
-    pub async fn admit(&self, customer: &str, limit: QuotaLimit) -> Result<(), QuotaRefusal> {
+    pub async fn admit(
+        &self,
+        customer: &str,
+        limit: QuotaLimit,
+    ) -> Result<Option<BootTime>, QuotaRefusal> {
         if limit.is_unlimited() {
-            return Ok(());
+            return Ok(None);
         }
         let deadline = Instant::now() + MAX_WAIT;
         let mut answers = self.answers.subscribe();
         let arrived_at = self.add_arrival(customer, limit);
         loop {
             answers.mark_unchanged();
-            match self.decide(customer, arrived_at) {
-                QuotaDecision::Admitted => return Ok(()),
+            let (decision, decided_at) = self.decide(customer, arrived_at);
+            match decision {
+                QuotaDecision::Admitted => return Ok(Some(decided_at)),
                 QuotaDecision::Refused(refusal) => return Err(refusal),
                 QuotaDecision::Ask => self.needed.notify_one(),
             }
@@ -103,6 +109,11 @@
         }
     }
 
+    /// Gives back what a request took that was admitted at a time, and then did not run.
+    pub fn give_back(&self, customer: &str, admitted_at: BootTime) {
+        lock(&self.shares).give_back(customer, admitted_at);
+    }
+
     /// Makes the next question to the leader; returns it with the time of asking.
     pub fn begin_question(&self, version: Version) -> (BootTime, CustomerRequest) {
         let mut shares = lock(&self.shares);
@@ -145,9 +156,10 @@
         now
     }
 
-    fn decide(&self, customer: &str, arrived_at: BootTime) -> QuotaDecision {
+    fn decide(&self, customer: &str, arrived_at: BootTime) -> (QuotaDecision, BootTime) {
         let mut shares = lock(&self.shares);
-        shares.decide(customer, arrived_at, now())
+        let now = now();
+        (shares.decide(customer, arrived_at, now), now)
     }
 }
 
--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use laburnumdeal_model::Version;
 use laburnumdeal_policy::customers::{
-    CallerTerms, Customer, CustomerTable, QuotaLimit, QuotaRefusal,
+    BootTime, CallerTerms, Customer, CustomerTable, QuotaLimit, QuotaRefusal,
 };
 use laburnumdeal_policy::steer::{RequestFingerprints, Route, hash_of};
 use slog::info;
@@ -135,11 +135,12 @@
             self.log_rejected(&request, StatusCode::SERVICE_UNAVAILABLE, reason);
             return unavailable_response::<H>(reason, NO_REGION_RETRY_AFTER);
         };
-        if is_first
-            && let Some(customer) = customer
-            && let Some(refusal) = self.refuse_beyond_quota(&request, customer).await
-        {
-            return refusal;
+        let mut admitted_at = None;
+        if is_first && let Some(customer) = customer {
+            admitted_at = match self.admit_within_quota(&request, customer).await {
+                Ok(admitted_at) => admitted_at,
+                Err(refusal) => return refusal,
+            };
         }
         let service = route.pick_service(rand::random());
         let routed = RoutedRequest {
@@ -154,7 +155,13 @@
             started_at,
             max_body_bytes: active.routes.limits().max_body_bytes,
         };
-        self.forward(request, &routed).await
+        let response = self.forward(request, &routed).await;
+        if let (Some(customer), Some(admitted_at)) = (customer, admitted_at)
+            && response.extensions().get::<NotRun>().is_some()
+        {
+            self.state.customers.give_back(&customer.name, admitted_at);
+        }
+        response
     }
 
     async fn forward(
@@ -224,18 +231,21 @@
         Some(unavailable_response::<H>(reason, LEASE_RETRY_AFTER))
     }
 
-    /// Refuses a request beyond the limit of its customer.
-    async fn refuse_beyond_quota(
+    /// Admits a request within the limit of its customer and returns when, if there is a limit. An
+    /// error is the answer to a request beyond it.
+    async fn admit_within_quota(
         &self,
         request: &Request<IncomingBody>,
         customer: &Customer,
-    ) -> Option<Response<AnswerBody>> {
+    ) -> Result<Option<BootTime>, Response<AnswerBody>> {
         let limit = QuotaLimit {
             milli_per_s: customer.rate_milli_per_s,
             burst: customer.burst,
         };
-        let refusal = self.state.customers.admit(&customer.name, limit).await;
-        let refusal = refusal.err()?;
+        let refusal = match self.state.customers.admit(&customer.name, limit).await {
+            Ok(admitted_at) => return Ok(admitted_at),
+            Err(refusal) => refusal,
+        };
         let (status, retry_after, share_age) = match refusal {
             QuotaRefusal::OverLimit {
                 retry_after,
@@ -260,7 +270,7 @@
         self.log_rejected(request, status, &reason);
         let mut response = unavailable_response::<H>(&refusal.to_string(), retry_after);
         *response.status_mut() = status;
-        Some(response)
+        Err(response)
     }
 
     fn log_outcome(
--- a/daemon/tests/customers.rs
+++ b/daemon/tests/customers.rs
@@ -64,7 +64,7 @@
 #[tokio::test(start_paused = true)]
 async fn admit_without_a_limit_needs_no_answer() {
     let state = CustomerState::new(&settings(None));
-    assert_eq!(state.admit("ama", QuotaLimit::default()).await, Ok(()));
+    assert_eq!(state.admit("ama", QuotaLimit::default()).await, Ok(None));
 }
 
 // Guards against: a request is held although no control instance can be reached.
--- a/policy/src/customers/admission_window.rs
+++ b/policy/src/customers/admission_window.rs
@@ -38,6 +38,17 @@
         self.total += 1;
     }
 
+    /// Takes back a request that was counted at a time. Does nothing if it has left the window, or
+    /// counts as later than it came.
+    pub fn remove(&mut self, counted_at: BootTime) {
+        let number = counted_at.as_millis() / COUNT_MS;
+        let mut counts = self.counts.iter_mut().rev();
+        if let Some((_, count)) = counts.find(|(other, count)| *other == number && *count > 0) {
+            *count -= 1;
+            self.total -= 1;
+        }
+    }
+
     /// Returns the number of requests in the window of a length that ends now.
     pub fn count(&mut self, now: BootTime, length: Duration) -> u32 {
         let oldest = now.as_millis().saturating_sub(length.as_millis() as u64) / COUNT_MS;
--- a/policy/src/customers/quota_share.rs
+++ b/policy/src/customers/quota_share.rs
@@ -71,6 +71,11 @@
         })
     }
 
+    /// Gives back what a request took that was admitted at a time, and then did not run.
+    pub fn give_back(&mut self, admitted_at: BootTime) {
+        self.admitted.remove(admitted_at);
+    }
+
     /// Refuses a request for which no answer came in time.
     pub fn unknown(&mut self, now: BootTime) -> QuotaRefusal {
         let (shortest, longest) = RETRY_RANGE;
--- a/policy/src/customers/quota_shares.rs
+++ b/policy/src/customers/quota_shares.rs
@@ -77,6 +77,13 @@
         }
     }
 
+    /// Gives back what a request took that was admitted at a time, and then did not run.
+    pub fn give_back(&mut self, customer: &str, admitted_at: BootTime) {
+        if let Some(share) = self.shares.get_mut(customer) {
+            share.give_back(admitted_at);
+        }
+    }
+
     /// Refuses a request for which no answer came in time.
     pub fn unknown(&mut self, customer: &str, now: BootTime) -> QuotaRefusal {
         let share = self.shares.entry(customer.to_owned()).or_default();
--- a/policy/tests/customers/quota_share.rs
+++ b/policy/tests/customers/quota_share.rs
@@ -122,3 +122,28 @@
         QuotaDecision::Ask
     );
 }
+
+// Guards against: requests that are refused for another reason after they were admitted, as upstreams are
+// busy, use up the quota of their customer.
+#[test]
+fn give_back_makes_room_for_as_many_requests() {
+    let mut shares = granted(4);
+    assert_eq!(admitted(&mut shares, at(100)), 4);
+    shares.give_back("ama", at(100));
+    shares.give_back("ama", at(105));
+    // Nothing was admitted then, or by that customer.
+    shares.give_back("ama", at(300));
+    shares.give_back("kofi", at(100));
+    assert_eq!(admitted(&mut shares, at(200)), 2);
+}
+
+// Guards against: what is given back late makes room twice, as its request has left the window before.
+#[test]
+fn give_back_after_the_window_makes_no_room() {
+    let mut shares = granted(4);
+    assert_eq!(admitted(&mut shares, at(0)), 4);
+    answer(&mut shares, 4, at(3_900));
+    assert_eq!(admitted(&mut shares, at(5_200)), 4);
+    shares.give_back("ama", at(0));
+    assert_eq!(admitted(&mut shares, at(5_300)), 0);
+}
