--- a/daemon/src/roles/customer_state.rs
+++ b/daemon/src/roles/customer_state.rs
@@ -17,7 +17,7 @@
 const MAX_WAIT: Duration = Duration::from_millis(250);
 
 /// Part of the time until withdrawn keys have to be out of use for which a proof holds. The rest is
-/// for requests that are on their way to an upstream.
+/// for clocks that run at different rates.
 const LEASE_FRACTION: f64 = 0.8;
 
 /// What an entry instance knows of customers over all instances: the proof that its keys are fresh,
@@ -64,8 +64,8 @@
         self.is_configured.load(Ordering::Relaxed)
     }
 
-    /// Checks that the keys of the active configuration may be used. A request that has waited is
-    /// checked again before it is sent.
+    /// Checks that the keys of the active configuration may be used, for a request that has just
+    /// arrived. The bound is on the time at which a request is sent, so that one is enough.
     ///
     /// # Errors
     ///
