--- a/daemon/src/header.rs
+++ b/daemon/src/header.rs
@@ -27,6 +27,8 @@
 pub const CALLER: HeaderName = HeaderName::from_static("laburnum-caller");
 /// Version of the configuration that the sender of a forwarded request has in force.
 pub const CONFIGURATION: HeaderName = HeaderName::from_static("laburnum-configuration");
+/// Set by an instance that has checked whose request it forwards.
+pub const CUSTOMER_CHECKED: HeaderName = HeaderName::from_static("laburnum-customer-checked");
 /// Name of the instance that sends a message or forwards a request.
 pub const PEER: HeaderName = HeaderName::from_static("laburnum-peer");
 /// Proof that the sender knows the secret shared by the peers.
--- a/daemon/src/roles/caller_check.rs
+++ b/daemon/src/roles/caller_check.rs
@@ -22,7 +22,7 @@
 }
 
 /// Returns the customer that sent a request; `None` if the request needs no key. Another entry
-/// instance names the customer in place of the key.
+/// instance that has checked the key names the customer in its place.
 pub(super) fn identify<H: HeaderCodec>(
     headers: &HeaderMap,
     customers: &CustomerTable,
@@ -32,15 +32,14 @@
     if customers.is_empty() || route.is_public {
         return Ok(None);
     }
-    let is_named = origin == Origin::Instance && !headers.contains_key(H::CUSTOMER_KEY);
-    let customer = match is_named {
-        true => {
+    let customer = match origin.is_unchecked() {
+        true => customers.find(single(headers, &H::CUSTOMER_KEY)?),
+        false => {
             let name = single(headers, &H::CUSTOMER)?;
             str::from_utf8(name)
                 .ok()
                 .and_then(|name| customers.by_name(name))
         }
-        false => customers.find(single(headers, &H::CUSTOMER_KEY)?),
     };
     customer.map(Some).ok_or(Unidentified::Unknown)
 }
--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -109,10 +109,8 @@
         };
         let customers = &*active.customers;
         let needs_key = !customers.is_empty() && !route.item.is_public;
-        // Another instance has done both checks before it sent the request here.
-        let is_first = origin == Origin::Caller;
         if needs_key
-            && is_first
+            && origin.is_unchecked()
             && let Some(refusal) = self.refuse_stale(&request, configuration.version)
         {
             return refusal;
@@ -121,6 +119,15 @@
             caller_check::identify::<H>(request.headers(), customers, &route.item, origin);
         let customer = match identity {
             Ok(customer) => customer.map(|key| customers.get(key)),
+            Err(cause) if !origin.is_unchecked() => {
+                let reason = "the other instance has another configuration";
+                self.log_rejected(
+                    &request,
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    &cause.to_string(),
+                );
+                return unavailable_response::<H>(reason, STARTING_RETRY_AFTER);
+            }
             Err(cause) => {
                 let reason = cause.to_string();
                 self.state
@@ -136,7 +143,9 @@
             return unavailable_response::<H>(reason, NO_REGION_RETRY_AFTER);
         };
         let mut admitted_at = None;
-        if is_first && let Some(customer) = customer {
+        if origin.is_unchecked()
+            && let Some(customer) = customer
+        {
             admitted_at = match self.admit_within_quota(&request, customer).await {
                 Ok(admitted_at) => admitted_at,
                 Err(refusal) => return refusal,
@@ -418,6 +427,7 @@
         fingerprints,
         object,
         idempotent: routed.route.item.idempotent,
+        has_checked_customer: !routed.customers.is_empty(),
         deadline,
         wait_until: deadline + ANSWER_GRACE,
     }
--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -82,7 +82,17 @@
     /// A caller.
     Caller,
     /// Another entry instance, which has lost the upstreams.
-    Instance,
+    Instance {
+        /// Whether it has checked whose request it is, and names the customer.
+        has_checked: bool,
+    },
+}
+
+impl Origin {
+    /// Returns whether nobody has checked yet whose request it is.
+    pub fn is_unchecked(self) -> bool {
+        self != Self::Instance { has_checked: true }
+    }
 }
 
 /// Results of the attempts of a request so far.
--- a/daemon/src/roles/helper_handler.rs
+++ b/daemon/src/roles/helper_handler.rs
@@ -75,10 +75,15 @@
                 };
             }
         };
-        for name in [header::CALLER, header::CONFIGURATION] {
+        let has_checked = request.headers().contains_key(header::CUSTOMER_CHECKED);
+        for name in [
+            header::CALLER,
+            header::CONFIGURATION,
+            header::CUSTOMER_CHECKED,
+        ] {
             request.headers_mut().remove(name);
         }
-        let origin = Origin::Instance;
+        let origin = Origin::Instance { has_checked };
         let mut response = self.forward.answer_with_id(request, caller, origin).await;
         let did_not_run = response.extensions().get::<NotRun>().is_some();
         if did_not_run && self.state.reach().is_lost() {
--- a/daemon/src/roles/helper_request.rs
+++ b/daemon/src/roles/helper_request.rs
@@ -155,6 +155,10 @@
     headers.clone_from(&request.headers);
     headers.insert(H::DEADLINE_MS, request.remaining_ms());
     headers.insert(header::CALLER, header::value(&request.caller.to_string()));
+    headers.remove(header::CUSTOMER_CHECKED);
+    if request.has_checked_customer {
+        headers.insert(header::CUSTOMER_CHECKED, HeaderValue::from_static("1"));
+    }
     let active = state.active().configuration;
     let version = active.map_or(0, |configuration| configuration.version.0);
     headers.insert(header::CONFIGURATION, HeaderValue::from(version));
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -57,6 +57,8 @@
     /// Hash of the affinity key, or of the path if the request has no key.
     pub object: u64,
     pub idempotent: bool,
+    /// Whether the configuration has customers, so that the headers name the customer that sent it.
+    pub has_checked_customer: bool,
     /// Deadline sent to the upstream, which should stop working on the request by then.
     pub deadline: Instant,
     /// Time after which this instance no longer waits for the answer.
--- a/model/src/item.rs
+++ b/model/src/item.rs
@@ -24,7 +24,7 @@
 
 /// Contents of an item.
 #[derive(Clone, Debug, From, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(try_from = "StoredValue", into = "StoredValue")]
+#[serde(from = "StoredValue", into = "StoredValue")]
 pub enum ItemValue {
     /// A route.
     Route(RouteItem),
--- a/model/src/items.rs
+++ b/model/src/items.rs
@@ -134,6 +134,9 @@
         let reason = match &named.item.value {
             Some(ItemValue::Route(route)) => route.invalid_reason(),
             Some(ItemValue::Customer(customer)) => customer.invalid_reason(),
+            Some(ItemValue::Service(service)) if is_reserved(&service.health_path) => {
+                Some("the health path is reserved")
+            }
             _ => None,
         };
         if let Some(reason) = reason {
@@ -143,8 +146,8 @@
             ItemKey::Service(name) if is_reserved(name) => {
                 return Err(invalid_item(&named.key, "the name is reserved"));
             }
-            ItemKey::Customer(name) if name.is_empty() || name.contains(char::is_control) => {
-                let reason = "the name is empty or has a control character";
+            ItemKey::Customer(name) if !is_valid_name(name) => {
+                let reason = "the name is empty, or has outer spaces or a control character";
                 return Err(invalid_item(&named.key, reason));
             }
             _ => {}
@@ -194,6 +197,11 @@
     }
 }
 
+/// Returns whether the name of a customer is the same after it was sent in a header.
+fn is_valid_name(name: &str) -> bool {
+    !name.is_empty() && name.trim() == name && !name.contains(char::is_control)
+}
+
 fn invalid_item(key: &ItemKey, reason: &str) -> Refusal {
     Refusal::InvalidItem {
         item: key.to_string(),
--- a/model/src/stored_item.rs
+++ b/model/src/stored_item.rs
@@ -23,7 +23,7 @@
 }
 
 /// Stored form of an [`ItemValue`].
-#[derive(Serialize, Deserialize)]
+#[derive(PartialEq, Serialize, Deserialize)]
 pub(crate) enum StoredValue {
     Route(RouteItem),
     Service(ServiceItem),
@@ -46,9 +46,10 @@
     affinity: bool,
 }
 
-/// Returns whether a name is kept for the stored form of other items than services.
-pub(crate) fn is_reserved(service: &str) -> bool {
-    service.starts_with(CUSTOMER_NAME)
+/// Returns whether a name, or a health path, is kept for the stored form of other items than
+/// services.
+pub(crate) fn is_reserved(text: &str) -> bool {
+    text.starts_with(CUSTOMER_NAME) || text.starts_with(CUSTOMER_TEXT)
 }
 
 impl From<ItemKey> for StoredKey {
@@ -94,23 +95,29 @@
     }
 }
 
-impl TryFrom<StoredValue> for ItemValue {
-    type Error = serde_json::Error;
-
-    fn try_from(value: StoredValue) -> Result<Self, Self::Error> {
+impl From<StoredValue> for ItemValue {
+    fn from(value: StoredValue) -> Self {
         match value {
-            StoredValue::Route(route) => Ok(Self::Route(route)),
-            StoredValue::Limits(limits) => Ok(Self::Limits(limits)),
-            StoredValue::Service(service) => {
-                match service.health_path.strip_prefix(CUSTOMER_TEXT) {
-                    Some(text) => serde_json::from_str::<CustomerItem>(text).map(Self::Customer),
-                    None => Ok(Self::Service(service)),
-                }
-            }
+            StoredValue::Route(route) => Self::Route(route),
+            StoredValue::Limits(limits) => Self::Limits(limits),
+            StoredValue::Service(service) => match read_customer(&service) {
+                Some(customer) => Self::Customer(customer),
+                None => Self::Service(service),
+            },
         }
     }
 }
 
+/// Returns the customer that a service stands for. Any other text stays that of a service, so that
+/// each stored item is read and written as the same bytes.
+fn read_customer(service: &ServiceItem) -> Option<CustomerItem> {
+    let text = service.health_path.strip_prefix(CUSTOMER_TEXT)?;
+    let customer: CustomerItem = serde_json::from_str(text).ok()?;
+    let is_same = StoredValue::from(ItemValue::from(customer.clone()))
+        == StoredValue::Service(service.clone());
+    is_same.then_some(customer)
+}
+
 impl From<RouteItem> for StoredRoute {
     fn from(route: RouteItem) -> Self {
         let public_bit = if route.is_public { PUBLIC_BIT } else { 0 };
--- a/model/tests/customers.rs
+++ b/model/tests/customers.rs
@@ -217,12 +217,42 @@
 
 #[test]
 fn merged_customer_whose_name_fits_no_header_is_refused() {
-    for name in ["", "am\nma"] {
+    for name in ["", "am\nma", "amma ", "\tamma"] {
         let refusal = Items::default().merged(&[customer(name, 1, &["k-1"])]);
         assert!(refusal.unwrap_err().to_string().contains("the name is"));
     }
 }
 
+// Guards against: a service whose health path looks like a stored customer is accepted, or ends the replicas
+// that read the record of its refusal.
+#[test]
+fn read_service_with_the_text_of_a_customer_is_the_same() {
+    let text = "\u{1}customer ";
+    let customer = rmp_serde::to_vec(&customer("amma", 1, &["k-1"]).item).unwrap();
+    let customer: former::Item = rmp_serde::from_slice(&customer).unwrap();
+    let Some(former::ItemValue::Service(stored)) = customer.value else {
+        panic!("a customer is stored as a service");
+    };
+    for path in [
+        text.to_owned(),
+        format!("{text}x"),
+        format!("{text}{{ }}"),
+        stored.health_path.replace(',', ", "),
+    ] {
+        let mut named = service("catalog");
+        let Some(ItemValue::Service(item)) = &mut named.item.value else {
+            panic!("it is a service");
+        };
+        item.health_path = path;
+        let bytes = rmp_serde::to_vec(&named).unwrap();
+        let read: NamedItem = rmp_serde::from_slice(&bytes).unwrap();
+        assert_eq!(read, named);
+        assert_eq!(rmp_serde::to_vec(&read).unwrap(), bytes);
+        let refusal = Items::default().merged(&[named]).unwrap_err();
+        assert!(refusal.to_string().contains("reserved"), "{refusal}");
+    }
+}
+
 // Guards against: keys reach a log through the debug text of an item.
 #[test]
 fn debug_customer_leaves_out_its_keys() {
--- a/policy/src/customers/customer_table.rs
+++ b/policy/src/customers/customer_table.rs
@@ -16,7 +16,7 @@
 pub struct CustomerKey(u32);
 
 /// Customers of one configuration. It holds hashes of their keys that depend on a secret, so that the
-/// time of a look-up says nothing of the keys, and no memory holds them.
+/// time of a look-up says nothing of the keys.
 ///
 /// # Examples
 ///
