Send callers to other regions while the links of their own are busy

Cause: a look-up named the entry instances of the caller's region only. Where the callers of regions come in waves, the links of one region were full while those of another were idle.

Change: an entry instance with a narrow link measures how much of it its requests take, and tells it behind its presence datagram, where older builds pass over it. A control instance names instances of other regions as well while the links of the own one are busier: the part follows the difference at a rate within max_region_shift. Nothing changes where links are wide, or less than 0.3 of them is in use.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 mod attempt;
 mod body_error;
 mod bounded_head_io;
+mod byte_meter;
 mod caller_handler;
 mod claim_outcome;
 mod claim_sync;
--- a/daemon/src/roles/control_node.rs
+++ b/daemon/src/roles/control_node.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -30,7 +31,7 @@
 use crate::roles::report_store::ReportStore;
 use crate::roles::rpc_client::{ReplicaLink, RpcClient, RpcError};
 use crate::roles::rpc_handler::RpcHandler;
-use crate::roles::{NodeSettings, Presence, UpstreamList, UpstreamSource};
+use crate::roles::{Announcement, NodeSettings, UpstreamList, UpstreamSource};
 
 /// Interval between the heartbeats of a leader.
 const HEARTBEAT_INTERVAL_MS: u64 = 150;
@@ -53,6 +54,9 @@
 /// Longest presence datagram of an entry instance.
 const MAX_PRESENCE_BYTES: usize = 1_024;
 
+/// Interval at which the spread of callers over regions is shown.
+const SPREAD_SHOWN_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Answer to an operator's change.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Submitted {
@@ -178,7 +182,7 @@
             Err(error) => warn!(log, "failed to read saved crash reports"; "error" => %error),
         }
         let state = Arc::new(ControlState {
-            registry: Registry::new(now),
+            registry: Registry::new(now).with_max_region_shift(settings.max_region_shift),
             list: watch::Sender::default(),
             list_history: ListHistory::default(),
             start: rand::random(),
@@ -211,6 +215,7 @@
         tasks.spawn(receive_presence(state.clone(), socket));
         tasks.spawn(list_refresher::run(state.clone(), source));
         tasks.spawn(follow_leader(state.clone()));
+        tasks.spawn(show_spread(state.clone()));
         tasks.spawn(crash_file::keep(state.clone(), crash_file));
         tasks.spawn(crash_sender::run(state.clone(), state.client.clone()));
         info!(state.log, "control instance started"; "address" => own_address.to_string(),
@@ -273,8 +278,9 @@
     }
 
     /// Returns the addresses of entry instances for a caller in a region and zone, nearest first.
-    pub fn resolve(&self, region: &str, zone: &str) -> Vec<SocketAddr> {
-        self.state.registry.resolve(region, zone, Instant::now())
+    pub fn resolve(&self, region: &str, zone: &str, caller: IpAddr) -> Vec<SocketAddr> {
+        let registry = &self.state.registry;
+        registry.resolve(region, zone, caller, Instant::now())
     }
 
     /// Returns the log of the process.
@@ -372,7 +378,7 @@
     let mut buffer = vec![0; MAX_PRESENCE_BYTES];
     loop {
         let received = match socket.recv_from(&mut buffer).await {
-            Ok((length, _)) => rmp_serde::from_slice::<Presence>(&buffer[..length]),
+            Ok((length, _)) => Announcement::decode(&buffer[..length]),
             Err(error) => {
                 warn!(state.log, "failed to receive a presence datagram"; "error" => %error);
                 tokio::time::sleep(Duration::from_millis(20)).await;
@@ -380,9 +386,10 @@
             }
         };
         match received {
-            Ok(presence) => {
+            Ok(announcement) => {
+                let presence = &announcement.presence;
                 let (name, new_state) = (presence.instance.clone(), presence.state);
-                if state.registry.record(presence, Instant::now()) {
+                if state.registry.record(announcement, Instant::now()) {
                     info!(state.log, "entry instance changed state"; "entry" => name,
                         "state" => %new_state);
                 }
@@ -414,6 +421,27 @@
     }
 }
 
+/// Shows the parts of the callers that are sent to other regions as a metric, and logs when the first
+/// callers of a region are sent elsewhere and when all stay again.
+async fn show_spread(state: Arc<ControlState>) {
+    let mut away = BTreeSet::new();
+    loop {
+        for (region, part) in state.registry.spread() {
+            let percent = (part * 100.0).round() as i64;
+            state.metrics.set_callers_away(region.clone(), percent);
+            let was_away = away.contains(&region);
+            if percent > 0 && !was_away {
+                info!(state.log, "callers are sent to other regions"; "region" => &region);
+                away.insert(region);
+            } else if part == 0.0 && was_away {
+                info!(state.log, "callers stay in their region again"; "region" => &region);
+                away.remove(&region);
+            }
+        }
+        tokio::time::sleep(SPREAD_SHOWN_INTERVAL).await;
+    }
+}
+
 fn new_command_id() -> CommandId {
     let number: u128 = rand::random();
     let id = format!("{number:032x}").parse();
--- a/daemon/src/roles/entry_node.rs
+++ b/daemon/src/roles/entry_node.rs
@@ -21,7 +21,7 @@
 use crate::roles::node_metrics::NodeMetrics;
 use crate::roles::page_handler::PageHandler;
 use crate::roles::report_exchange;
-use crate::roles::{HeaderCodec, NodeSettings, Presence, PresenceState};
+use crate::roles::{Announcement, HeaderCodec, NodeSettings, Presence, PresenceState};
 
 /// Interval between presence datagrams to the control instances.
 const PRESENCE_INTERVAL: Duration = Duration::from_millis(500);
@@ -215,7 +215,14 @@
             boot_ms: self.boot_ms,
             sequence: self.sequence.fetch_add(1, order),
         };
-        let bytes = rmp_serde::to_vec(&presence).expect("plain data encodes");
+        let link_use_percent = self.state.measure_link_use();
+        let metrics = &self.state.metrics;
+        metrics.set_link_use_percent(link_use_percent.unwrap_or(0));
+        let bytes = Announcement {
+            presence,
+            link_use_percent,
+        }
+        .encode();
         for control in self.controls.all() {
             if let Err(error) = self.socket.send_to(&bytes, control).await
                 && let Some(log) = self.state.log.limited(true)
--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -7,7 +7,7 @@
 use laburnumdeal_model::{Configuration, Target, Version, WHOLE_PERMILLE};
 use laburnumdeal_policy::customers::{CustomerTable, LeaseLost};
 use laburnumdeal_policy::steer::{
-    CrashReport, HelperInstances, IdleReuse, InstanceRecord, LinkCapacity, LoadBalancer,
+    CrashReport, HelperInstances, IdleReuse, InstanceRecord, LinkCapacity, LinkUse, LoadBalancer,
     PlannedStop, RegionShare, RequestBlocks, RequestFingerprints, RetryBudgetShare, RouteTable,
     UpstreamKey, UpstreamReach, hash_of,
 };
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::byte_meter::ByteMeter;
 use crate::connection_pool::ConnectionPool;
 use crate::dialer::Dialer;
 use crate::roles::crash_checks::{self, CrashChecks};
@@ -75,6 +76,9 @@
     pub dialer: Dialer,
     /// What the link of this machine carries.
     pub link: LinkCapacity,
+    /// Bytes that requests took of it, in each direction.
+    pub link_meter: ByteMeter,
+    link_use: Mutex<LinkUse>,
     load_balancer: Mutex<LoadBalancer>,
     pools: Mutex<HashMap<UpstreamKey, ConnectionPool>>,
     retries: Mutex<RetryBudgets>,
@@ -111,6 +115,8 @@
         let link = settings.link_capacity();
         Self {
             link,
+            link_meter: ByteMeter::default(),
+            link_use: Mutex::default(),
             load_balancer: Mutex::new(LoadBalancer::new(settings.load_balancer_settings())),
             pools: Mutex::default(),
             retries: Mutex::new(retries),
@@ -157,6 +163,15 @@
         self.reach.lock().expect("no holder panics")
     }
 
+    /// Measures the part of the link of this machine that is in use, in percent; `None` if the link
+    /// is no limit.
+    pub fn measure_link_use(&self) -> Option<u32> {
+        let mut link_use = self.link_use.lock().expect("no holder panics");
+        link_use.update(self.link_meter.total(), Instant::now());
+        let fraction = link_use.fraction(&self.link)?;
+        Some((fraction * 100.0).round() as u32)
+    }
+
     /// Locks what is known of how long upstreams keep idle connections.
     pub fn idle_reuse(&self) -> MutexGuard<'_, IdleReuse> {
         self.idle_reuse.lock().expect("no holder panics")
--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -5,11 +5,12 @@
 
 use crate::incoming_body::IncomingBody;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http_body::Body;
 use laburnumdeal_model::Version;
 use laburnumdeal_policy::customers::{
     BootTime, CallerTerms, Customer, CustomerTable, QuotaLimit, QuotaRefusal,
 };
-use laburnumdeal_policy::steer::{RequestFingerprints, Route, hash_of};
+use laburnumdeal_policy::steer::{LinkUse, RequestFingerprints, Route, hash_of};
 use slog::info;
 use tokio::time::Instant;
 
@@ -84,7 +85,11 @@
         origin: Origin,
     ) -> Response<AnswerBody> {
         let id = request.headers().get(H::REQUEST_ID).cloned();
+        let meter = &self.state.link_meter;
+        meter.add(LinkUse::HEAD_BYTES);
+        let request = request.map(|body| body.metered(meter.clone()));
         let mut response = self.answer(request, caller, origin).await;
+        meter.add(response.body().size_hint().lower());
         if let Some(id) = id {
             response.headers_mut().insert(H::REQUEST_ID, id);
         }
--- a/daemon/src/roles/mod.rs
+++ b/daemon/src/roles/mod.rs
@@ -2,6 +2,7 @@
 //! requests; control instances keep the configuration, the list of upstreams and the list of entry
 //! instances.
 
+mod announcement;
 mod answer_notices;
 mod buffered_body;
 mod caller_check;
@@ -50,6 +51,7 @@
 mod upstream_attempt;
 mod upstream_list;
 
+pub use announcement::Announcement;
 pub use configuration_update::ConfigurationUpdate;
 pub use control_node::{ControlHandle, ControlNode, Submitted};
 pub use control_record::ControlRecord;
--- a/daemon/src/roles/node_metrics.rs
+++ b/daemon/src/roles/node_metrics.rs
@@ -35,6 +35,8 @@
     crash_checks: Family<ResultLabels, Counter>,
     crash_reports: Gauge,
     limited_upstreams: Gauge,
+    link_use_percent: Gauge,
+    callers_away: Family<CallerRegionLabels, Gauge>,
     waits: Family<ResultLabels, Counter>,
     sent_in_wait: Counter,
     announced_leaving: Counter,
@@ -46,6 +48,11 @@
     knees: Family<ServiceLabels, Gauge>,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct CallerRegionLabels {
+    region: String,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct HelpLabels {
     outcome: &'static str,
@@ -147,6 +154,18 @@
             "Known crashes of upstreams under requests",
             crash_reports.clone(),
         );
+        let link_use_percent = Gauge::default();
+        registry.register(
+            "link_use_percent",
+            "Part of the link of this machine that requests take in each direction",
+            link_use_percent.clone(),
+        );
+        let callers_away = Family::default();
+        registry.register(
+            "callers_away_percent",
+            "Part of the look-ups of a region that name instances of other regions",
+            callers_away.clone(),
+        );
         let limited_upstreams = Gauge::default();
         registry.register(
             "limited_upstreams",
@@ -221,6 +240,8 @@
             crash_checks,
             crash_reports,
             limited_upstreams,
+            link_use_percent,
+            callers_away,
             waits,
             sent_in_wait,
             announced_leaving,
@@ -308,6 +329,17 @@
         self.crash_reports.set(reports as i64);
     }
 
+    /// Sets the part of the link of this machine that is in use.
+    pub fn set_link_use_percent(&self, percent: u32) {
+        self.link_use_percent.set(i64::from(percent));
+    }
+
+    /// Sets the part of the callers of a region that are sent to other regions.
+    pub fn set_callers_away(&self, region: String, percent: i64) {
+        let labels = CallerRegionLabels { region };
+        self.callers_away.get_or_create(&labels).set(percent);
+    }
+
     /// Sets the number of upstreams that named a limit.
     pub fn set_limited_upstreams(&self, upstreams: usize) {
         self.limited_upstreams.set(upstreams as i64);
--- a/daemon/tests/messages.rs
+++ b/daemon/tests/messages.rs
@@ -5,8 +5,9 @@
 
 use laburnumdeal_control::{ControlReply, ControlRequest};
 use laburnumdeal_daemon::roles::{
-    Call, ConfigurationUpdate, ControlRecord, CrashPosition, CustomerReply, CustomerRequest,
-    FollowReply, FollowRequest, ListUpdate, Presence, PresenceState, Reply, ReportRequest,
+    Announcement, Call, ConfigurationUpdate, ControlRecord, CrashPosition, CustomerReply,
+    CustomerRequest, FollowReply, FollowRequest, ListUpdate, Presence, PresenceState, Reply,
+    ReportRequest,
 };
 use laburnumdeal_daemon::{pack, unpack};
 use laburnumdeal_model::{Term, Version};
@@ -253,6 +254,21 @@
     assert_eq!(read, presence());
 }
 
+/// Older builds read the presence at the beginning of a datagram and pass over the rest.
+#[test]
+fn announcement_with_a_link_use_is_read_by_older_builds() {
+    let mut announcement = Announcement {
+        presence: presence(),
+        link_use_percent: None,
+    };
+    assert_eq!(hex(&announcement.encode()), hex(&fixture("presence")));
+    announcement.link_use_percent = Some(250);
+    let bytes = announcement.encode();
+    let read: Presence = rmp_serde::from_slice(&bytes).unwrap();
+    assert_eq!(read, presence());
+    assert_eq!(Announcement::decode(&bytes).unwrap(), announcement);
+}
+
 #[test]
 fn crash_file_has_the_recorded_bytes() {
     let bytes = rmp_serde::to_vec(&[crash_report()]).unwrap();
--- a/policy/src/steer/link_capacity.rs
+++ b/policy/src/steer/link_capacity.rs
@@ -89,6 +89,12 @@
         timeout + Duration::from_secs_f64(queued_s)
     }
 
+    /// Returns what a narrow link carries in each direction in a second; `None` for links on which
+    /// bytes do not wait for others.
+    pub fn narrow_bytes_per_s(&self) -> Option<f64> {
+        self.bytes_per_s.filter(|_| self.window_bytes().is_some())
+    }
+
     fn bytes_in(&self, time: Duration) -> Option<usize> {
         let bytes = self.bytes_per_s? * time.as_secs_f64();
         Some(bytes as usize)
--- a/policy/tests/steer/main.rs
+++ b/policy/tests/steer/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the choice of upstreams, while upstreams join, leave, slow down and get overloaded.
 
+mod caller_spread;
 mod capacity;
 mod choose;
 mod cold;
