Refuse to campaign after a leader was heard during the pre-vote

Cause: a voter gives no vote while a leader that it heard may hold a lease, but its own vote was not bound by this. A leader that was cut off could reach a voter during that voter's pre-vote; the voter answered, the leader counted the answer for its lease, and the voter campaigned and won all the same. Two replicas held a lease at once.

Change: the promise is looked at once more under the lock of the store, before the voter gives itself its vote. A leadership transfer is exempt, as for other votes.

--- a/control/src/election.rs
+++ b/control/src/election.rs
@@ -73,11 +73,13 @@
             return;
         }
         let guard = self.lock_store().await;
-        let (newest, role) = {
+        let (newest, role, leader_active) = {
             let volatile = self.volatile();
-            (volatile.vote.term, volatile.role)
+            let leader_active = !transfer && self.leader_may_hold_lease(&volatile);
+            (volatile.vote.term, volatile.role, leader_active)
         };
-        if newest != term || role == Role::Stopped {
+        // A leader that was heard during the pre-vote may rely on the promise to give no vote.
+        if newest != term || role == Role::Stopped || leader_active {
             return;
         }
         let vote = Vote {
--- a/control/tests/control.rs
+++ b/control/tests/control.rs
@@ -5,6 +5,7 @@
 mod checker;
 mod cluster;
 mod drains;
+mod elections;
 mod fake_disk;
 mod full_disks;
 mod histories;
--- a/control/tests/network.rs
+++ b/control/tests/network.rs
@@ -89,6 +89,13 @@
         inner.frozen.clear();
     }
 
+    /// Lets the messages between two instances pass again, in both directions.
+    pub fn heal_between(&self, one: InstanceId, other: InstanceId) {
+        let mut inner = self.inner();
+        inner.partitions.remove(&(one, other));
+        inner.partitions.remove(&(other, one));
+    }
+
     /// Suspends an instance: holds back its messages until [`Network::heal`].
     pub fn freeze(&self, instance: InstanceId) {
         self.inner().frozen.insert(instance);
