Elect a leader soon after a loss of power of all machines

Cause: voters that start together all keep their promise to give no vote for one election timeout. The first pre-vote came one to two timeouts after the start, and one that was refused by a voter that started a little later was repeated only after another one to two.

Change: the first pre-vote after the start of a process comes within a quarter of the timeout after the promise, and one that is not won is repeated after an eighth to a quarter of it, 16 times at most without a leader. Answers to the earlier ones still count. A voter that granted a pre-vote refuses others for a quarter of the timeout, else candidates that ask so soon split the votes. No promise, no message and no stored record changes.

Ruled out: short waits after lost campaigns too.

--- a/control/src/append.rs
+++ b/control/src/append.rs
@@ -87,7 +87,7 @@
             self.notify();
         }
         volatile.last_leader_contact = Instant::now();
-        volatile.election_timer_start = volatile.last_leader_contact;
+        volatile.restart_election_timer();
         drop(volatile);
         Ok(guard)
     }
--- a/control/src/election.rs
+++ b/control/src/election.rs
@@ -21,16 +21,29 @@
     pub last_term: Term,
 }
 
+/// Fraction of the election timeout that bounds the random part of a short wait: that after the
+/// start of a process, and that before an unsuccessful pre-vote is repeated.
+const SHORT_WAIT_FRACTION: u64 = 4;
+
+/// Number of attempts without a leader that follow one another after short waits. Later ones wait
+/// for full timeouts, so that a voter that is cut off for long sends little.
+const SHORT_WAIT_ATTEMPTS: u32 = 16;
+
 impl<L: PeerLink, D: Disk> Core<L, D> {
     /// Starts an election whenever a voter has not heard from a leader for a randomized election
     /// timeout, and checks the quorum while this replica leads.
     pub async fn run_elections(self: Arc<Self>, mut generator: ChaCha8Rng) {
+        let process_start = self.volatile().election_timer_start;
+        let mut pre_votes = JoinSet::new();
         loop {
-            let timeout_ms = self.settings.election_timeout_ms
-                + generator.random_range(0..self.settings.election_timeout_ms);
-            let timeout = Duration::from_millis(timeout_ms);
-            let deadline = self.volatile().election_timer_start + timeout;
-            sleep_until(deadline.max(Instant::now() + Duration::from_millis(1))).await;
+            let wait = self.election_wait(process_start, &mut generator);
+            let deadline = self.volatile().election_timer_start + wait;
+            let deadline = deadline.max(Instant::now() + Duration::from_millis(1));
+            let won_term = tokio::select! {
+                biased;
+                term = next_won(&mut pre_votes) => Some(term),
+                () = sleep_until(deadline) => None,
+            };
             let (role, is_voter, election_timer_start) = {
                 let volatile = self.volatile();
                 (
@@ -42,15 +55,38 @@
             if role == Role::Leader {
                 self.check_quorum();
                 tokio::time::sleep(self.settings.heartbeat_interval()).await;
-            } else if is_voter && election_timer_start.elapsed() >= timeout {
-                self.volatile().election_timer_start = Instant::now();
-                self.start_election(false).await;
             } else if !is_voter {
                 self.volatile().election_timer_start = Instant::now();
+            } else if let Some(term) = won_term {
+                self.campaign(term, false).await;
+            } else if election_timer_start.elapsed() >= wait {
+                let term = self.volatile().begin_election_attempt();
+                let core = self.clone();
+                // An answer may take longer than the wait before the next attempt.
+                pre_votes.spawn(async move {
+                    let is_won = core.request_votes(term, true, false).await;
+                    is_won.then_some(term)
+                });
             }
         }
     }
 
+    /// Returns the time from the start of the election timer to the next attempt.
+    fn election_wait(&self, process_start: Instant, generator: &mut ChaCha8Rng) -> Duration {
+        let timeout_ms = self.settings.election_timeout_ms;
+        let short_ms = timeout_ms / SHORT_WAIT_FRACTION + 1;
+        let (attempts, timer_start) = {
+            let volatile = self.volatile();
+            (volatile.election_attempts, volatile.election_timer_start)
+        };
+        let wait_ms = match attempts {
+            0 if timer_start == process_start => timeout_ms + generator.random_range(0..short_ms),
+            1..=SHORT_WAIT_ATTEMPTS => generator.random_range(short_ms / 2..short_ms),
+            _ => timeout_ms + generator.random_range(0..timeout_ms),
+        };
+        Duration::from_millis(wait_ms)
+    }
+
     /// Stops leading when no majority has responded for two election timeouts.
     fn check_quorum(&self) {
         let limit = self.settings.election_timeout() * 2;
@@ -65,13 +101,9 @@
         }
     }
 
-    /// Campaigns in a new term. A leadership transfer was requested by the leader itself, so it
-    /// skips the pre-vote.
-    pub async fn start_election(self: &Arc<Self>, transfer: bool) {
-        let term = self.volatile().vote.term;
-        if !transfer && !self.request_votes(term, true, false).await {
-            return;
-        }
+    /// Campaigns in the term after `term`, in which this replica won the pre-vote or was asked to
+    /// take over by the leader itself.
+    async fn campaign(self: &Arc<Self>, term: Term, transfer: bool) {
         let guard = self.lock_store().await;
         let (newest, role, leader_active) = {
             let volatile = self.volatile();
@@ -94,7 +126,7 @@
             let mut volatile = self.volatile();
             volatile.role = Role::Candidate;
             volatile.leader = None;
-            volatile.election_timer_start = Instant::now();
+            volatile.restart_election_timer();
         }
         drop(guard);
         if self.request_votes(vote.term, false, transfer).await {
@@ -188,6 +220,10 @@
                 self.would_grant_vote(&volatile, &request),
             )
         };
+        if request.pre_vote && granted {
+            let mut volatile = self.volatile();
+            volatile.hold_pre_vote(request.header.sender, self.settings.election_timeout());
+        }
         if request.pre_vote || request.header.term < term || self.has_active_leader(&request) {
             return ControlReply::Vote { term, granted };
         }
@@ -206,7 +242,7 @@
             volatile.step_down();
         }
         if granted && saved.is_ok() {
-            volatile.election_timer_start = Instant::now();
+            volatile.restart_election_timer();
         }
         drop(volatile);
         self.notify();
@@ -245,7 +281,9 @@
                     && voted_for.is_none_or(|identity| identity == request.header.sender)
             }
         };
-        is_up_to_date && may_vote && !leader_active
+        let hold = self.settings.election_timeout() / SHORT_WAIT_FRACTION as u32;
+        let is_held = request.pre_vote && volatile.holds_pre_vote(request.header.sender, hold);
+        is_up_to_date && may_vote && !leader_active && !is_held
     }
 
     /// Starts an election at once, at the request of the leader that transfers its leadership.
@@ -262,11 +300,22 @@
         if !may_campaign {
             return ControlReply::Failed;
         }
-        self.start_election(true).await;
+        self.campaign(header.term, true).await;
         ControlReply::Done
     }
 }
 
+/// Waits until one of the pre-votes is won, and returns its term.
+async fn next_won(pre_votes: &mut JoinSet<Option<Term>>) -> Term {
+    loop {
+        match pre_votes.join_next().await {
+            Some(Ok(Some(term))) => return term,
+            Some(_) => {}
+            None => std::future::pending().await,
+        }
+    }
+}
+
 fn vote_requests<L: PeerLink, D: Disk>(
     core: &Core<L, D>,
     volatile: &VolatileState,
--- a/control/src/volatile_state.rs
+++ b/control/src/volatile_state.rs
@@ -22,6 +22,10 @@
     pub last_leader_contact: Instant,
     /// Start of the running election timeout; reset by a leader's message or a granted vote.
     pub election_timer_start: Instant,
+    /// Number of pre-votes that this replica asked for since the election timeout was last reset.
+    pub election_attempts: u32,
+    /// Candidate that the last pre-vote held for it went to, and when.
+    pub held_pre_vote: Option<(ReplicaIdentity, Instant)>,
     /// Members as of the last log entry, whether or not it is committed.
     pub members: Members,
     pub snapshot_index: u64,
@@ -57,6 +61,8 @@
             leader: None,
             last_leader_contact: now,
             election_timer_start: now,
+            election_attempts: 0,
+            held_pre_vote: None,
             members: Members::default(),
             snapshot_index: state.index,
             snapshot_term: state.term,
@@ -232,11 +238,43 @@
         matched.get(needed - 1).copied().unwrap_or(0)
     }
 
+    /// Restarts the election timeout, as there is a leader or may soon be one.
+    pub fn restart_election_timer(&mut self) {
+        self.election_timer_start = Instant::now();
+        self.election_attempts = 0;
+    }
+
+    /// Counts a pre-vote that this replica asks for; returns the term.
+    pub fn begin_election_attempt(&mut self) -> Term {
+        self.election_timer_start = Instant::now();
+        self.election_attempts = self.election_attempts.saturating_add(1);
+        self.vote.term
+    }
+
+    /// Keeps pre-votes from others for a while after one was granted, so that the candidate can
+    /// campaign before another does. One that repeats its requests is not served again within
+    /// `pause`, so that it cannot keep the others from campaigning.
+    pub fn hold_pre_vote(&mut self, candidate: ReplicaIdentity, pause: Duration) {
+        let is_repeated = self
+            .held_pre_vote
+            .is_some_and(|(last, at)| last == candidate && at.elapsed() < pause);
+        if !is_repeated {
+            self.held_pre_vote = Some((candidate, Instant::now()));
+        }
+    }
+
+    /// Returns whether a pre-vote that was granted to another candidate less than `hold` ago keeps
+    /// this one from getting one.
+    pub fn holds_pre_vote(&self, candidate: ReplicaIdentity, hold: Duration) -> bool {
+        self.held_pre_vote
+            .is_some_and(|(last, at)| last != candidate && at.elapsed() < hold)
+    }
+
     /// Stops leading or campaigning and restarts the election timeout.
     pub fn step_down(&mut self) {
         self.progress.clear();
         self.leader = None;
-        self.election_timer_start = Instant::now();
+        self.restart_election_timer();
         self.role = self.non_leader_role();
     }
 
--- a/control/tests/network.rs
+++ b/control/tests/network.rs
@@ -30,6 +30,7 @@
     max_delay_ms: u64,
     lost_permille: u32,
     duplicated_permille: u32,
+    vote_request_count: u64,
 }
 
 /// Connection of one instance to the network.
@@ -50,6 +51,7 @@
                 max_delay_ms: 2,
                 lost_permille: 0,
                 duplicated_permille: 0,
+                vote_request_count: 0,
             })),
         }
     }
@@ -96,6 +98,11 @@
         inner.partitions.remove(&(other, one));
     }
 
+    /// Returns the number of requests for votes and pre-votes that were sent so far.
+    pub fn vote_request_count(&self) -> u64 {
+        self.inner().vote_request_count
+    }
+
     /// Suspends an instance: holds back its messages until [`Network::heal`].
     pub fn freeze(&self, instance: InstanceId) {
         self.inner().frozen.insert(instance);
@@ -158,6 +165,9 @@
             return Err(format!("a message of {} bytes is refused", bytes.len()));
         }
         let request: ControlRequest = rmp_serde::from_slice(&bytes).unwrap();
+        if matches!(request, ControlRequest::Vote { .. }) {
+            self.network.inner().vote_request_count += 1;
+        }
         if self.network.chance(|inner| inner.duplicated_permille) {
             let (network, from, duplicate) = (self.network.clone(), self.from, request.clone());
             tokio::spawn(async move { network.deliver(from, to, duplicate).await });
