Let one of two candidates that ask at once campaign

Cause: two voters with equal logs that ask for pre-votes within the time of one message granted them to each other. Both campaigned, the votes were split, and both waited one to two timeouts.

Change: a voter that asked less than an eighth of the timeout ago refuses the pre-vote of one with an equal log and a higher identity. Only pre-votes are concerned, so nothing that was promised changes.

--- a/control/src/election.rs
+++ b/control/src/election.rs
@@ -282,7 +282,13 @@
             }
         };
         let hold = self.settings.election_timeout() / SHORT_WAIT_FRACTION as u32;
-        let is_held = request.pre_vote && volatile.holds_pre_vote(request.header.sender, hold);
+        // Of two that ask at the same time with equal logs, the one with the lower identity is served.
+        let is_rival = volatile.election_attempts > 0
+            && volatile.election_timer_start.elapsed() < hold / 2
+            && (request.last_term, request.last_index) == own
+            && request.header.sender > self.identity;
+        let is_held =
+            request.pre_vote && (is_rival || volatile.holds_pre_vote(request.header.sender, hold));
         is_up_to_date && may_vote && !leader_active && !is_held
     }
 
