Tell the members at once what a new leader has committed

Cause: after an election the others learned only from the next heartbeat, 150 ms later on the daemon, that the first entry of the term and with it all earlier ones are committed. So after a loss of power of all machines the entry instances waited for the configuration. Besides, a new leader first asked for agreement on that entry, which no other has, and sent it one round trip later.

Change: the first message of a new leader holds its first entry, and a message follows once that is committed. Later commits go with the next message as before, since requests to one member follow one another and an extra one would delay the next entries.

The test fails before the change, and with the first part alone.

--- a/control/src/replication.rs
+++ b/control/src/replication.rs
@@ -30,7 +30,11 @@
             if !volatile.leads_term(volatile.vote.term) {
                 return;
             }
-            let next_index = volatile.last_index() + 1;
+            // The others lack the first entry of a new leader, and most lack nothing else.
+            let next_index = match volatile.is_established_leader() {
+                true => volatile.last_index() + 1,
+                false => volatile.term_start_index,
+            };
             let others = volatile
                 .members
                 .list
@@ -81,6 +85,10 @@
                 instant: Instant::now(),
                 since_boot: (self.settings.since_boot)(),
             };
+            let told_commit_index = match &request {
+                ControlRequest::Append { commit_index, .. } => *commit_index,
+                _ => 0,
+            };
             let within = self.settings.lease_duration();
             let has_more = match self.call(to, request, within).await {
                 Ok(reply) => {
@@ -97,7 +105,8 @@
                     .settings
                     .heartbeat_interval()
                     .saturating_sub(sent_at.instant.elapsed());
-                let _ = timeout(pause, self.wait_for_entries(identity, term, &mut changed)).await;
+                let news = self.wait_for_news(identity, term, told_commit_index, &mut changed);
+                let _ = timeout(pause, news).await;
             }
         }
         let mut tasks = self
@@ -107,12 +116,13 @@
         tasks.remove(&(term, identity));
     }
 
-    /// Waits until there are entries to send to the member, or this replica no longer leads the
-    /// term.
-    async fn wait_for_entries(
+    /// Waits until there are entries to send to the member, the first entry of the term is committed
+    /// and the member was told less, or this replica no longer leads the term.
+    async fn wait_for_news(
         &self,
         identity: ReplicaIdentity,
         term: Term,
+        told_commit_index: u64,
         changed: &mut tokio::sync::watch::Receiver<u64>,
     ) {
         loop {
@@ -122,7 +132,12 @@
             let volatile = self.volatile();
             let next_index = volatile.progress.get(&identity).map(|p| p.next_index);
             let last_index = volatile.last_index();
-            if !volatile.leads_term(term) || next_index.is_none_or(|next| next <= last_index) {
+            let is_newly_established =
+                volatile.is_established_leader() && told_commit_index < volatile.term_start_index;
+            if !volatile.leads_term(term)
+                || is_newly_established
+                || next_index.is_none_or(|next| next <= last_index)
+            {
                 return;
             }
         }
--- a/control/tests/elections.rs
+++ b/control/tests/elections.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use laburnumdeal_control::Role;
+use laburnumdeal_control::{Role, Status};
 use laburnumdeal_model::InstanceId;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -199,6 +199,46 @@
     assert!(slowest[0] <= 2 * ELECTION_MS, "{slowest:?}");
 }
 
+/// Crashes the leader; returns the time from the start of the next one's leadership until all others
+/// have committed its first entry, in milliseconds.
+async fn learn_of_the_first_commit(seed: u64) -> u64 {
+    let mut cluster = started(seed).await;
+    let old = cluster.leader().await;
+    cluster.crash(old);
+    let leading = |cluster: &Cluster| {
+        let mut status = cluster.running().map(|replica| replica.status());
+        status.find(|status| status.role == Role::Leader)
+    };
+    while leading(&cluster).is_none() {
+        sleep(1).await;
+    }
+    let begin = Instant::now();
+    let is_known = |status: &Status| {
+        let mut others = cluster
+            .running()
+            .map(|replica| replica.status().commit_index);
+        others.all(|commit_index| commit_index >= status.last_index)
+    };
+    while !leading(&cluster).is_some_and(|status| is_known(&status)) {
+        sleep(1).await;
+    }
+    begin.elapsed().as_millis() as u64
+}
+
+// Guards against: replicas learn only from the next heartbeat that the first entry of a new leader,
+// and with it all that was accepted before, is committed.
+#[test]
+fn replicate_to_member_first_commit_of_a_leader_is_told_at_once() {
+    let run = |seed| block_on(learn_of_the_first_commit(seed));
+    let mut elapsed_ms: Vec<u64> = (1..=SEEDS).map(run).collect();
+    elapsed_ms.sort_unstable();
+    let longest_ms = elapsed_ms[elapsed_ms.len() - 1];
+    let median_ms = elapsed_ms[elapsed_ms.len() / 2];
+    println!("median {median_ms} ms, longest {longest_ms} ms");
+    // The entry, its answer and the commit.
+    assert!(longest_ms <= 3 * MAX_DELAY_MS + 5, "{longest_ms} ms");
+}
+
 /// Lets messages pass for a short time between a leader that is cut off from a majority and one of
 /// them, which may be in its pre-vote. Returns whether two replicas held a lease at once.
 async fn reach_a_voter_in_its_pre_vote(seed: u64) -> bool {
