Decide where kept connections to upstreams are checked

Cause: a request that must not be repeated goes on a connection that answered within 250 ms, or on a new one, since one that was idle for longer may be forgotten by the other side. Most find none that fresh.

LoadBalancer::takes_checks leaves out upstreams that are cold, leave, wait or have a limit. Nothing uses it yet.

--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -273,6 +273,25 @@
         self.region_name(self.entry(key).region)
     }
 
+    /// Returns the service of an upstream.
+    pub fn service(&self, key: UpstreamKey) -> &str {
+        &self.entry(key).record.service
+    }
+
+    /// Returns whether the last load that an upstream reported to this instance names the pace of its
+    /// machine.
+    pub fn names_pace(&self, key: UpstreamKey) -> bool {
+        self.entry(key).load.names_pace()
+    }
+
+    /// Returns whether an upstream may be asked for its status: it stays and is warm, wants requests,
+    /// and has named no limit, against which a check might count.
+    pub fn takes_checks(&self, key: UpstreamKey, now: Instant) -> bool {
+        let entry = self.entry(key);
+        let is_free = entry.wait.left(now).is_zero() && entry.limit.is_none();
+        !self.is_withdrawn(key) && !entry.is_cold(now) && is_free
+    }
+
     /// Returns when an upstream last answered this instance.
     pub fn answered_at(&self, key: UpstreamKey) -> Option<Instant> {
         self.entry(key).answered_at
--- a/policy/src/steer/load_estimate.rs
+++ b/policy/src/steer/load_estimate.rs
@@ -89,6 +89,12 @@
         self.direct_report
     }
 
+    /// Returns whether the last load report to this instance names the pace of the machine.
+    pub fn names_pace(&self) -> bool {
+        self.last
+            .is_some_and(|(load, _)| load.pace_percent.is_some())
+    }
+
     /// Returns the load that came with an answer which has just arrived.
     pub fn load_of_answer(&self, now: Instant) -> Option<UpstreamLoad> {
         let (load, reported_at) = self.last?;
--- a/policy/tests/steer/main.rs
+++ b/policy/tests/steer/main.rs
@@ -4,6 +4,7 @@
 mod choose;
 mod cold;
 mod completed_requests;
+mod connection_checks;
 mod crash_evidence;
 mod crash_outbox;
 mod crash_reports;
