Check a kept connection before a request that must not be repeated

Change: where ConnectionChecks calls for it, the newest idle connection that an idempotent request could use is asked for the service's health path, with a short bounded wait. A 200 of the expected upstream: the request goes on it, after the same second look at news as after opening a connection. Late or broken: the connection is closed and a new one is opened. A 503 or another ID: the connection is closed, and the request goes elsewhere, as after a refusal or a 421. A request waits for one check at most, so that false status answers refuse none. The platform sets checks_connections by its contract; upstreams that name the pace of their machine are checked without it. New metric connection_checks; no message between instances changes.

--- a/daemon/src/connection.rs
+++ b/daemon/src/connection.rs
@@ -62,6 +62,11 @@
         self.opened_at
     }
 
+    /// Returns when the last answer arrived, or the connection was opened.
+    pub fn active_at(&self) -> Instant {
+        self.active_at
+    }
+
     /// Returns the time since the last answer, or since the connection was opened.
     pub fn idle_for(&self) -> Duration {
         self.active_at.elapsed()
--- a/daemon/src/connection_pool.rs
+++ b/daemon/src/connection_pool.rs
@@ -89,6 +89,17 @@
         }
     }
 
+    /// Takes an idle connection that answered a short while ago, if there is one.
+    pub fn take_recently_active(&self) -> Option<Connection> {
+        self.take_idle(Freshness::RecentlyActive)
+    }
+
+    /// Takes an idle connection that answered less than `age` ago and within the idle time that the
+    /// other side has stated, if there is one.
+    pub fn take_active_within(&self, age: Duration) -> Option<Connection> {
+        self.take_idle(Freshness::ActiveWithin(age))
+    }
+
     /// Returns a connection to the pool after a complete exchange.
     pub fn release(&self, mut connection: Connection) {
         connection.mark_active();
--- a/daemon/src/roles/answer_notices.rs
+++ b/daemon/src/roles/answer_notices.rs
@@ -23,12 +23,24 @@
     id: &HeaderValue,
     status: StatusCode,
     headers: &HeaderMap,
+) {
+    record_limit(state, upstream, id, H::limit(headers));
+    record_status::<H>(state, upstream, id, status, headers);
+}
+
+/// Records what the head of the answer to a status check says of its upstream. A check is made for
+/// the request `id`. A limit is left out: one that a check does not name may go on.
+pub(super) fn record_status<H: HeaderCodec>(
+    state: &EntryState,
+    upstream: UpstreamKey,
+    id: &HeaderValue,
+    status: StatusCode,
+    headers: &HeaderMap,
 ) {
     if let Some(load) = H::load(headers) {
         let mut load_balancer = state.load_balancer();
         load_balancer.record_load(upstream, load, Instant::now());
     }
-    record_limit(state, upstream, id, H::limit(headers));
     record_wait(state, upstream, id, H::wait(status, headers));
     record_leaving(state, upstream, id, H::leaving(headers));
 }
--- a/daemon/src/roles/entry_state.rs
+++ b/daemon/src/roles/entry_state.rs
@@ -7,9 +7,9 @@
 use laburnumdeal_model::{Configuration, Target, Version, WHOLE_PERMILLE};
 use laburnumdeal_policy::customers::{CustomerTable, LeaseLost};
 use laburnumdeal_policy::steer::{
-    CrashReport, HelperInstances, IdleReuse, InstanceRecord, LinkCapacity, LoadBalancer,
-    PlannedStop, RegionShare, RequestBlocks, RequestFingerprints, RetryBudgetShare, RouteTable,
-    UpstreamKey, UpstreamReach, hash_of,
+    ConnectionChecks, CrashReport, HelperInstances, IdleReuse, InstanceRecord, LinkCapacity,
+    LoadBalancer, PlannedStop, RegionShare, RequestBlocks, RequestFingerprints, RetryBudgetShare,
+    RouteTable, UpstreamKey, UpstreamReach, hash_of,
 };
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
@@ -87,6 +87,7 @@
     pub crash_queue: CrashQueue,
     reach: Mutex<UpstreamReach>,
     idle_reuse: Mutex<IdleReuse>,
+    connection_checks: Mutex<ConnectionChecks>,
     helpers: Mutex<HelperInstances>,
     helper_pools: Mutex<HashMap<IpAddr, ConnectionPool>>,
     list: Mutex<UpstreamList>,
@@ -109,6 +110,7 @@
         let seeds = settings.seeds.iter();
         let seeds = seeds.map(|seed| settings.peer_address(*seed)).collect();
         let link = settings.link_capacity();
+        let connection_checks = ConnectionChecks::new(settings.checks_connections);
         Self {
             link,
             load_balancer: Mutex::new(LoadBalancer::new(settings.load_balancer_settings())),
@@ -121,6 +123,7 @@
             crash_queue: CrashQueue::default(),
             reach: Mutex::default(),
             idle_reuse: Mutex::default(),
+            connection_checks: Mutex::new(connection_checks),
             helpers: Mutex::new(helpers),
             helper_pools: Mutex::default(),
             list: Mutex::default(),
@@ -162,6 +165,11 @@
         self.idle_reuse.lock().expect("no holder panics")
     }
 
+    /// Locks what is known of whether connections to upstreams are checked.
+    pub fn connection_checks(&self) -> MutexGuard<'_, ConnectionChecks> {
+        self.connection_checks.lock().expect("no holder panics")
+    }
+
     /// Locks the other entry instances that forward requests while no upstream can be reached.
     pub fn helpers(&self) -> MutexGuard<'_, HelperInstances> {
         self.helpers.lock().expect("no holder panics")
--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -429,6 +429,7 @@
         fingerprints,
         object,
         idempotent: routed.route.item.idempotent,
+        may_check: !routed.route.item.idempotent,
         has_checked_customer: !routed.customers.is_empty(),
         deadline,
         wait_until: deadline + ANSWER_GRACE,
--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -273,6 +273,7 @@
         )
         .await;
         self.progress.tried.push(decision.upstream);
+        self.request.may_check = false;
         let outcome = match &result {
             AttemptResult::Answer(_) => "answer",
             AttemptResult::NotRun { .. } => "not-run",
--- a/daemon/src/roles/header_codec.rs
+++ b/daemon/src/roles/header_codec.rs
@@ -20,6 +20,8 @@
     const CUSTOMER: HeaderName;
     /// ID of the only upstream that may run the request.
     const EXPECTED_UPSTREAM: HeaderName;
+    /// ID of the upstream that answers a status check.
+    const UPSTREAM_ID: HeaderName;
 
     /// Header by which an upstream announces that it leaves. It is for instances, not for callers.
     const LEAVING: HeaderName;
--- a/daemon/src/roles/mod.rs
+++ b/daemon/src/roles/mod.rs
@@ -6,6 +6,7 @@
 mod buffered_body;
 mod caller_check;
 mod configuration_update;
+mod connection_check;
 mod control_node;
 mod control_record;
 mod crash_checks;
--- a/daemon/src/roles/node_metrics.rs
+++ b/daemon/src/roles/node_metrics.rs
@@ -33,6 +33,7 @@
     list_age_ms: Gauge,
     dropped_lines: Counter,
     crash_checks: Family<ResultLabels, Counter>,
+    connection_checks: Family<ResultLabels, Counter>,
     crash_reports: Gauge,
     limited_upstreams: Gauge,
     waits: Family<ResultLabels, Counter>,
@@ -147,6 +148,12 @@
             "Known crashes of upstreams under requests",
             crash_reports.clone(),
         );
+        let connection_checks = Family::default();
+        registry.register(
+            "connection_checks",
+            "Checks of kept connections to upstreams, by result",
+            Family::clone(&connection_checks),
+        );
         let limited_upstreams = Gauge::default();
         registry.register(
             "limited_upstreams",
@@ -219,6 +226,7 @@
             list_age_ms,
             dropped_lines,
             crash_checks,
+            connection_checks,
             crash_reports,
             limited_upstreams,
             waits,
@@ -303,6 +311,13 @@
             .inc();
     }
 
+    /// Counts a check of a kept connection.
+    pub fn count_connection_check(&self, result: &'static str) {
+        self.connection_checks
+            .get_or_create(&ResultLabels { result })
+            .inc();
+    }
+
     /// Sets the number of known crash reports.
     pub fn set_crash_reports(&self, reports: usize) {
         self.crash_reports.set(reports as i64);
--- a/daemon/src/roles/node_settings.rs
+++ b/daemon/src/roles/node_settings.rs
@@ -79,6 +79,10 @@
     /// Whether slots beyond which the upstreams of a service are seen to slow down count as queue.
     #[serde(default)]
     pub learns_capacity: bool,
+    /// Whether all upstreams answer status checks at once, so that a kept connection is checked before
+    /// a request that must not be repeated is sent on it.
+    #[serde(default)]
+    pub checks_connections: bool,
 }
 
 /// Default length of the window of customers' quotas.
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::answer_body::AnswerBody;
+use crate::connection::Connection;
 use crate::connection_pool::{ConnectionPool, Freshness};
 use crate::exchange_error::ExchangeError;
 use crate::exchange_guard::ExchangeGuard;
@@ -24,6 +25,7 @@
 use crate::roles::HeaderCodec;
 use crate::roles::answer_notices;
 use crate::roles::buffered_body::BufferedBody;
+use crate::roles::connection_check::{self, CheckResult};
 use crate::roles::crash_checks::{self, UnansweredAttempt};
 use crate::roles::entry_state::EntryState;
 use crate::roles::reach_probes;
@@ -59,6 +61,8 @@
     /// Hash of the affinity key, or of the path if the request has no key.
     pub object: u64,
     pub idempotent: bool,
+    /// Whether a kept connection may be checked for it. A request waits for one check at most.
+    pub may_check: bool,
     /// Whether the configuration has customers, so that the headers name the customer that sent it.
     pub has_checked_customer: bool,
     /// Deadline sent to the upstream, which should stop working on the request by then.
@@ -243,29 +247,32 @@
     let pool = state.pool(decision.upstream, address);
     let started_at = Instant::now();
     let connect_timeout = state.link.patience(CONNECT_TIMEOUT);
-    let longest_idle = state.idle_reuse().longest_idle(started_at);
-    let connecting = connect(&pool, request, longest_idle, connect_timeout);
+    let connecting = connect::<H>(state, decision.upstream, &pool, request, connect_timeout);
     let mut guard = match connecting.await {
         Ok(guard) => guard,
-        Err(reason) => {
-            in_flight.outcome = AttemptOutcome::ConnectFailed;
-            reach_probes::record_failed(state, decision.upstream);
+        Err(failure) => {
+            in_flight.outcome = failure.outcome();
+            if failure.is_unreached() {
+                reach_probes::record_failed(state, decision.upstream);
+            }
             return AttemptResult::NotRun {
-                reason,
+                reason: failure.reason(),
                 arrived: false,
             };
         }
     };
     if guard.connection().opened_at() >= started_at {
         state.reach().record_opened();
-        // Opening may have taken long enough for news to arrive.
-        if let Some(reason) = withdrawal_reason(state, decision, request) {
-            guard.complete();
-            return AttemptResult::NotRun {
-                reason,
-                arrived: false,
-            };
-        }
+    }
+    // Opening or checking a connection may have taken long enough for news to arrive.
+    if guard.connection().active_at() >= started_at
+        && let Some(reason) = withdrawal_reason(state, decision, request)
+    {
+        guard.complete();
+        return AttemptResult::NotRun {
+            reason,
+            arrived: false,
+        };
     }
     let Some(taken) = body.take() else {
         guard.complete();
@@ -301,27 +308,83 @@
     is_refused.then_some("the request was blocked meanwhile")
 }
 
-async fn connect(
+/// Why there is no connection for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NoConnection {
+    /// None opened.
+    Unopened(&'static str),
+    /// The upstream of a kept one says that it takes no requests.
+    Refused,
+    /// Another upstream has the address.
+    OtherUpstream,
+}
+
+impl NoConnection {
+    fn is_unreached(self) -> bool {
+        matches!(self, Self::Unopened(_))
+    }
+
+    fn reason(self) -> &'static str {
+        match self {
+            Self::Unopened(reason) => reason,
+            Self::Refused => "the upstream takes no requests",
+            Self::OtherUpstream => "another upstream has the address",
+        }
+    }
+
+    fn outcome(self) -> AttemptOutcome {
+        match self {
+            Self::Unopened(_) => AttemptOutcome::ConnectFailed,
+            Self::Refused => AttemptOutcome::Shed,
+            Self::OtherUpstream => AttemptOutcome::WrongUpstream,
+        }
+    }
+}
+
+async fn connect<H: HeaderCodec>(
+    state: &Arc<EntryState>,
+    upstream: UpstreamKey,
     pool: &ConnectionPool,
     request: &AttemptRequest,
-    longest_idle: Duration,
     timeout: Duration,
-) -> Result<ExchangeGuard, &'static str> {
-    let freshness = match request.idempotent {
-        true => Freshness::ActiveWithin(longest_idle),
-        false => Freshness::RecentlyActive,
-    };
-    let until = request.deadline.min(Instant::now() + timeout);
-    let acquired = match pool.acquire(freshness, until).await {
-        Ok(connection) if connection.has_refused(&request.id) => {
-            pool.acquire(Freshness::New, until).await
+) -> Result<ExchangeGuard, NoConnection> {
+    let kept = match request.idempotent {
+        true => {
+            let longest_idle = state.idle_reuse().longest_idle(Instant::now());
+            pool.take_active_within(longest_idle)
         }
-        acquired => acquired,
+        false => take_for_one_run::<H>(state, upstream, pool, request).await?,
     };
-    match acquired {
+    if let Some(connection) = kept.filter(|kept| !kept.has_refused(&request.id)) {
+        return Ok(ExchangeGuard::new(connection, pool.clone(), None));
+    }
+    let until = request.deadline.min(Instant::now() + timeout);
+    match pool.acquire(Freshness::New, until).await {
         Ok(connection) => Ok(ExchangeGuard::new(connection, pool.clone(), None)),
-        Err(ExchangeError::Refused(_)) => Err("the connection was refused"),
-        Err(_) => Err("no connection in time"),
+        Err(ExchangeError::Refused(_)) => Err(NoConnection::Unopened("the connection was refused")),
+        Err(_) => Err(NoConnection::Unopened("no connection in time")),
+    }
+}
+
+/// Takes a kept connection for a request that must not be repeated: one that answered a short while
+/// ago, or that passes a check now. Returns `None` if a new one is needed.
+async fn take_for_one_run<H: HeaderCodec>(
+    state: &Arc<EntryState>,
+    upstream: UpstreamKey,
+    pool: &ConnectionPool,
+    request: &AttemptRequest,
+) -> Result<Option<Connection>, NoConnection> {
+    if let Some(recent) = pool.take_recently_active() {
+        return Ok(Some(recent));
+    }
+    if !request.may_check {
+        return Ok(None);
+    }
+    match connection_check::take_checked::<H>(state, upstream, pool, request).await {
+        Some(Ok(checked)) => Ok(Some(checked)),
+        Some(Err(CheckResult::Refused)) => Err(NoConnection::Refused),
+        Some(Err(CheckResult::OtherUpstream)) => Err(NoConnection::OtherUpstream),
+        _ => Ok(None),
     }
 }
 
--- a/model/src/items.rs
+++ b/model/src/items.rs
@@ -84,6 +84,14 @@
             })
     }
 
+    /// Returns the contents of a service; `None` if it was removed or never set.
+    pub fn service(&self, name: &str) -> Option<&ServiceItem> {
+        match &self.map.get(&ItemKey::Service(name.to_owned()))?.value {
+            Some(ItemValue::Service(service)) => Some(service),
+            _ => None,
+        }
+    }
+
     /// Returns the name and contents of each customer that has not been removed, in the order of
     /// names.
     pub fn customers(&self) -> impl Iterator<Item = (&str, &CustomerItem)> {
