Learn how fast each upstream is, and pass over slow ones

Cause: an instance hears of an upstream once in some seconds, so each has to find out by itself that one is slow, each time at the cost of a late answer. Fixed weights do not fit upstreams of several speeds.

Change: behind the setting shares_speed, an estimate for each start of an upstream from own answers and those of others (SpeedSample, UpstreamSpeed), against what is usual for the service (UsualTime), a store that merges the reports (SpeedStore), and in the choice the next upstream by rank in the same region in the place of a slow first one whose answer would miss its target.

--- a/daemon/src/roles/node_settings.rs
+++ b/daemon/src/roles/node_settings.rs
@@ -79,6 +79,9 @@
     /// Whether slots beyond which the upstreams of a service are seen to slow down count as queue.
     #[serde(default)]
     pub learns_capacity: bool,
+    /// Whether entry instances learn the speed of upstreams together, and pass over slow ones.
+    #[serde(default)]
+    pub shares_speed: bool,
 }
 
 /// Default length of the window of customers' quotas.
@@ -133,6 +136,7 @@
             max_region_shift: self.max_region_shift,
             places_by_room: self.places_by_room,
             learns_capacity: self.learns_capacity,
+            shares_speed: self.shares_speed,
         }
     }
 }
--- a/daemon/tests/customers.rs
+++ b/daemon/tests/customers.rs
@@ -43,6 +43,7 @@
         quota_slack: 0.0,
         places_by_room: false,
         learns_capacity: false,
+        shares_speed: false,
     }
 }
 
--- a/policy/src/steer/choosing.rs
+++ b/policy/src/steer/choosing.rs
@@ -107,6 +107,7 @@
             ..
         } = candidates;
         candidates.sort_by(|a, b| a.0.total_cmp(&b.0));
+        self.leave_out_slow(request, &mut candidates, now);
         let estimate = |(rank, (_, key)): (usize, &(f64, UpstreamKey))| {
             let (decision, cost) = self.estimate(request, *key, rank, now);
             (
@@ -291,8 +292,8 @@
         let latency = self.service_latencies.get(request.service).copied();
         let latency = latency.unwrap_or_else(|| ServiceLatency::new(request.target_latency));
         let is_cold = entry.is_cold(now);
-        let expects_cache_hit =
-            entry.cached_objects.contains(request.object, now) || (rank == 0 && !is_cold);
+        let holds_object = entry.cached_objects.contains(request.object, now);
+        let expects_cache_hit = holds_object || (rank == 0 && !is_cold);
         let slowdown = entry.slowdown(now) * if is_cold { 2.0 } else { 1.0 };
         let service_ms = latency.expected_ms(expects_cache_hit) * slowdown;
         let knee = self.knee(request.service, now);
@@ -315,8 +316,10 @@
             load: entry.load.estimated_requests(now),
             load_age: entry.load.report_age(now),
             expects_cache_hit,
+            holds_object,
             rank,
             at_limit: 0,
+            chosen_at: now,
         };
         (decision, expected_ms + penalty_ms - discount_ms)
     }
--- a/policy/src/steer/decision.rs
+++ b/policy/src/steer/decision.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::steer::UpstreamKey;
 
 /// Properties of a request that decide which upstream is chosen for it.
@@ -41,10 +43,14 @@
     pub load_age: Option<Duration>,
     /// Whether the upstream is likely to hold the object in its cache.
     pub expects_cache_hit: bool,
+    /// Whether the upstream is known to have handled the object recently.
+    pub holds_object: bool,
     /// Position of the upstream in the rendezvous order of the object; 0 is the first.
     pub rank: usize,
     /// Upstreams that were passed over because this instance has sent its part of their limits.
     pub at_limit: usize,
+    /// Time of the choice.
+    pub chosen_at: Instant,
 }
 
 /// Result of choosing an upstream for a request.
--- a/policy/src/steer/load_balancer.rs
+++ b/policy/src/steer/load_balancer.rs
@@ -11,7 +11,7 @@
 use crate::steer::{
     Decision, InstanceRecord, LimitNotice, LoadCurve, RegionRoom, RegionShares, RouteLatency,
     ServiceLatency, ServiceReach, SharedLimit, SharedLoad, SharedObject, SharedReport,
-    UpstreamLimit, UpstreamLoad, UpstreamRecord, WaitNotice,
+    UpstreamLimit, UpstreamLoad, UpstreamRecord, UsualTime, WaitNotice,
 };
 
 /// Requests per second that a cold upstream tolerates, if the configuration does not name its
@@ -65,6 +65,9 @@
     pub places_by_room: bool,
     /// Whether the load that upstreams take well is learned from their answers.
     pub learns_capacity: bool,
+    /// Whether the speed of upstreams is learned together with other instances, and slow ones are
+    /// passed over.
+    pub shares_speed: bool,
 }
 
 /// How an attempt at an upstream ended.
@@ -142,6 +145,11 @@
     load_curves: HashMap<String, HashMap<String, LoadCurve>>,
     /// Factors on the weights of regions by their room, by the key of the service.
     pub(super) region_rooms: Vec<Vec<RegionRoom>>,
+    /// Usual times of answers, by the key of the service.
+    pub(super) usual_times: Vec<UsualTime>,
+    /// Number of upstreams that are slow against their service, by its key.
+    pub(super) slow_counts: Vec<usize>,
+    pub(super) speeds_compared_at: Option<Instant>,
 }
 
 impl LoadBalancer {
@@ -161,6 +169,9 @@
             region_shares_at: None,
             load_curves: HashMap::new(),
             region_rooms: Vec::new(),
+            usual_times: Vec::new(),
+            slow_counts: Vec::new(),
+            speeds_compared_at: None,
             entries: Vec::new(),
             by_endpoint: HashMap::new(),
             by_hash: HashMap::new(),
@@ -347,6 +358,8 @@
     /// Records the start of an attempt, before the request is sent.
     pub fn begin_attempt(&mut self, decision: &Decision, now: Instant) {
         self.update_region_shares_if_due(now);
+        self.compare_speeds_if_due(now);
+        self.begin_speed(decision, now);
         let entry = self.entry(decision.upstream);
         let (is_cold, service) = (entry.is_cold(now), entry.service);
         self.region_shares[service.0 as usize].record_request(now);
@@ -470,6 +483,7 @@
         outcome: AttemptOutcome,
         now: Instant,
     ) {
+        self.record_speed(decision, outcome, now);
         let key = decision.upstream;
         let warm_up = self.warm_up_of(&self.entry(key).record.service).0 + WARM_UP_SLACK;
         let entry = self.entry_mut(key);
@@ -570,6 +584,8 @@
         self.service_keys.insert(service.to_owned(), key);
         let shares = RegionShares::new(self.settings.max_region_shift);
         self.region_shares.push(shares);
+        self.usual_times.push(UsualTime::default());
+        self.slow_counts.push(0);
         self.region_rooms
             .push(vec![RegionRoom::default(); self.regions.len()]);
         key
@@ -579,10 +595,14 @@
         &self.entries[key.0 as usize]
     }
 
-    fn entry_mut(&mut self, key: UpstreamKey) -> &mut UpstreamEntry {
+    pub(super) fn entry_mut(&mut self, key: UpstreamKey) -> &mut UpstreamEntry {
         &mut self.entries[key.0 as usize]
     }
 
+    pub(super) fn key_of_hash(&self, id_hash: u64) -> Option<UpstreamKey> {
+        self.by_hash.get(&id_hash).copied()
+    }
+
     pub(super) fn entries(&self) -> &[UpstreamEntry] {
         &self.entries
     }
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -45,7 +45,9 @@
 mod wait_notice;
 
 pub use cached_objects::CachedObjects;
-pub use capacity::{LoadCurve, Quartile};
+pub use capacity::{
+    LoadCurve, Quartile, SharedSpeed, SlowUpstream, SpeedSample, SpeedStore, UsualTime,
+};
 pub use completed_requests::CompletedRequests;
 pub use crash_evidence::{CrashEvidence, ProbeConnection};
 pub use crash_outbox::CrashOutbox;
--- a/policy/src/steer/upstream_entry.rs
+++ b/policy/src/steer/upstream_entry.rs
@@ -2,6 +2,7 @@
 
 use tokio::time::Instant;
 
+use crate::steer::capacity::UpstreamSpeed;
 use crate::steer::load_balancer::{ServiceKey, hash_of};
 use crate::steer::{
     AttemptOutcome, CachedObjects, Decision, LoadEstimate, RegionKey, RequestWindow, UpstreamLimit,
@@ -84,6 +85,8 @@
     unanswered_since: Option<Instant>,
     /// Time of the last answer.
     pub answered_at: Option<Instant>,
+    /// Speed against its service, where it is learned.
+    pub speed: UpstreamSpeed,
 }
 
 impl UpstreamEntry {
@@ -113,6 +116,7 @@
             failure_rate_at: None,
             unanswered_since: None,
             answered_at: None,
+            speed: UpstreamSpeed::default(),
         }
     }
 
@@ -126,6 +130,10 @@
         if !self.is_listed && record.cold_ms > 0 {
             self.wait = UpstreamWait::default();
         }
+        let is_start = self.record.cold_ms == 0 || !self.is_listed || !self.speed.has_start();
+        if record.cold_ms > 0 && is_start {
+            self.speed = UpstreamSpeed::of_start(now);
+        }
         if record.cold_ms > 0 {
             self.mark_cold_until(now + Duration::from_millis(record.cold_ms));
         }
@@ -294,6 +302,7 @@
                 if self.connect_failures > 0 {
                     self.connect_failures = 0;
                     self.cached_objects.clear();
+                    self.speed = UpstreamSpeed::of_start(now);
                     self.mark_cold_until(now + warm_up);
                 }
                 self.update_failure_rate(f64::from(u8::from(failed)), now);
--- a/policy/tests/steer/main.rs
+++ b/policy/tests/steer/main.rs
@@ -20,5 +20,6 @@
 mod routes;
 mod setup;
 mod simulation;
+mod speed;
 mod unanswered_attempts;
 mod waits;
--- a/policy/tests/steer/setup.rs
+++ b/policy/tests/steer/setup.rs
@@ -22,6 +22,7 @@
         max_region_shift: 0.15,
         places_by_room: false,
         learns_capacity: false,
+        shares_speed: false,
     }
 }
 
--- a/policy/tests/steer/simulation.rs
+++ b/policy/tests/steer/simulation.rs
@@ -7,13 +7,13 @@
 
 use laburnumdeal_policy::steer::{
     AttemptOutcome, Decision, LoadBalancer, LoadBalancerSettings, RequestContext, Selection,
-    SharedReport, UpstreamKey, UpstreamLoad, UpstreamRecord, WaitNotice,
+    SharedReport, SpeedStore, UpstreamKey, UpstreamLoad, UpstreamRecord, WaitNotice,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
-use crate::setup::{TARGET_LATENCY, load_balancer_with, request, settings};
+use crate::setup::{TARGET_LATENCY, instance, load_balancer_with, request, settings};
 
 /// Service time of a cache miss.
 const MISS_MS: u64 = 480;
@@ -84,6 +84,9 @@
     events: BinaryHeap<Event>,
     generator: ChaCha8Rng,
     objects: u64,
+    speeds: SpeedStore,
+    /// Times of the requests that count in the totals; of those without an answer, the timeout.
+    took_ms: Vec<u64>,
     /// Time between two exchanges of reports between the instances; `None` for no exchange.
     pub report_interval_ms: Option<u64>,
     /// Factor on the service time by upstream, requests that it runs, and time.
@@ -136,6 +139,8 @@
             events: BinaryHeap::new(),
             generator: ChaCha8Rng::seed_from_u64(7),
             objects,
+            speeds: SpeedStore::default(),
+            took_ms: Vec::new(),
             report_interval_ms: None,
             slowdown: |_, _, _| 1.0,
             noise: |_, _| 1.0,
@@ -158,6 +163,7 @@
         for now_ms in times_ms {
             if now_ms == count_from_ms {
                 self.totals = Totals::default();
+                self.took_ms.clear();
             }
             if self
                 .report_interval_ms
@@ -200,6 +206,33 @@
         there.count() as f64 / sent.len().max(1) as f64
     }
 
+    /// Returns the number of upstreams that an instance takes for slow.
+    pub fn slow_count(&self, instance: usize) -> usize {
+        self.balancers[instance].slow_upstreams().len()
+    }
+
+    /// Tells all instances of each other.
+    pub fn introduce_instances(&mut self) {
+        let records = (0..self.balancers.len()).map(|number| instance(number, "a"));
+        let records: Vec<_> = records.collect();
+        for balancer in &mut self.balancers {
+            balancer.update_instances(records.clone());
+        }
+    }
+
+    /// Returns the time that 99 of 100 requests stay below; those without an answer count as the
+    /// timeout.
+    pub fn p99_ms(&self) -> u64 {
+        let mut took_ms = self.took_ms.clone();
+        let missing = (self.totals.arrived as usize).saturating_sub(took_ms.len());
+        took_ms.extend(std::iter::repeat_n(TIMEOUT_MS, missing));
+        took_ms.sort_unstable();
+        took_ms
+            .get(took_ms.len() * 99 / 100)
+            .copied()
+            .unwrap_or_default()
+    }
+
     /// Returns the number of requests that an upstream has run since the last call.
     pub fn take_served(&mut self, upstream: usize) -> u32 {
         std::mem::take(&mut self.upstreams[upstream].served)
@@ -219,6 +252,11 @@
         for balancer in &mut self.balancers {
             balancer.merge_report(&all, now);
         }
+        let window = Duration::from_millis(window_ms);
+        for balancer in &mut self.balancers {
+            self.speeds.merge(&balancer.take_speeds(now), now);
+            balancer.merge_speeds(&self.speeds.told_within(window, now), now);
+        }
     }
 
     fn at(&self, now_ms: u64) -> Instant {
@@ -344,6 +382,7 @@
                     true => self.totals.in_target += 1,
                     false => self.totals.late += 1,
                 }
+                self.took_ms.push(took_ms);
                 let took_ms = took_ms as f64;
                 let failed = false;
                 self.finish(number, now_ms, AttemptOutcome::Answered { took_ms, failed });
