--- a/daemon/src/roles/control_node.rs
+++ b/daemon/src/roles/control_node.rs
@@ -8,7 +8,7 @@
 use laburnumdeal_model::{
     Change, CommandId, Configuration, Region, RegionId, Submission, Topology, Verdict, Zone,
 };
-use laburnumdeal_policy::steer::{CrashReport, CrashReports};
+use laburnumdeal_policy::steer::{CrashReport, CrashReports, SpeedStore};
 use slog::{Logger, info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
@@ -85,6 +85,7 @@
     /// Crash reports of entry instances for the other control instances.
     pub crash_queue: CrashQueue,
     pub reports: Mutex<ReportStore>,
+    pub speeds: Mutex<SpeedStore>,
     /// Answers on customers while this instance leads.
     pub customers: CustomerBank,
     pub metrics: NodeMetrics,
@@ -186,6 +187,7 @@
             crashes_unsaved: Notify::new(),
             crash_queue: CrashQueue::default(),
             reports: Mutex::default(),
+            speeds: Mutex::default(),
             customers: CustomerBank::new(settings.quota_settings()),
             metrics: NodeMetrics::new(),
             settings,
--- a/daemon/src/roles/entry_node.rs
+++ b/daemon/src/roles/entry_node.rs
@@ -21,6 +21,7 @@
 use crate::roles::node_metrics::NodeMetrics;
 use crate::roles::page_handler::PageHandler;
 use crate::roles::report_exchange;
+use crate::roles::speed_exchange;
 use crate::roles::{HeaderCodec, NodeSettings, Presence, PresenceState};
 
 /// Interval between presence datagrams to the control instances.
@@ -108,6 +109,11 @@
             controls.clone(),
             client.clone(),
         ));
+        tasks.spawn(speed_exchange::run(
+            state.clone(),
+            controls.clone(),
+            client.clone(),
+        ));
         tasks.spawn(customer_exchange::run(state.clone(), client.clone()));
         tasks.spawn(crash_sender::run(state.clone(), client));
         let sender = presence.clone();
--- a/daemon/src/roles/follow_message.rs
+++ b/daemon/src/roles/follow_message.rs
@@ -2,12 +2,13 @@
 
 use laburnumdeal_control::{ControlReply, ControlRequest};
 use laburnumdeal_model::Version;
-use laburnumdeal_policy::steer::{CrashReport, SharedReport};
+use laburnumdeal_policy::steer::{CrashReport, SharedReport, SharedSpeed};
 use serde::{Deserialize, Serialize};
 
 use crate::roles::crash_exchange::CrashPosition;
 use crate::roles::customer_message::{CustomerReply, CustomerRequest};
 use crate::roles::follow_reply::FollowReply;
+use crate::roles::speed_message::SpeedRequest;
 
 /// Message to a control instance.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -35,6 +36,8 @@
     Probe(SocketAddr),
     /// Question on customers for the leader of the change log.
     Customers(CustomerRequest),
+    /// Exchange of the speed of upstreams between entry instances.
+    Speeds(SpeedRequest),
 }
 
 /// Reply to a [`Call`].
@@ -53,6 +56,8 @@
     Probe(Option<bool>),
     /// Answer of the leader; `None` if none with a valid lease was reached.
     Customers(Option<CustomerReply>),
+    /// Speeds that changed, the sender's own report included.
+    Speeds(Vec<SharedSpeed>),
 }
 
 /// Report of an entry instance on upstreams, and request for the reports of others.
--- a/daemon/src/roles/mod.rs
+++ b/daemon/src/roles/mod.rs
@@ -47,6 +47,9 @@
 mod rpc_client;
 mod rpc_handler;
 mod second_opinion;
+mod speed_exchange;
+mod speed_message;
+mod speed_report;
 mod upstream_attempt;
 mod upstream_list;
 
@@ -65,5 +68,6 @@
 pub use node_settings::{DEFAULT_QUOTA_OVERSHOOT, DEFAULT_QUOTA_WINDOW_MS, NodeSettings};
 pub use presence::{Presence, PresenceState};
 pub use registry::Registry;
+pub use speed_message::SpeedRequest;
 pub(crate) use upstream_attempt::{AttemptEnd, InFlightAttempt};
 pub use upstream_list::{ListError, ListRead, UpstreamList, UpstreamSource};
--- a/daemon/src/roles/node_metrics.rs
+++ b/daemon/src/roles/node_metrics.rs
@@ -44,6 +44,7 @@
     customer_requests: Family<CustomerLabels, Counter>,
     region_shares: Family<RegionLabels, Gauge>,
     knees: Family<ServiceLabels, Gauge>,
+    slow_upstreams: Family<ServiceLabels, Gauge>,
 }
 
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
@@ -205,6 +206,12 @@
             "Part of their slots up to which the upstreams of a service take load well",
             Family::clone(&knees),
         );
+        let slow_upstreams = Family::default();
+        registry.register(
+            "slow_upstreams",
+            "Upstreams that are slow against others of their service",
+            Family::clone(&slow_upstreams),
+        );
         Self {
             registry: Arc::new(registry),
             requests,
@@ -230,6 +237,7 @@
             customer_requests,
             region_shares,
             knees,
+            slow_upstreams,
         }
     }
 
@@ -373,6 +381,13 @@
             .set(percent);
     }
 
+    /// Sets the number of upstreams that are slow against others of a service.
+    pub fn set_slow_upstreams(&self, service: String, upstreams: i64) {
+        self.slow_upstreams
+            .get_or_create(&ServiceLabels { service })
+            .set(upstreams);
+    }
+
     /// Renders all metrics in the OpenMetrics text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
--- a/daemon/src/roles/rpc_handler.rs
+++ b/daemon/src/roles/rpc_handler.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, Limited};
 use laburnumdeal_control::ControlReply;
 use laburnumdeal_model::Configuration;
-use laburnumdeal_policy::steer::{CrashReport, SharedReport};
+use laburnumdeal_policy::steer::{CrashReport, SharedReport, SharedSpeed};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until};
 
@@ -22,7 +22,7 @@
 use crate::roles::follow_reply::FollowReply;
 use crate::roles::known_list::KnownList;
 use crate::roles::list_update::ListUpdate;
-use crate::roles::{ConfigurationUpdate, UpstreamList};
+use crate::roles::{ConfigurationUpdate, SpeedRequest, UpstreamList};
 
 /// Longest message that is accepted.
 const MAX_CALL_BYTES: usize = 32 * 1024 * 1024;
@@ -75,6 +75,7 @@
             }
             Call::Probe(upstream) => Reply::Probe(self.probe(upstream).await),
             Call::Customers(request) => Reply::Customers(self.customers(request).await),
+            Call::Speeds(request) => Reply::Speeds(self.exchange_speeds(&request)),
         }
     }
 
@@ -128,6 +129,13 @@
         recent
     }
 
+    fn exchange_speeds(&self, request: &SpeedRequest) -> Vec<SharedSpeed> {
+        let now = Instant::now();
+        let mut store = self.state.speeds.lock().expect("no holder panics");
+        store.merge(&request.speeds, now);
+        store.told_within(Duration::from_millis(request.window_ms), now)
+    }
+
     /// Replies as soon as there is an update for the sender, or when its wait is over.
     async fn follow(&self, request: FollowRequest, peer: SocketAddr) -> FollowReply {
         let now = Instant::now();
--- a/daemon/tests/messages.rs
+++ b/daemon/tests/messages.rs
@@ -7,12 +7,13 @@
 use laburnumdeal_daemon::roles::{
     Call, ConfigurationUpdate, ControlRecord, CrashPosition, CustomerReply, CustomerRequest,
     FollowReply, FollowRequest, ListUpdate, Presence, PresenceState, Reply, ReportRequest,
+    SpeedRequest,
 };
 use laburnumdeal_daemon::{pack, unpack};
 use laburnumdeal_model::{Term, Version};
 use laburnumdeal_policy::customers::{QuotaGrant, QuotaLimit, QuotaReport, ReportHeader};
 use laburnumdeal_policy::steer::{
-    CrashReport, InstanceRecord, SharedLimit, SharedLoad, SharedObject, SharedReport,
+    CrashReport, InstanceRecord, SharedLimit, SharedLoad, SharedObject, SharedReport, SharedSpeed,
     UpstreamRecord,
 };
 use serde::de::DeserializeOwned;
@@ -245,6 +246,48 @@
     assert_eq!(read, address("10.0.0.1:8080"));
 }
 
+fn speed_request(upstreams: u64) -> SpeedRequest {
+    let speed = |number: u64| SharedSpeed {
+        // The numbers are spread over all bits, as hashes are.
+        upstream: number.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        answers: number as u32 % 8 + 1,
+        percent: 100 + number as u32 * 7 % 90,
+        age_ms: number as u32 * 37 % 1_000,
+    };
+    SpeedRequest {
+        speeds: (1..=upstreams).map(speed).collect(),
+        window_ms: 1_000,
+    }
+}
+
+// Guards against: a message on speeds that a build beside this one reads otherwise.
+#[test]
+fn speeds_messages_have_the_recorded_bytes() {
+    let request = speed_request(1);
+    let speed = "94cf9e3779b97f4a7c15026b25";
+    let call = pack(&Call::Speeds(request.clone())).unwrap();
+    assert_eq!(hex(&call), format!("0081a65370656564739291{speed}cd03e8"));
+    let reply = pack(&Reply::Speeds(request.speeds)).unwrap();
+    assert_eq!(hex(&reply), format!("0081a653706565647391{speed}"));
+}
+
+// Guards against: a build that does not know speeds takes their message for another.
+#[test]
+fn speeds_message_is_refused_by_a_build_without_them() {
+    let call = pack(&Call::Speeds(speed_request(1))).unwrap();
+    assert!(unpack::<EarlierCall>(&call, MAX_BYTES).is_err());
+}
+
+/// Links of entry instances carry 2 Mbit/s.
+#[test]
+fn speeds_message_on_400_upstreams_is_short() {
+    let request = speed_request(400);
+    let call = pack(&Call::Speeds(request.clone())).unwrap().len();
+    let reply = pack(&Reply::Speeds(request.speeds)).unwrap().len();
+    println!("call of {call} bytes, reply of {reply} bytes");
+    assert!(call.max(reply) <= 6_000, "{call} and {reply} bytes");
+}
+
 #[test]
 fn presence_has_the_recorded_bytes() {
     let bytes = rmp_serde::to_vec(&presence()).unwrap();
