Pass over slow upstreams also at instances that have just started

Cause: an instance that has few answers from the cache of an upstream of its region does not know the usual time of the service, so it went by no speed, although others reported it.

Change: until then it takes the time that the service begins with.

--- a/policy/src/steer/capacity/speeds.rs
+++ b/policy/src/steer/capacity/speeds.rs
@@ -172,8 +172,10 @@
         let (Some(service), Some((_, first))) = (service, candidates.first().copied()) else {
             return;
         };
+        // An instance that has just started knows the time that the service begins with.
+        let begins_with = self.service_latencies.get(request.service);
         let usual = self.usual_times[service.0 as usize].hit_ms();
-        let Some(usual_ms) = usual else {
+        let Some(usual_ms) = usual.or(begins_with.map(|latency| latency.expected_ms(true))) else {
             return;
         };
         let target_ms = request.target_latency.as_secs_f64() * 1_000.0;
