Test that a slow upstream loses requests to its region only

Cause: the shares of regions must not move with the speed of upstreams.

Change: a test with two regions, three of whose upstreams are 12 times as slow.

Result: all of their requests go to others of the region, and no other request changes its upstream.

--- a/policy/tests/steer/speed.rs
+++ b/policy/tests/steer/speed.rs
@@ -8,7 +8,7 @@
 };
 use tokio::time::Instant;
 
-use crate::setup::{load_balancer_with, request, settings, upstream};
+use crate::setup::{chosen_upstream, instance, load_balancer_with, request, settings, upstream};
 use crate::simulation::Simulation;
 
 const UPSTREAMS: usize = 40;
@@ -215,6 +215,67 @@
     );
 }
 
+/// Guards against shares of regions that speeds move: what a slow upstream loses stays in its region.
+#[test]
+fn choose_next_of_a_slow_upstream_is_in_its_region() {
+    let start = Instant::now();
+    let zone = |number| if number < 8 { "a1" } else { "b1" };
+    let records: Vec<_> = (0..16)
+        .map(|number| upstream(number, zone(number), SLOTS))
+        .collect();
+    let mut settings = settings("e-1", "a");
+    settings.shares_speed = true;
+    let mut balancer = load_balancer_with(settings, &records, start);
+    let is_near = |object: &u64| {
+        let key = chosen_upstream(&balancer, *object, start).unwrap();
+        balancer.region(key) == "a"
+    };
+    let object = (0..100).find(is_near).unwrap();
+    for number in 0..100 {
+        let now = start + Duration::from_millis(number);
+        answer(&mut balancer, object, now);
+    }
+    let now = start + Duration::from_millis(100);
+    let chosen = |balancer: &LoadBalancer| {
+        let chosen = (100..2_000).map(|object| chosen_upstream(balancer, object, now).unwrap());
+        chosen.collect::<Vec<_>>()
+    };
+    let before = chosen(&balancer);
+    let speed = |number: usize| SharedSpeed {
+        upstream: hash_of(&[records[number].id.as_bytes()]),
+        answers: 8,
+        percent: if number < 3 { 1_200 } else { 100 },
+        age_ms: 0,
+    };
+    balancer.merge_speeds(&(0..16).map(speed).collect::<Vec<_>>(), now);
+    // The probes of one instance that knows no other begin within a second.
+    balancer.update_instances((0..1_000).map(|number| instance(number, "a")).collect());
+    send(&mut balancer, now + Duration::from_millis(100));
+    let after = chosen(&balancer);
+    let mut moved = 0;
+    for (before, after) in before.iter().zip(&after) {
+        assert_eq!(balancer.region(*before), balancer.region(*after));
+        let is_slow = before.0 < 3;
+        assert!(is_slow || before == after, "{before:?} is not slow");
+        moved += usize::from(is_slow && after.0 >= 3);
+    }
+    let slow = before.iter().filter(|key| key.0 < 3).count();
+    assert!(slow > 300 && moved == slow, "{moved} of {slow} were moved");
+}
+
+/// Sends a request for an object that upstreams hold after the first answer, and records its answer.
+fn answer(balancer: &mut LoadBalancer, object: u64, now: Instant) {
+    let Selection::Send(decision) = balancer.choose(&request(object), now) else {
+        panic!("upstreams are idle");
+    };
+    balancer.begin_attempt(&decision, now);
+    let outcome = AttemptOutcome::Answered {
+        took_ms: 100.0,
+        failed: false,
+    };
+    balancer.end_attempt(&decision, "all", object, outcome, now);
+}
+
 /// Sends a request, with which upstreams are compared.
 fn send(balancer: &mut LoadBalancer, now: Instant) {
     let Selection::Send(decision) = balancer.choose(&request(1), now) else {
