Test that noise of shared machines is not taken for slow upstreams

Cause: noise that does not make an answer miss its target leaves the choice as it is, so that the share in target does not show a wrong estimate.

Change: a test that asks which upstreams are taken for slow.

--- a/policy/tests/steer/speed.rs
+++ b/policy/tests/steer/speed.rs
@@ -333,3 +333,13 @@
     store.merge(&report(900).take(5).collect::<Vec<_>>(), later);
     assert_eq!(store.told_within(window, later).len(), 5);
 }
+
+/// Load: equal upstreams on shared machines that do not tell of it. None is ever taken for slow.
+#[test]
+fn slow_upstreams_noise_of_shared_machines_is_none() {
+    let mut simulation = simulation(true, untold_noise, quiet);
+    for step in 0..100 {
+        simulation.run_between(step * 200..(step + 1) * 200, 0, |_| 400.0);
+        assert_eq!(simulation.slow_count(0), 0, "at {} ms", step * 200);
+    }
+}
