--- a/daemon/src/roles/node_settings.rs
+++ b/daemon/src/roles/node_settings.rs
@@ -83,6 +83,9 @@
     /// a request that must not be repeated is sent on it.
     #[serde(default)]
     pub checks_connections: bool,
+    /// Whether entry instances learn the speed of upstreams together, and pass over slow ones.
+    #[serde(default)]
+    pub shares_speed: bool,
 }
 
 /// Default length of the window of customers' quotas.
@@ -137,6 +140,7 @@
             max_region_shift: self.max_region_shift,
             places_by_room: self.places_by_room,
             learns_capacity: self.learns_capacity,
+            shares_speed: self.shares_speed,
         }
     }
 }
--- a/daemon/tests/customers.rs
+++ b/daemon/tests/customers.rs
@@ -44,6 +44,7 @@
         places_by_room: false,
         learns_capacity: false,
         checks_connections: false,
+        shares_speed: false,
     }
 }
 
