Share short room fairly between customers

Cause: when a service is short of room, every request has the same chance, so a customer within its quota that sends six times its usual costs all others as large a part of their requests as itself.

Change: each entry instance counts what customers want and get, by service and priority, and while requests are refused as every upstream is busy, one beyond its max-min share takes only places at upstreams with at most 85 % of their slots in use. Else it is refused at once, not run, with the true reason and the time of one of its next places. While a more urgent customer is refused so, less urgent customers take only idle slots, as they would get what it leaves otherwise. Nothing is counted without customers or on public routes; the choice then gets `Places::All`, with which it decides as before. No message and no record changes.

Ruled out: a shorter queue only for customers beyond their share (trial). Counts in fixed slots give a share back in one go.

--- a/daemon/src/roles/customer_state.rs
+++ b/daemon/src/roles/customer_state.rs
@@ -5,8 +5,10 @@
 use laburnumdeal_control::since_boot;
 use laburnumdeal_model::Version;
 use laburnumdeal_policy::customers::{
-    BootTime, KeyLease, LeaseLost, QuotaDecision, QuotaLimit, QuotaRefusal, QuotaShares,
+    BootTime, FairClass, FairCustomer, FairRefusal, FairShares, KeyLease, LeaseLost, QuotaDecision,
+    QuotaLimit, QuotaRefusal, QuotaShares,
 };
+use laburnumdeal_policy::steer::Places;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout_at};
 
@@ -20,14 +22,15 @@
 /// for clocks that run at different rates.
 const LEASE_FRACTION: f64 = 0.8;
 
-/// What an entry instance knows of customers over all instances: the proof that its keys are fresh,
-/// and its shares of quotas.
+/// What an entry instance knows of customers: the proof that its keys are fresh, its shares of quotas
+/// over all instances, and the fair shares in the places that it gets itself.
 pub struct CustomerState {
     /// Whether the active configuration has customers.
     is_configured: AtomicBool,
     /// Lease on the keys; `None` if withdrawn keys need not be out of use by a time.
     lease: Option<Mutex<KeyLease>>,
     shares: Mutex<QuotaShares>,
+    fair: Mutex<FairShares>,
     /// Number of answers so far.
     answers: watch::Sender<u64>,
     /// Notified when a request waits for a share.
@@ -47,6 +50,7 @@
             is_configured: AtomicBool::new(false),
             lease,
             shares: Mutex::new(shares),
+            fair: Mutex::default(),
             answers: watch::Sender::new(0),
             needed: Notify::new(),
         }
@@ -114,6 +118,44 @@
         lock(&self.shares).give_back(customer, admitted_at);
     }
 
+    /// Counts a request of a customer that is to be sent to an upstream; returns the places that it
+    /// may take.
+    pub(super) fn arrive(&self, class: FairClass, customer: FairCustomer) -> Places {
+        lock(&self.fair).arrive(class, customer, now())
+    }
+
+    /// Counts a request that got a place; returns when.
+    pub(super) fn take_place(&self, class: FairClass, customer: FairCustomer) -> BootTime {
+        let now = now();
+        lock(&self.fair).admit(class, customer, now);
+        now
+    }
+
+    /// Gives back the place that a request got at a time, and then did not run.
+    pub(super) fn give_place_back(
+        &self,
+        class: FairClass,
+        customer: FairCustomer,
+        admitted_at: BootTime,
+    ) {
+        lock(&self.fair).give_back(class, customer, admitted_at, now());
+    }
+
+    /// Notes that a request was refused for want of room.
+    pub(super) fn run_short(&self, class: FairClass) {
+        lock(&self.fair).run_short(class, now());
+    }
+
+    /// Refuses a request that may not take the place that there is.
+    pub(super) fn refuse_place(
+        &self,
+        class: FairClass,
+        customer: FairCustomer,
+        places: Places,
+    ) -> FairRefusal {
+        lock(&self.fair).refuse(class, customer, places, now())
+    }
+
     /// Makes the next question to the leader; returns it with the time of asking.
     pub fn begin_question(&self, version: Version) -> (BootTime, CustomerRequest) {
         let mut shares = lock(&self.shares);
--- a/daemon/src/roles/forward_handler.rs
+++ b/daemon/src/roles/forward_handler.rs
@@ -1,3 +1,4 @@
+use std::borrow::Cow;
 use std::marker::PhantomData;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
@@ -216,6 +217,7 @@
             route: routed.route,
             service: routed.service,
             terms: &routed.terms,
+            customer: routed.customer,
             request: attempt,
             body,
             started_at: routed.started_at,
@@ -300,7 +302,9 @@
         self.state
             .metrics
             .count_request(routed.service, outcome, took);
+        let fair_refusal = forwarding.progress.fair_refusal();
         if routed.customer.is_some() {
+            let outcome = fair_refusal.map_or(outcome, |refusal| refusal.outcome());
             let metrics = &self.state.metrics;
             metrics.count_customer_request(routed.customer, outcome);
         }
@@ -341,7 +345,10 @@
             "listed" => reach.listed, "avoided" => reach.avoided,
             "waiting" => reach.waiting, "unreached" => reach.unreached,
             "took_ms" => took.as_millis() as u64, "outcome" => outcome,
-            "status" => status, "reason" => reason);
+            "status" => status, "reason" => match fair_refusal {
+                Some(refusal) => Cow::Owned(format!("{reason}; {refusal}")),
+                None => Cow::Borrowed(reason),
+            }.as_ref());
     }
 
     fn log_blocked(
--- a/daemon/src/roles/forwarding.rs
+++ b/daemon/src/roles/forwarding.rs
@@ -3,9 +3,11 @@
 
 use http::header::RETRY_AFTER;
 use http::{HeaderMap, Response, StatusCode};
-use laburnumdeal_policy::customers::CallerTerms;
+use laburnumdeal_policy::customers::{
+    BootTime, CallerTerms, Customer, FairClass, FairCustomer, FairRefusal,
+};
 use laburnumdeal_policy::steer::{
-    Decision, RequestContext, Route, Selection, UpstreamKey, spread_delay,
+    Decision, Places, RequestContext, Route, Selection, UpstreamKey, spread_delay,
 };
 use tokio::time::Instant;
 
@@ -68,6 +70,8 @@
     pub route: &'a Route,
     pub service: &'a str,
     pub terms: &'a CallerTerms<'a>,
+    /// Customer that sent it; `None` if it needs no key.
+    pub customer: Option<&'a Customer>,
     pub request: AttemptRequest,
     pub body: BufferedBody,
     pub started_at: Instant,
@@ -109,6 +113,10 @@
     has_deposited: bool,
     /// Name of the last other instance that the request was sent to.
     helper: Option<String>,
+    /// Whether the request was counted for the fair share of its customer, and when it got a place.
+    is_counted: bool,
+    admitted_at: Option<BootTime>,
+    fair_refusal: Option<FairRefusal>,
 }
 
 impl Progress {
@@ -122,6 +130,11 @@
         self.helper.as_deref()
     }
 
+    /// Returns why the request may not take the place that there was, if it was refused for that.
+    pub fn fair_refusal(&self) -> Option<FairRefusal> {
+        self.fair_refusal
+    }
+
     /// Returns the last choice of an upstream, with the estimates behind it.
     pub fn last_decision(&self) -> Option<Decision> {
         self.last_decision
@@ -131,6 +144,17 @@
 impl Forwarding<'_> {
     /// Sends the request until an upstream answers or no further attempt is allowed.
     pub async fn run<H: HeaderCodec>(&mut self) -> ForwardOutcome {
+        let outcome = self.run_attempts::<H>().await;
+        if let (ForwardOutcome::NotRun { .. }, Some(admitted_at), Some((class, customer))) =
+            (&outcome, self.progress.admitted_at, self.fair_keys())
+        {
+            let customers = &self.state.customers;
+            customers.give_place_back(class, customer, admitted_at);
+        }
+        outcome
+    }
+
+    async fn run_attempts<H: HeaderCodec>(&mut self) -> ForwardOutcome {
         loop {
             match self.state.admit(self.request.deadline) {
                 Some(deadline) => self.request.end_by(deadline),
@@ -156,6 +180,13 @@
                     self.progress.last_decision = Some(decision);
                     return self.give_up("every upstream is busy", retry_after);
                 }
+                Selection::Withheld { decision } => {
+                    self.progress.last_decision = Some(decision);
+                    return match self.progress.fair_refusal {
+                        Some(refusal) => self.give_up(refusal.reason(), refusal.retry_after()),
+                        None => self.give_up("every upstream is busy", DEFAULT_RETRY_AFTER),
+                    };
+                }
                 Selection::AtLimit { retry_after } => {
                     return self.give_up("every upstream is at its limit", retry_after);
                 }
@@ -233,18 +264,46 @@
 
     /// Returns the time after which the caller should retry if all upstreams have asked to wait.
     fn wait_of_all(&self) -> Option<Duration> {
-        match self.choose_among(&[]) {
+        match self.choose_among(&[], Places::All) {
             Selection::Waiting { retry_after } => Some(spread_delay(retry_after, rand::random())),
             _ => None,
         }
     }
 
-    fn choose_upstream(&self) -> Selection {
-        self.choose_among(&self.progress.tried)
+    /// Chooses the upstream of the next attempt. The first one counts for the fair share of the
+    /// customer; further ones are bound by the retry budget.
+    fn choose_upstream(&mut self) -> Selection {
+        let is_counted = std::mem::replace(&mut self.progress.is_counted, true);
+        let keys = self.fair_keys().filter(|_| !is_counted);
+        let Some((class, customer)) = keys else {
+            return self.choose_among(&self.progress.tried, Places::All);
+        };
+        let customers = &self.state.customers;
+        let places = customers.arrive(class, customer);
+        let selection = self.choose_among(&self.progress.tried, places);
+        match selection {
+            Selection::Send(_) => {
+                self.progress.admitted_at = Some(customers.take_place(class, customer));
+            }
+            Selection::Busy { .. } => customers.run_short(class),
+            Selection::Withheld { .. } => {
+                let refusal = customers.refuse_place(class, customer, places);
+                self.progress.fair_refusal = Some(refusal);
+            }
+            Selection::AtLimit { .. } | Selection::Waiting { .. } | Selection::NoUpstream => {}
+        }
+        selection
+    }
+
+    /// Returns what the fair share of the customer is found by.
+    fn fair_keys(&self) -> Option<(FairClass, FairCustomer)> {
+        let customer = self.customer?;
+        let class = FairClass::new(self.service, self.terms.priority);
+        Some((class, FairCustomer::new(&customer.name)))
     }
 
-    /// Chooses an upstream that is not among those that were `tried`.
-    fn choose_among(&self, tried: &[UpstreamKey]) -> Selection {
+    /// Chooses an upstream that is not among those that were `tried`, within some places.
+    fn choose_among(&self, tried: &[UpstreamKey], places: Places) -> Selection {
         let now = Instant::now();
         let request = RequestContext {
             route: &self.route.name,
@@ -256,6 +315,7 @@
             elapsed: now.saturating_duration_since(self.started_at),
             target_latency: Duration::from_millis(self.route.item.target_latency_ms),
             priority: self.terms.priority,
+            places,
         };
         self.state.load_balancer().choose(&request, now)
     }
--- a/policy/src/customers/mod.rs
+++ b/policy/src/customers/mod.rs
@@ -1,11 +1,19 @@
 //! Customers: who is calling, what holds for their requests, and what binds them over all instances: the
-//! proof that the known keys are fresh, and quotas.
+//! proof that the known keys are fresh, and quotas; and fair shares while room is short.
 
 mod admission_window;
 mod boot_time;
 mod caller_terms;
 mod customer;
 mod customer_table;
+mod fair_class;
+mod fair_count;
+mod fair_customer;
+mod fair_group;
+mod fair_level;
+mod fair_refusal;
+mod fair_shares;
+mod fair_standing;
 mod key_lease;
 mod lease_lost;
 mod quota_account;
@@ -25,6 +33,11 @@
 pub use caller_terms::CallerTerms;
 pub use customer::Customer;
 pub use customer_table::{CustomerKey, CustomerTable};
+pub use fair_class::FairClass;
+pub use fair_customer::FairCustomer;
+pub use fair_refusal::FairRefusal;
+pub use fair_shares::FairShares;
+pub use fair_standing::FairStanding;
 pub use key_lease::KeyLease;
 pub use lease_lost::LeaseLost;
 pub use quota_bank::QuotaBank;
--- a/policy/src/steer/choosing.rs
+++ b/policy/src/steer/choosing.rs
@@ -6,15 +6,18 @@
 use crate::steer::region_weights::LOCAL_WEIGHT;
 use crate::steer::upstream_entry::UpstreamEntry;
 use crate::steer::{
-    Decision, EligibleWeight, InstanceShare, LoadBalancer, RequestContext, RouteLatency, Selection,
-    ServiceLatency, UpstreamKey,
+    Decision, EligibleWeight, InstanceShare, LoadBalancer, Places, RequestContext, RouteLatency,
+    Selection, ServiceLatency, UpstreamKey,
 };
 
 /// Latency that a request to another region adds, in milliseconds.
 const CROSS_REGION_MS: f64 = 60.0;
 
+/// Number of priorities that are told apart; further ones count as the least urgent.
+pub(crate) const PRIORITIES: usize = 3;
+
 /// Highest expected latency that is accepted, as a fraction of the target latency, by priority.
-const MAX_LATENCY_FRACTIONS: [f64; 3] = [1.0, 0.95, 0.9];
+const MAX_LATENCY_FRACTIONS: [f64; PRIORITIES] = [1.0, 0.95, 0.9];
 
 /// Time in the queue, as a fraction of the target latency, that is accepted whatever the expected
 /// latency.
@@ -33,6 +36,9 @@
 /// where slots would stay idle.
 const MAX_UTILIZATION_FOR_MISS: f64 = 0.2;
 
+/// Highest fraction of the slots in use at which a further one counts as spare.
+const MAX_UTILIZATION_FOR_SPARE: f64 = 0.85;
+
 /// Shortest time after which a caller is told to retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(60);
 
@@ -126,7 +132,10 @@
             .min_by(|a, b| cost(a).total_cmp(&cost(b)));
         match best {
             Some((decision, _)) if self.is_acceptable(request, &decision) => {
-                Selection::Send(decision)
+                match self.may_take(request, &decision, now) {
+                    true => Selection::Send(decision),
+                    false => Selection::Withheld { decision },
+                }
             }
             Some((decision, _)) => self.busy(request, &decision),
             None => Selection::NoUpstream,
@@ -332,6 +341,18 @@
             && decision.expected_ms.min(route_expected_ms) <= time_left_ms
     }
 
+    /// Returns whether the place at the upstream is one that the request may take.
+    fn may_take(&self, request: &RequestContext<'_>, decision: &Decision, now: Instant) -> bool {
+        match request.places {
+            Places::All => true,
+            Places::Idle => decision.queue_ms <= 0.0,
+            Places::Spare => {
+                let slots = f64::from(self.entry(decision.upstream).record.slots);
+                decision.load <= slots * self.knee(request.service, now) * MAX_UTILIZATION_FOR_SPARE
+            }
+        }
+    }
+
     /// Refuses a request; the longer the queue, the later it should be retried.
     fn busy(&self, request: &RequestContext<'_>, decision: &Decision) -> Selection {
         let excess_ms = decision.queue_ms - queue_limit_ms(request, decision) * 0.5;
--- a/policy/src/steer/decision.rs
+++ b/policy/src/steer/decision.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use crate::steer::UpstreamKey;
+use crate::steer::{Places, UpstreamKey};
 
 /// Properties of a request that decide which upstream is chosen for it.
 #[derive(Clone, Copy, Debug)]
@@ -24,6 +24,9 @@
     pub target_latency: Duration,
     /// Priority under overload; 0 is the most urgent.
     pub priority: u32,
+    /// Places that it may take: not all if its customer has its share already, or yields to more
+    /// urgent requests.
+    pub places: Places,
 }
 
 /// Upstream chosen for a request, and the estimates that led to it.
@@ -59,6 +62,11 @@
         /// Upstream of the lowest cost.
         decision: Decision,
     },
+    /// There is room for the request, but it may not take the place.
+    Withheld {
+        /// Upstream of the lowest cost.
+        decision: Decision,
+    },
     /// Every upstream that would accept the request has named a limit, and this instance has sent
     /// its part of it.
     AtLimit {
--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -22,6 +22,7 @@
 mod load_balancer;
 mod load_estimate;
 mod placement;
+mod places;
 mod planned_stop;
 mod region_shares;
 mod region_weights;
@@ -46,6 +47,7 @@
 
 pub use cached_objects::CachedObjects;
 pub use capacity::{LoadCurve, Quartile};
+pub(crate) use choosing::PRIORITIES;
 pub use completed_requests::CompletedRequests;
 pub use crash_evidence::{CrashEvidence, ProbeConnection};
 pub use crash_outbox::CrashOutbox;
@@ -65,6 +67,7 @@
 };
 pub use load_estimate::{LoadEstimate, UpstreamLoad};
 pub use placement::RegionRoom;
+pub use places::Places;
 pub use planned_stop::PlannedStop;
 pub use region_shares::{EligibleWeight, RegionShares, RegionWeight};
 pub use region_weights::RegionShare;
--- a/policy/tests/customers/main.rs
+++ b/policy/tests/customers/main.rs
@@ -2,6 +2,8 @@
 //! are cut, messages are lost and the bank of the quotas changes its place.
 
 mod checker;
+mod fair_run;
+mod fair_shares;
 mod key_lease;
 mod quota_bank;
 mod quota_cuts;
--- a/policy/tests/steer/choose.rs
+++ b/policy/tests/steer/choose.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use laburnumdeal_policy::steer::{
-    AttemptOutcome, LoadBalancer, RequestContext, Selection, SharedLoad, SharedReport,
+    AttemptOutcome, LoadBalancer, Places, RequestContext, Selection, SharedLoad, SharedReport,
     UpstreamLoad, hash_of,
 };
 use tokio::time::Instant;
@@ -119,6 +119,58 @@
     }
 }
 
+// Guards against: a request takes a place that is not left to it, or is refused for its share although
+// there is no room at all.
+#[test]
+fn choose_places_left_to_the_request_are_by_load() {
+    let now = Instant::now();
+    let mut balancer = load_balancer("e-1", "a", &[upstream(0, "a1", 10)], now);
+    let key = chosen_upstream(&balancer, 1, now).unwrap();
+    let cases = [
+        (8, 0, [true, true, true]),
+        (9, 0, [true, true, false]),
+        (10, 1, [true, false, false]),
+    ];
+    for (running, waiting, is_sent) in cases {
+        let load = UpstreamLoad {
+            running,
+            waiting,
+            slots: 10,
+            pace_percent: None,
+        };
+        balancer.record_load(key, load, now);
+        for (places, is_sent) in [Places::All, Places::Idle, Places::Spare]
+            .into_iter()
+            .zip(is_sent)
+        {
+            let context = RequestContext {
+                places,
+                ..request(1)
+            };
+            match balancer.choose(&context, now) {
+                Selection::Send(_) => assert!(is_sent, "{load:?} {places:?}"),
+                Selection::Withheld { .. } => assert!(!is_sent, "{load:?} {places:?}"),
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+    let load = UpstreamLoad {
+        running: 10,
+        waiting: 90,
+        slots: 10,
+        pace_percent: None,
+    };
+    balancer.record_load(key, load, now);
+    for places in [Places::All, Places::Idle, Places::Spare] {
+        let context = RequestContext {
+            places,
+            ..request(1)
+        };
+        let selection = balancer.choose(&context, now);
+        assert!(matches!(selection, Selection::Busy { .. }), "{selection:?}");
+    }
+}
+
 #[test]
 fn choose_unreachable_upstream_backs_off_and_is_cold_afterwards() {
     let now = Instant::now();
@@ -252,6 +304,7 @@
     let hits_cache = |balancer: &LoadBalancer| match balancer.choose(&second, start) {
         Selection::Send(again) => again.upstream == decision.upstream && again.expects_cache_hit,
         Selection::Busy { .. }
+        | Selection::Withheld { .. }
         | Selection::AtLimit { .. }
         | Selection::Waiting { .. }
         | Selection::NoUpstream => false,
--- a/policy/tests/steer/setup.rs
+++ b/policy/tests/steer/setup.rs
@@ -3,8 +3,8 @@
 
 use laburnumdeal_model::{Item, ItemKey, ItemValue, Items, NamedItem, RouteItem, ServiceItem};
 use laburnumdeal_policy::steer::{
-    InstanceRecord, LoadBalancer, LoadBalancerSettings, RequestContext, Selection, UpstreamKey,
-    UpstreamRecord,
+    InstanceRecord, LoadBalancer, LoadBalancerSettings, Places, RequestContext, Selection,
+    UpstreamKey, UpstreamRecord,
 };
 use tokio::time::Instant;
 
@@ -114,6 +114,7 @@
         elapsed: Duration::ZERO,
         target_latency: TARGET_LATENCY,
         priority: 2,
+        places: Places::All,
     }
 }
 
@@ -121,6 +122,7 @@
     match balancer.choose(&request(object), now) {
         Selection::Send(decision) => Some(decision.upstream),
         Selection::Busy { .. }
+        | Selection::Withheld { .. }
         | Selection::AtLimit { .. }
         | Selection::Waiting { .. }
         | Selection::NoUpstream => None,
