--- a/policy/src/steer/mod.rs
+++ b/policy/src/steer/mod.rs
@@ -23,6 +23,7 @@
 mod load_balancer;
 mod load_estimate;
 mod placement;
+mod places;
 mod planned_stop;
 mod region_shares;
 mod region_weights;
@@ -50,6 +51,7 @@
 pub use capacity::{
     LoadCurve, Quartile, SharedSpeed, SlowUpstream, SpeedSample, SpeedStore, UsualTime,
 };
+pub(crate) use choosing::PRIORITIES;
 pub use completed_requests::CompletedRequests;
 pub use connection_checks::ConnectionChecks;
 pub use crash_evidence::{CrashEvidence, ProbeConnection};
@@ -70,6 +72,7 @@
 };
 pub use load_estimate::{LoadEstimate, UpstreamLoad};
 pub use placement::RegionRoom;
+pub use places::Places;
 pub use planned_stop::PlannedStop;
 pub use region_shares::{EligibleWeight, RegionShares, RegionWeight};
 pub use region_weights::RegionShare;
