Show operators what requests of customers are refused by

Cause: entry instances have no page of their state, and their metrics did not tell what a refusal of a customer's request was decided by, or how old that was.

Change: metrics of quotas (limit, share, held, wanted), fair shares (share, admitted, wanted) and the newest proof on the keys, each with its age; by name for the 32 customers with the highest rates, the rest summed. They are set when the page is read, and missing without customers.

--- a/daemon/src/roles/customer_state.rs
+++ b/daemon/src/roles/customer_state.rs
@@ -5,8 +5,8 @@
 use laburnumdeal_control::since_boot;
 use laburnumdeal_model::Version;
 use laburnumdeal_policy::customers::{
-    BootTime, FairClass, FairCustomer, FairRefusal, FairShares, KeyLease, LeaseLost, QuotaDecision,
-    QuotaLimit, QuotaRefusal, QuotaShares,
+    BootTime, FairClass, FairCustomer, FairRefusal, FairShares, FairStanding, KeyLease, LeaseLost,
+    QuotaDecision, QuotaLimit, QuotaRefusal, QuotaShares, QuotaStanding,
 };
 use laburnumdeal_policy::steer::Places;
 use tokio::sync::{Notify, watch};
@@ -156,6 +156,23 @@
         lock(&self.fair).refuse(class, customer, places, now())
     }
 
+    /// Returns the fair share of a customer; `None` without recent requests.
+    pub(super) fn fair_standing(&self, customer: &str) -> Option<FairStanding> {
+        lock(&self.fair).standing(FairCustomer::new(customer), now())
+    }
+
+    /// Returns what the instance has of the quota of a customer; `None` without recent requests.
+    pub(super) fn quota_standing(&self, customer: &str) -> Option<QuotaStanding> {
+        lock(&self.shares).standing(customer, now())
+    }
+
+    /// Returns the age of the newest proof that the keys of the active configuration are fresh;
+    /// `None` if no lease is kept, and `Some(None)` without a proof.
+    pub(super) fn proof_age(&self, active: Version) -> Option<Option<Duration>> {
+        let lease = self.lease.as_ref()?;
+        Some(lock(lease).proof_age(active, now()))
+    }
+
     /// Makes the next question to the leader; returns it with the time of asking.
     pub fn begin_question(&self, version: Version) -> (BootTime, CustomerRequest) {
         let mut shares = lock(&self.shares);
--- a/daemon/src/roles/entry_node.rs
+++ b/daemon/src/roles/entry_node.rs
@@ -13,6 +13,7 @@
 use crate::http_server::HttpServer;
 use crate::roles::crash_sender;
 use crate::roles::customer_exchange;
+use crate::roles::customer_gauges;
 use crate::roles::entry_state::EntryState;
 use crate::roles::follower;
 use crate::roles::forward_handler::ForwardHandler;
@@ -73,7 +74,7 @@
             .caller_address
             .ok_or(DaemonError::NoCallerAddress)?;
         let metrics = NodeMetrics::new();
-        let state = Arc::new(EntryState::new(settings, dialer, log, metrics.clone()));
+        let state = Arc::new(EntryState::new(settings, dialer, log, metrics));
         let controls = state.controls.clone();
         let handler = Arc::new(ForwardHandler::<H>::new(state.clone()));
         let window_bytes = state.link.window_bytes();
@@ -87,7 +88,8 @@
             pages.push(PageHandler::bind(address, move || readiness_page(&entry_state)).await?);
         }
         if let Some(address) = state.settings.metrics_address {
-            pages.push(PageHandler::metrics(address, metrics).await?);
+            let entry_state = state.clone();
+            pages.push(PageHandler::bind(address, move || metrics_page(&entry_state)).await?);
         }
         let presence =
             Arc::new(PresenceSender::open(state.clone(), controls.clone(), address).await?);
@@ -153,6 +155,11 @@
     }
 }
 
+fn metrics_page(state: &EntryState) -> (StatusCode, String) {
+    customer_gauges::update(state);
+    (StatusCode::OK, state.metrics.render())
+}
+
 fn readiness_page(state: &EntryState) -> (StatusCode, String) {
     let presence = state.presence();
     let status = match presence {
--- a/daemon/src/roles/mod.rs
+++ b/daemon/src/roles/mod.rs
@@ -15,6 +15,7 @@
 mod crash_sender;
 mod customer_bank;
 mod customer_exchange;
+mod customer_gauges;
 mod customer_message;
 mod customer_state;
 mod entry_node;
--- a/daemon/src/roles/node_metrics.rs
+++ b/daemon/src/roles/node_metrics.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use laburnumdeal_policy::customers::Customer;
@@ -14,6 +15,9 @@
 /// Upper bound of the first bucket of the latency histograms, in seconds.
 const FIRST_BUCKET_SECONDS: f64 = 0.004;
 
+/// Name of the customers that are not shown, which are counted together.
+pub(super) const OTHER_CUSTOMERS: &str = "(others)";
+
 /// Number of buckets of the latency histograms; each bound is twice the one before.
 const BUCKETS: u16 = 12;
 
@@ -42,6 +46,11 @@
     helped: Family<HelpLabels, Counter>,
     help_refused: Family<ReasonLabels, Counter>,
     customer_requests: Family<CustomerLabels, Counter>,
+    customer_quotas: Family<FigureLabels, Gauge>,
+    customer_quota_ages: Family<CustomerLabel, Gauge>,
+    customer_fair: Family<FigureLabels, Gauge<f64, AtomicU64>>,
+    customer_fair_ages: Family<CustomerLabel, Gauge>,
+    key_proof_ages: Family<Vec<(String, String)>, Gauge>,
     region_shares: Family<RegionLabels, Gauge>,
     knees: Family<ServiceLabels, Gauge>,
 }
@@ -57,6 +66,17 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct CustomerLabel {
+    customer: String,
+}
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct FigureLabels {
+    customer: String,
+    figure: &'static str,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ReasonLabels {
     reason: &'static str,
@@ -194,6 +214,34 @@
             "Requests of the largest customers by outcome, and of all others together",
             Family::clone(&customer_requests),
         );
+        let (customer_quotas, customer_quota_ages) = (Family::default(), Family::default());
+        registry.register(
+            "customer_quota_requests",
+            "Quotas of the largest customers here, in requests in any window, and of all others",
+            Family::clone(&customer_quotas),
+        );
+        registry.register(
+            "customer_quota_age_milliseconds",
+            "Time since the share of the quota was asked for; -1 if there never was one",
+            Family::clone(&customer_quota_ages),
+        );
+        let (customer_fair, customer_fair_ages) = (Family::default(), Family::default());
+        registry.register(
+            "customer_fair_requests_per_second",
+            "Fair shares of the largest customers in the places of this instance, and of all others",
+            Family::clone(&customer_fair),
+        );
+        registry.register(
+            "customer_fair_age_milliseconds",
+            "Time since the fair share was decided; 0 while it does not bind",
+            Family::clone(&customer_fair_ages),
+        );
+        let key_proof_ages = Family::default();
+        registry.register(
+            "customer_key_proof_age_milliseconds",
+            "Age of the newest proof that customers' keys are fresh; -1 without one",
+            Family::clone(&key_proof_ages),
+        );
         let (region_shares, knees) = (Family::default(), Family::default());
         registry.register(
             "region_share_percent",
@@ -228,6 +276,11 @@
             helped,
             help_refused,
             customer_requests,
+            customer_quotas,
+            customer_quota_ages,
+            customer_fair,
+            customer_fair_ages,
+            key_proof_ages,
             region_shares,
             knees,
         }
@@ -349,7 +402,7 @@
     pub fn count_customer_request(&self, customer: Option<&Customer>, outcome: &'static str) {
         let shown = customer.filter(|customer| customer.is_shown);
         let unshown = if customer.is_some() {
-            "(others)"
+            OTHER_CUSTOMERS
         } else {
             "(unknown)"
         };
@@ -360,6 +413,48 @@
         self.customer_requests.get_or_create(&labels).inc();
     }
 
+    /// Forgets what was set of customers.
+    pub fn clear_customers(&self) {
+        self.customer_quotas.clear();
+        self.customer_quota_ages.clear();
+        self.customer_fair.clear();
+        self.customer_fair_ages.clear();
+        self.key_proof_ages.clear();
+    }
+
+    /// Sets a figure of a customer's quota, in requests in any window.
+    pub fn set_customer_quota(&self, customer: &str, figure: &'static str, requests: i64) {
+        let customer = customer.to_owned();
+        let labels = FigureLabels { customer, figure };
+        self.customer_quotas.get_or_create(&labels).set(requests);
+    }
+
+    /// Sets the time since a customer's share was asked for.
+    pub fn set_customer_quota_age(&self, customer: &str, age_ms: i64) {
+        let customer = customer.to_owned();
+        let labels = CustomerLabel { customer };
+        self.customer_quota_ages.get_or_create(&labels).set(age_ms);
+    }
+
+    /// Sets a figure of a customer's fair share, in requests per second.
+    pub fn set_customer_fair(&self, customer: &str, figure: &'static str, per_s: f64) {
+        let customer = customer.to_owned();
+        let labels = FigureLabels { customer, figure };
+        self.customer_fair.get_or_create(&labels).set(per_s);
+    }
+
+    /// Sets the time since a customer's fair share was decided.
+    pub fn set_customer_fair_age(&self, customer: &str, age_ms: i64) {
+        let customer = customer.to_owned();
+        let labels = CustomerLabel { customer };
+        self.customer_fair_ages.get_or_create(&labels).set(age_ms);
+    }
+
+    /// Sets the age of the newest proof that the customers' keys are fresh.
+    pub fn set_key_proof_age(&self, age_ms: i64) {
+        self.key_proof_ages.get_or_create(&Vec::new()).set(age_ms);
+    }
+
     /// Sets the share of a region in the requests of a service.
     pub fn set_region_share(&self, service: String, region: String, percent: i64) {
         let labels = RegionLabels { service, region };
--- a/policy/src/customers/key_lease.rs
+++ b/policy/src/customers/key_lease.rs
@@ -71,12 +71,17 @@
     ///
     /// Returns [`LeaseLost`] if no proof that the version satisfies was asked for within the bound.
     pub fn check(&self, active: Version, now: BootTime) -> Result<(), LeaseLost> {
-        let satisfied = self.proofs.iter().filter(|proof| proof.version <= active);
-        let newest = satisfied.map(|proof| proof.asked_at).max();
-        let proof_age = newest.map(|asked_at| now.since(asked_at));
+        let proof_age = self.proof_age(active, now);
         match proof_age {
             Some(age) if age < self.bound => Ok(()),
             _ => Err(LeaseLost { proof_age }),
         }
     }
+
+    /// Returns the age of the newest proof that holds for the active configuration.
+    pub fn proof_age(&self, active: Version, now: BootTime) -> Option<Duration> {
+        let satisfied = self.proofs.iter().filter(|proof| proof.version <= active);
+        let newest = satisfied.map(|proof| proof.asked_at).max();
+        newest.map(|asked_at| now.since(asked_at))
+    }
 }
--- a/policy/src/customers/mod.rs
+++ b/policy/src/customers/mod.rs
@@ -26,6 +26,7 @@
 mod quota_settings;
 mod quota_share;
 mod quota_shares;
+mod quota_standing;
 mod report_header;
 
 pub use admission_window::AdmissionWindow;
@@ -49,4 +50,5 @@
 pub use quota_settings::QuotaSettings;
 pub use quota_share::QuotaShare;
 pub use quota_shares::QuotaShares;
+pub use quota_standing::QuotaStanding;
 pub use report_header::ReportHeader;
--- a/policy/src/customers/quota_share.rs
+++ b/policy/src/customers/quota_share.rs
@@ -2,6 +2,7 @@
 
 use crate::customers::{
     AdmissionWindow, BootTime, QuotaDecision, QuotaLimit, QuotaRefusal, QuotaReport, QuotaSettings,
+    QuotaStanding,
 };
 
 /// Time for which an answer that gave less than was wanted is relied on, so that requests are
@@ -121,6 +122,18 @@
         }
     }
 
+    /// Returns what the instance has of the quota.
+    pub fn standing(&mut self, settings: &QuotaSettings, now: BootTime) -> QuotaStanding {
+        let report = self.report("", settings, now);
+        QuotaStanding {
+            limit: settings.max_requests(report.limit),
+            share: report.share,
+            held: report.held,
+            wanted: report.wanted,
+            age: self.share_age(now),
+        }
+    }
+
     /// Returns whether nothing has arrived in the window, so that the share need not be kept.
     pub fn is_idle(&mut self, settings: &QuotaSettings, now: BootTime) -> bool {
         self.arrivals.count(now, settings.window) == 0
--- a/policy/src/customers/quota_shares.rs
+++ b/policy/src/customers/quota_shares.rs
@@ -4,7 +4,7 @@
 
 use crate::customers::{
     BootTime, QuotaDecision, QuotaGrant, QuotaLimit, QuotaRefusal, QuotaReport, QuotaSettings,
-    QuotaShare, ReportHeader,
+    QuotaShare, QuotaStanding, ReportHeader,
 };
 
 /// Shares of an instance in the quotas of the customers that use it.
@@ -90,6 +90,12 @@
         share.unknown(now)
     }
 
+    /// Returns what the instance has of the quota of a customer; `None` without recent requests.
+    pub fn standing(&mut self, customer: &str, now: BootTime) -> Option<QuotaStanding> {
+        let share = self.shares.get_mut(customer)?;
+        Some(share.standing(&self.settings, now))
+    }
+
     /// Returns whether there is nothing to report.
     pub fn is_empty(&self) -> bool {
         self.shares.is_empty()
--- a/policy/tests/customers/fair_shares.rs
+++ b/policy/tests/customers/fair_shares.rs
@@ -296,6 +296,10 @@
         standing.admitted_per_s > standing.share_per_s,
         "{standing:?}"
     );
+    assert_eq!(
+        refusal.to_string(),
+        "share 5.0, had 7.5, wanted 7.8 a second, decided 0 ms ago"
+    );
     for _ in 0..30 {
         shares.give_back(class, large, now, now);
     }
--- a/policy/tests/customers/key_lease.rs
+++ b/policy/tests/customers/key_lease.rs
@@ -85,3 +85,15 @@
     );
     assert_eq!(lease.check(Version(4), at(60_100)), Ok(()));
 }
+
+#[test]
+fn proof_age_is_that_of_the_newest_proof_for_the_version() {
+    let mut lease = KeyLease::new(BOUND);
+    assert_eq!(lease.proof_age(Version(3), at(0)), None);
+    lease.record(at(1_000), Version(3));
+    lease.record(at(2_000), Version(4));
+    let age = |version| lease.proof_age(Version(version), at(2_500));
+    assert_eq!(age(2), None);
+    assert_eq!(age(3), Some(Duration::from_millis(1_500)));
+    assert_eq!(age(4), Some(Duration::from_millis(500)));
+}
--- a/policy/tests/customers/quota_share.rs
+++ b/policy/tests/customers/quota_share.rs
@@ -3,6 +3,7 @@
 use laburnumdeal_model::{Term, Version};
 use laburnumdeal_policy::customers::{
     BootTime, QuotaDecision, QuotaGrant, QuotaLimit, QuotaRefusal, QuotaSettings, QuotaShares,
+    QuotaStanding,
 };
 
 const LIMIT: QuotaLimit = QuotaLimit {
@@ -147,3 +148,25 @@
     shares.give_back("ama", at(0));
     assert_eq!(admitted(&mut shares, at(5_300)), 0);
 }
+
+// Guards against: operators are shown other figures than those that requests are decided by.
+#[test]
+fn standing_is_what_the_share_decides_by() {
+    let mut shares = granted(4);
+    assert_eq!(admitted(&mut shares, at(1_000)), 4);
+    let standing = shares.standing("ama", at(1_500)).unwrap();
+    let expected = QuotaStanding {
+        limit: 55,
+        share: 4,
+        held: 4,
+        wanted: 10,
+        age: Some(Duration::from_millis(1_500)),
+    };
+    assert_eq!(standing, expected);
+    assert_eq!(shares.standing("kofi", at(1_500)), None);
+    let both = standing.plus(QuotaStanding {
+        age: None,
+        ..standing
+    });
+    assert_eq!((both.limit, both.held, both.age), (110, 8, standing.age));
+}
