--- a/policy/tests/customers/fair_run.rs
+++ b/policy/tests/customers/fair_run.rs
@@ -297,6 +297,7 @@
         max_region_shift: 0.15,
         places_by_room: false,
         learns_capacity: false,
+        shares_speed: false,
     }
 }
 
