Keep all callers in their region if the bound on shifts is no part

Cause: a bound below zero made the limits of a change cross, on which the look-up panics; one that is no number as well.

Change: such a bound counts as zero, and all callers stay. Seen by reading; the test panics without the change.

--- a/policy/src/steer/spread/caller_spread.rs
+++ b/policy/src/steer/spread/caller_spread.rs
@@ -58,10 +58,12 @@
 
 impl CallerSpread {
     /// Returns the spread of a region whose callers all stay. `max_region_shift` is the largest part
-    /// of the requests of one region that may change the region in which they run within 2 s.
+    /// of the requests of one region that may change the region in which they run within 2 s; with
+    /// none, or one that is no number, all callers stay.
     pub fn new(max_region_shift: f64) -> Self {
+        let bound = max_region_shift.max(0.0) * BOUND_FRACTION;
         Self {
-            max_change_per_s: max_region_shift * BOUND_FRACTION / SHIFT_WINDOW.as_secs_f64(),
+            max_change_per_s: bound / SHIFT_WINDOW.as_secs_f64(),
             parts: BTreeMap::new(),
             updated_at: None,
         }
--- a/policy/tests/steer/caller_spread.rs
+++ b/policy/tests/steer/caller_spread.rs
@@ -108,6 +108,19 @@
     assert_eq!(spread.total(), 0.0);
 }
 
+#[test]
+fn update_bound_that_is_no_part_keeps_all_callers() {
+    let start = Instant::now();
+    let uses = BTreeMap::from([("cairo".to_owned(), 0.9), ("delta".to_owned(), 0.1)]);
+    for bound in [-0.15, f64::NAN] {
+        let mut spread = CallerSpread::new(bound);
+        for step in 0..100 {
+            spread.update("cairo", &uses, start + STEP * step);
+        }
+        assert_eq!(spread.total(), 0.0);
+    }
+}
+
 #[test]
 fn update_region_that_falls_silent_loses_its_callers() {
     let start = Instant::now();
