Send callers only to regions whose links have room

Cause: callers were sent away wherever the links of another region were less busy by a tenth, also if both were busy.

Change: callers go to another region only while less than 0.35 of its links is in use, and from a region only above 0.4.

--- a/policy/src/steer/spread/caller_spread.rs
+++ b/policy/src/steer/spread/caller_spread.rs
@@ -5,11 +5,12 @@
 
 /// Use of the links of a region from which callers are sent to others as well. Packets wait behind
 /// large bodies long before a link is full: at four tenths a request that crosses it four times
-/// waits for about as long as the way to another region takes, and callers follow with a delay.
-const MAX_USE: f64 = 0.3;
+/// waits for about as long as the way to another region takes.
+const MAX_USE: f64 = 0.4;
 
-/// Use by which the links of another region must be less busy.
-const MIN_DIFFERENCE: f64 = 0.1;
+/// Use of the links of a region up to which it gets callers of others. Beyond it the answers to its
+/// own callers would be late for those of another region.
+const MAX_OTHER_USE: f64 = 0.35;
 
 /// Change of the part that is sent to another region, per second and unit of use beyond the bounds.
 /// Callers follow a change after some seconds, since they keep answers.
@@ -29,8 +30,8 @@
 const MAX_STEP: Duration = Duration::from_millis(500);
 
 /// Parts of the callers of one region that are sent to entry instances of other regions, because the
-/// links of those of their own are busier. The parts follow the difference slowly: all control
-/// instances see the same use and act on it, requests run in another region once their callers
+/// links of those of their own are busy and others have room. The parts follow the use slowly: all
+/// control instances see the same use and act on it, requests run in another region once their callers
 /// are sent there, and a part that follows too fast swings.
 ///
 /// # Examples
@@ -102,7 +103,7 @@
         let available = MAX_AWAY - self.total();
         for (region, part) in &mut self.parts {
             let excess = match uses.get(region) {
-                Some(other_use) => (own_use - MAX_USE).min(own_use - other_use - MIN_DIFFERENCE),
+                Some(other_use) => (own_use - MAX_USE).min(MAX_OTHER_USE - other_use),
                 None => -1.0,
             };
             let change = excess * GAIN_PER_S * elapsed.as_secs_f64();
