--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod platform;
 mod record;
+mod zero_version;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -19,6 +20,7 @@
     let record = record::Record::create(&PathBuf::from(folder).join("record.txt"));
     let outcome = record.and_then(|record| match case.as_str() {
         "big-changes" => big_changes::run(&record, is_disturbed),
+        "zero-version" => zero_version::run(&record, is_disturbed),
         _ => Err(std::io::Error::other("there is no such case")),
     });
     match outcome {
