--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,7 +1,6 @@
 //! Stand-ins of the platform and of an operator for the cases of the second review, and the cases
 //! themselves. Each case is a subcommand; it starts the project's own programs as processes.
 
-mod big_changes;
 mod http;
 mod platform;
 mod record;
@@ -19,7 +18,6 @@
     let is_disturbed = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = record::Record::create(&PathBuf::from(folder).join("record.txt"));
     let outcome = record.and_then(|record| match case.as_str() {
-        "big-changes" => big_changes::run(&record, is_disturbed),
         "zero-version" => zero_version::run(&record, is_disturbed),
         _ => Err(std::io::Error::other("there is no such case")),
     });
