Store items of version 0

Cause: Items::merge took the version of a missing item for 0 and stored only a higher one, so that "none" and version 0 were the same number. What is invalid is refused by the leader before the merge, so no other step could have dropped the items; the tests of the model alone show the same without a network.

The versions are now compared only where there is an item. Conflicts are found by the stored item and so need no change. Removals at version 0 had the same fault. Other numbers that stand for none were looked at: the version of the whole configuration is counted by the system itself, and timeouts, weights and rates above 0 are kept above 0 by the codec.

--- a/model/src/items.rs
+++ b/model/src/items.rs
@@ -48,11 +48,11 @@
         Ok(next)
     }
 
-    /// Stores an item if its version is higher than the stored one, which counts as 0 if there is
-    /// none.
+    /// Stores an item if there is none with its key, or its version is higher than the stored one.
+    /// An item of version 0 is older than any other, but not the same as none.
     pub fn merge(&mut self, named: &NamedItem) {
-        let stored = self.map.get(&named.key).map_or(0, |item| item.version);
-        if named.item.version > stored {
+        let stored = self.map.get(&named.key);
+        if stored.is_none_or(|stored| named.item.version > stored.version) {
             let item = Arc::new(named.item.clone());
             self.map.insert(named.key.clone(), item);
         }
--- a/model/tests/items.rs
+++ b/model/tests/items.rs
@@ -91,6 +91,41 @@
     assert!(matches!(refusal, Err(Refusal::ItemConflict { .. })));
 }
 
+// Guards against CONFIG: items of version 0 are acknowledged and missing when read back.
+#[test]
+fn merged_version_0_of_a_missing_item_is_stored() {
+    let changes = [service("catalog", 0), route(0, route_item("catalog"))];
+    let items = Items::default().merged(&changes).unwrap();
+    assert_eq!(items.present().count(), changes.len());
+    assert_eq!(items.merged(&changes).unwrap(), items);
+    let newer = items.merged(&[service("billing", 0), route(1, route_item("billing"))]);
+    let newer = newer.unwrap();
+    assert_eq!(newer.routes().next().unwrap().1, 1);
+    assert_eq!(newer.merged(&changes).unwrap(), newer);
+}
+
+// Guards against CONFIG: other contents under version 0 are taken for the same item.
+#[test]
+fn merged_version_0_with_other_contents_is_refused() {
+    let changes = [service("catalog", 0), route(0, route_item("catalog"))];
+    let items = Items::default().merged(&changes).unwrap();
+    let refusal = items.merged(&[service("billing", 0), route(0, route_item("billing"))]);
+    assert!(matches!(refusal, Err(Refusal::ItemConflict { .. })));
+}
+
+// Guards against CONFIG: a removal at version 0 is acknowledged, and the item set again by an older call.
+#[test]
+fn merged_removal_of_version_0_is_stored() {
+    let key = ItemKey::Route("cart".into());
+    let removed = Items::default().merged(&[named(key, 0, None)]).unwrap();
+    assert!(!removed.is_empty());
+    let set = [service("catalog", 0), route(0, route_item("catalog"))];
+    assert!(matches!(
+        removed.merged(&set),
+        Err(Refusal::ItemConflict { .. })
+    ));
+}
+
 #[test]
 fn merged_same_version_with_other_contents_is_refused() {
     let items = initial_items().merged(&[service("billing", 3)]).unwrap();
