Treat an answer with an invalid status as a failure

Status 000, as reported from other systems, gave 502 here.

Cause: the HTTP parser accepts 100 to 999 and takes 101 for a last answer; no later step looked at the number. That 000 and 099 do not pass is the parser's doing, as the tests show: before the change they alone gave 502.

Connection::send, which all clients of instances use, now ends the exchange with InvalidStatus unless the status is from 200 to 599. The request may have run, so that one that must not be repeated gets 502, and another one goes on to the next upstream. The connection is closed, and what the answer says of the upstream is not believed.

--- a/daemon/src/attempt.rs
+++ b/daemon/src/attempt.rs
@@ -237,7 +237,9 @@
                 retry_after,
             }
         }
-        ExchangeError::Broken(_) | ExchangeError::TimedOut => Attempt::Unknown { reason },
+        ExchangeError::Broken(_)
+        | ExchangeError::InvalidStatus { .. }
+        | ExchangeError::TimedOut => Attempt::Unknown { reason },
     }
 }
 
--- a/daemon/src/connection.rs
+++ b/daemon/src/connection.rs
@@ -2,7 +2,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use laburnumdeal_policy::steer::safe_idle;
@@ -123,7 +123,8 @@
     /// # Errors
     ///
     /// Returns the request with [`ExchangeError::NotSent`], which proves that no byte was sent; the
-    /// other errors do not.
+    /// other errors do not. An answer with [`ExchangeError::InvalidStatus`] leaves the connection in an
+    /// unknown state, so that it must not be used again.
     pub async fn send(
         &mut self,
         request: Request<RequestBody>,
@@ -156,6 +157,10 @@
         let sending = self.sender.try_send_request(request);
         match tokio::time::timeout_at(answer_by, sending).await {
             Ok(Ok(response)) => {
+                let status = response.status();
+                if !is_final(status) {
+                    return Err(ExchangeError::InvalidStatus { status }.into());
+                }
                 self.head_budget.stop();
                 self.mark_active();
                 Ok(response)
@@ -169,6 +174,12 @@
     }
 }
 
+/// Returns whether a status can be that of a final answer. The HTTP parser accepts up to 999, and passes
+/// on 101, which no request asks for.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
--- a/daemon/src/exchange.rs
+++ b/daemon/src/exchange.rs
@@ -46,7 +46,9 @@
             match failure.error {
                 ExchangeError::TimedOut => guard.timed_out(),
                 ExchangeError::NotSent => guard.not_sent(),
-                ExchangeError::Broken(_) | ExchangeError::Refused(_) => guard.fail(),
+                ExchangeError::Broken(_)
+                | ExchangeError::InvalidStatus { .. }
+                | ExchangeError::Refused(_) => guard.fail(),
             }
             Err(failure)
         }
--- a/daemon/src/exchange_error.rs
+++ b/daemon/src/exchange_error.rs
@@ -1,4 +1,5 @@
 use derive_more::{Display, Error};
+use http::StatusCode;
 
 /// Reports why an exchange ended without an answer.
 #[derive(Debug, Display, Error)]
@@ -12,6 +13,12 @@
     /// The connection broke after bytes of the request may have been sent.
     #[display("connection broke before the answer: {_0}")]
     Broken(hyper::Error),
+    /// The answer has a status that no final answer has; the request may have run.
+    #[display("status {status} of the answer is not between 200 and 599")]
+    InvalidStatus {
+        /// Status of the answer.
+        status: StatusCode,
+    },
     /// The deadline passed without an answer.
     #[display("no answer before the deadline")]
     TimedOut,
--- a/daemon/src/roles/helper_request.rs
+++ b/daemon/src/roles/helper_request.rs
@@ -135,7 +135,9 @@
             }
             HelperResult::CannotForward
         }
-        ExchangeError::Broken(_) => HelperResult::Unknown { timed_out: false },
+        ExchangeError::Broken(_) | ExchangeError::InvalidStatus { .. } => {
+            HelperResult::Unknown { timed_out: false }
+        }
         ExchangeError::TimedOut => {
             guard.timed_out();
             HelperResult::Unknown { timed_out: true }
--- a/daemon/src/roles/upstream_attempt.rs
+++ b/daemon/src/roles/upstream_attempt.rs
@@ -436,6 +436,10 @@
             drop(reuse);
             unknown("the connection broke before the answer", false, true)
         }
+        ExchangeError::InvalidStatus { .. } => {
+            in_flight.outcome = AttemptOutcome::Broken;
+            unknown("the status of the answer is invalid", false, false)
+        }
         ExchangeError::TimedOut => {
             in_flight.outcome = AttemptOutcome::TimedOut;
             unknown("no answer in time", true, false)
