Bound the refusal of another entry instance

An entry instance that has lost its upstreams sends requests through another one.

Cause: the head of a refusal decides, and its body was collected without a limit on length or time, only to use the connection again.

The body is now read up to 4 KiB and for 50 ms. A refusal of an instance has a line of text, so that its connection is used again as before; otherwise it is closed, and the request goes on to the next instance.

--- a/daemon/src/roles/helper_request.rs
+++ b/daemon/src/roles/helper_request.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use http::{HeaderValue, Request, Response};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use laburnumdeal_policy::steer::{HelperKey, HelperOutcome};
 use tokio::time::Instant;
@@ -36,6 +36,11 @@
 /// Time after the end of the wait of the other instance for which its answer is still awaited.
 const ANSWER_GRACE: Duration = Duration::from_millis(100);
 
+/// Longest body of a refusal, and time for it after its head. Only the reuse of the connection depends
+/// on the body.
+const MAX_REFUSAL_BYTES: usize = 4 * 1024;
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// How a request to another entry instance ended.
 pub(super) enum HelperResult {
     /// Its answer, which is that of an upstream or its own.
@@ -180,7 +185,9 @@
         _ => None,
     };
     if let Some(refusal) = refusal {
-        if response.into_body().collect().await.is_ok() {
+        let body = Limited::new(response.into_body(), MAX_REFUSAL_BYTES).collect();
+        let timeout = tokio::time::timeout(REFUSAL_BODY_TIMEOUT, body);
+        if matches!(timeout.await, Ok(Ok(_))) {
             guard.complete();
         }
         return refusal;
