Send the whole configuration where the missed changes are much longer

Cause: it got all changes since its version in one reply, and a reply beyond 32 MiB is not read. It took that for a control instance that does not answer, and asked the next one for the same, while the whole configuration has 0.3 MB. The test shows it without a network: the update for such an instance is refused as too long by the function that reads replies.

Changes of 64 KiB or more are now compared with the whole configuration, which is sent if they are more than twice as long.

--- a/control/src/entry.rs
+++ b/control/src/entry.rs
@@ -1,9 +1,7 @@
-use std::io::{self, Write};
-
 use laburnumdeal_model::{AuditRecord, Change, Term};
 use serde::{Deserialize, Serialize};
 
-use crate::Members;
+use crate::{Members, encoded_bytes};
 
 /// Maximum number of steered blocks named by one message, unless a single change names more. A
 /// block is an IP network that a change steers to zones.
@@ -58,29 +56,6 @@
     fitting.count().max(1)
 }
 
-fn encoded_bytes(item: &impl Serialize) -> u64 {
-    let mut counter = ByteCounter::default();
-    rmp_serde::encode::write(&mut counter, item).expect("the value encodes as MessagePack");
-    counter.bytes
-}
-
-/// Counts the bytes that are written to it.
-#[derive(Default)]
-struct ByteCounter {
-    bytes: u64,
-}
-
-impl Write for ByteCounter {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.bytes += bytes.len() as u64;
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
 /// Contents of an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Payload {
--- a/daemon/src/roles/configuration_update.rs
+++ b/daemon/src/roles/configuration_update.rs
@@ -1,9 +1,15 @@
 use std::sync::Arc;
 
-use laburnumdeal_control::replay;
+use laburnumdeal_control::{encoded_bytes, replay};
 use laburnumdeal_model::{AuditRecord, Configuration, Verdict, Version};
 use serde::{Deserialize, Serialize};
 
+/// Length of changes in bytes from which they are compared with the whole configuration.
+const MIN_COMPARED_BYTES: u64 = 64 * 1024;
+
+/// Length of changes, as a multiple of that of the whole configuration, beyond which the whole is sent.
+const MAX_CHANGES_RATIO: u64 = 2;
+
 /// Configuration update for an entry instance. It leaves out the original texts of the items: only
 /// control instances return them to operators.
 ///
@@ -28,8 +34,9 @@
 }
 
 impl ConfigurationUpdate {
-    /// Returns the update from a known version to the newest one. `changes` returns all changes
-    /// after a version, or `None` when some are no longer stored.
+    /// Returns the update from a known version to the newest one: the changes, or the whole
+    /// configuration where that is much shorter. `changes` returns all changes after a version, or
+    /// `None` when some are no longer stored.
     pub fn since(
         known: Version,
         newest: &Configuration,
@@ -42,19 +49,28 @@
             true => changes(known),
             false => None,
         };
-        match stored {
-            Some(mut stored) => {
-                for applied in &mut stored {
-                    applied.change.clear_originals();
-                }
-                Self::Changes(stored)
-            }
-            None => {
-                let mut whole = newest.clone();
-                whole.items = Arc::new(whole.items.without_originals());
-                Self::Whole(Box::new(whole))
-            }
+        let Some(mut stored) = stored else {
+            return Self::whole(newest);
+        };
+        for applied in &mut stored {
+            applied.change.clear_originals();
+        }
+        let length_bytes = encoded_bytes(&stored);
+        let changes = Self::Changes(stored);
+        if length_bytes < MIN_COMPARED_BYTES {
+            return changes;
         }
+        let whole = Self::whole(newest);
+        match encoded_bytes(&whole) * MAX_CHANGES_RATIO < length_bytes {
+            true => whole,
+            false => changes,
+        }
+    }
+
+    fn whole(newest: &Configuration) -> Self {
+        let mut whole = newest.clone();
+        whole.items = Arc::new(whole.items.without_originals());
+        Self::Whole(Box::new(whole))
     }
 
     /// Returns the configuration after the update, if it is newer than the current one.
--- a/daemon/tests/updates.rs
+++ b/daemon/tests/updates.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use laburnumdeal_control::replay;
-use laburnumdeal_daemon::pack;
 use laburnumdeal_daemon::roles::{ConfigurationUpdate, ListChanges, UpstreamList};
+use laburnumdeal_daemon::{pack, unpack};
 use laburnumdeal_model::{
     AuditRecord, Change, CommandId, Configuration, Digest, Item, ItemKey, ItemValue, NamedItem,
     RouteItem, Verdict, Version,
@@ -23,6 +23,13 @@
 /// The list may change with each read, twice a second; this limit is a twentieth of the link.
 const ONE_UPSTREAM_BYTES: usize = LINK_BYTES_PER_S / 40;
 
+/// Changes that an instance misses while it stands still, and the routes that each of them sets.
+const MISSED_CHANGES: u64 = 116;
+const MISSED_ROUTES: usize = 350;
+
+/// Longest message between instances.
+const MAX_REPLY_BYTES: usize = 32 * 1024 * 1024;
+
 fn route(number: usize) -> NamedItem {
     let host = format!("h{number:05}.example");
     let route = RouteItem {
@@ -53,6 +60,13 @@
     }
 }
 
+/// Returns a route with a name of 800 characters.
+fn long_route(number: usize) -> NamedItem {
+    let mut named = route(number);
+    named.key = ItemKey::Route(format!("r-{number:0798}"));
+    named
+}
+
 fn applied(change: Change, version: u64) -> AuditRecord {
     let id = format!("{version:032x}");
     let command_id: CommandId = id.parse().expect("hexadecimal digits are a command id");
@@ -105,6 +119,58 @@
     assert!(packed <= MANY_ROUTES_BYTES, "{packed} bytes for the whole");
 }
 
+// Guards against CONFIG: the changes that an instance has missed are too long to be read, so that it
+// never gets a configuration again.
+#[test]
+fn since_many_changes_of_the_same_routes_is_as_short_as_the_whole() {
+    let items: Vec<NamedItem> = (0..MISSED_ROUTES).map(long_route).collect();
+    let base = apply_all(
+        &Configuration::default(),
+        &[applied(
+            Change::Items {
+                items: items.clone(),
+            },
+            1,
+        )],
+    );
+    let changes: Vec<AuditRecord> = (2..2 + MISSED_CHANGES)
+        .map(|version| {
+            let mut items = items.clone();
+            items
+                .iter_mut()
+                .for_each(|named| named.item.version += version);
+            applied(Change::Items { items }, version)
+        })
+        .collect();
+    let newest = apply_all(&base, &changes);
+    let update = ConfigurationUpdate::since(base.version, &newest, |_| Some(changes));
+    let packed = pack(&update).expect("plain data encodes");
+    let read: ConfigurationUpdate = unpack(&packed, MAX_REPLY_BYTES).expect("it is short enough");
+    let whole = ConfigurationUpdate::since(Version(0), &newest, |_| None);
+    assert!(
+        packed.len() <= packed_length(&whole),
+        "{} bytes",
+        packed.len()
+    );
+    let next = read.apply_to(Some(&base)).expect("it is newer");
+    assert_eq!(next.version, newest.version);
+    assert!(next.items.routes().eq(newest.items.routes()));
+}
+
+#[test]
+fn since_few_changes_of_many_routes_sends_the_changes() {
+    let items = (0..MISSED_ROUTES).map(long_route).collect();
+    let base = apply_all(
+        &Configuration::default(),
+        &[applied(Change::Items { items }, 1)],
+    );
+    let items = (0..MISSED_ROUTES / 2).map(long_route).collect();
+    let changes = vec![applied(Change::Items { items }, 2)];
+    let newest = apply_all(&base, &changes);
+    let update = ConfigurationUpdate::since(base.version, &newest, |_| Some(changes));
+    assert!(matches!(update, ConfigurationUpdate::Changes(_)));
+}
+
 #[test]
 fn apply_to_an_older_version_gives_the_newest_routes() {
     let (base, changes, newest) = many_routes();
