Bound the changes in memory by their length

A change of routes has none, so that up to 4,096 changes of any length were kept twice. The peaks of a process before the change grow by the same amount with each change (96,216, 165,116, 234,000, 302,880 and 371,764 KiB after 22 changes each of 700 KB), and it reads them all again at its start.

An entry instance that is further behind gets the whole configuration. The length is counted as records come and go and is no part of the stored state, so that older builds read it as before, and the other way round.

--- a/control/src/snapshots.rs
+++ b/control/src/snapshots.rs
@@ -10,6 +10,10 @@
 /// Number of steered blocks named by log entries that triggers a snapshot, however few the entries.
 const MAX_BLOCKS_BETWEEN_SNAPSHOTS: usize = 100_000;
 
+/// Encoded length of log entries that triggers a snapshot, however few they are. Entries take more than
+/// twice as much memory as their encoding.
+const MAX_BYTES_BETWEEN_SNAPSHOTS: u64 = 8 * 1024 * 1024;
+
 impl<L: PeerLink, D: Disk> Core<L, D> {
     /// Takes a snapshot whenever enough entries have been committed since the last one, and retries
     /// after an election timeout if it cannot be stored.
@@ -26,7 +30,10 @@
         let volatile = self.volatile();
         let entries = volatile.commit_index - volatile.snapshot_index;
         let limit = self.settings.entries_per_snapshot;
-        limit > 0 && (entries >= limit || volatile.entry_blocks >= MAX_BLOCKS_BETWEEN_SNAPSHOTS)
+        limit > 0
+            && (entries >= limit
+                || volatile.entry_blocks >= MAX_BLOCKS_BETWEEN_SNAPSHOTS
+                || volatile.entry_bytes >= MAX_BYTES_BETWEEN_SNAPSHOTS)
     }
 
     /// Stores a snapshot of the committed state and the audit records that it covers; returns false
--- a/control/src/state.rs
+++ b/control/src/state.rs
@@ -7,12 +7,14 @@
 use crate::answers::{Answers, short_text};
 use crate::entry::steered_block_count;
 use crate::undo::UndoHistory;
-use crate::{Entry, Members, Payload, replay};
+use crate::{Entry, Members, Payload, encoded_bytes, replay};
 
 /// Maximum number of audit records kept in memory and in snapshots.
 const MAX_RECORDS: usize = 4096;
 /// Maximum number of steered blocks named by the audit records kept in memory and in snapshots.
 const MAX_RECORD_BLOCKS: usize = 100_000;
+/// Maximum encoded length of the audit records kept in memory and in snapshots, in bytes.
+const MAX_RECORD_BYTES: u64 = 4 * 1024 * 1024;
 
 /// State machine of the change log. Replicas that applied the same entries have equal states.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -35,6 +37,10 @@
     pub(crate) undo: UndoHistory,
     records: VecDeque<Arc<AuditRecord>>,
     record_blocks: usize,
+    /// Encoded length of `records`; `None` until it is needed after a snapshot was read. It is no part
+    /// of the stored form, which older builds read too.
+    #[serde(skip)]
+    record_bytes: Option<u64>,
 }
 
 /// Latest accepted change, as shown to an operator whose change it superseded.
@@ -145,13 +151,27 @@
     }
 
     fn keep_record(&mut self, applied: &AuditRecord) {
+        let kept_bytes = match self.record_bytes {
+            Some(bytes) => bytes,
+            None => self
+                .records
+                .iter()
+                .map(|record| encoded_bytes(&**record))
+                .sum(),
+        };
+        let mut record_bytes = kept_bytes + encoded_bytes(applied);
         self.record_blocks += steered_block_count(&applied.change);
         self.records.push_back(Arc::new(applied.clone()));
-        while self.records.len() > MAX_RECORDS || self.record_blocks > MAX_RECORD_BLOCKS {
+        while self.records.len() > MAX_RECORDS
+            || self.record_blocks > MAX_RECORD_BLOCKS
+            || record_bytes > MAX_RECORD_BYTES
+        {
             let Some(oldest) = self.records.pop_front() else {
                 break;
             };
             self.record_blocks -= steered_block_count(&oldest.change);
+            record_bytes -= encoded_bytes(&*oldest);
         }
+        self.record_bytes = Some(record_bytes);
     }
 }
--- a/control/src/volatile_state.rs
+++ b/control/src/volatile_state.rs
@@ -7,7 +7,10 @@
 use crate::call_deduplicator::CallDeduplicator;
 use crate::entry::fitting_count;
 use crate::progress::Progress;
-use crate::{AuditRange, ClusterId, Entry, Members, Payload, ReplicaIdentity, Role, State, Vote};
+use crate::{
+    AuditRange, ClusterId, Entry, Members, Payload, ReplicaIdentity, Role, State, Vote,
+    encoded_bytes,
+};
 
 /// In-memory state of a replica. Whatever other replicas rely on is synced to disk before it is
 /// reflected here.
@@ -34,6 +37,8 @@
     pub entries: VecDeque<Arc<Entry>>,
     /// Number of steered blocks named by `entries`.
     pub entry_blocks: usize,
+    /// Encoded length of `entries`.
+    pub entry_bytes: u64,
     pub commit_index: u64,
     pub state: State,
     /// Replication progress of the other members; empty unless this replica leads.
@@ -68,6 +73,7 @@
             snapshot_term: state.term,
             entries: entries.into_iter().map(Arc::new).collect(),
             entry_blocks: 0,
+            entry_bytes: 0,
             commit_index: state.index,
             state,
             progress: BTreeMap::new(),
@@ -77,7 +83,7 @@
             audit_files: Vec::new(),
             call_deduplicator: CallDeduplicator::default(),
         };
-        volatile.recount_blocks();
+        volatile.recount();
         volatile.update_members();
         volatile
     }
@@ -129,12 +135,12 @@
         let has_members = |entry: &Entry| matches!(entry.payload, Payload::Members(_));
         if replaces {
             self.entries.truncate(kept);
-            self.recount_blocks();
+            self.recount();
+        }
+        for entry in entries {
+            self.entry_blocks += entry.steered_block_count();
+            self.entry_bytes += encoded_bytes(entry);
         }
-        self.entry_blocks += entries
-            .iter()
-            .map(Entry::steered_block_count)
-            .sum::<usize>();
         self.entries.extend(entries.iter().cloned().map(Arc::new));
         if replaces || entries.iter().any(has_members) {
             self.update_members();
@@ -154,7 +160,7 @@
         self.commit_index = self.commit_index.max(state.index);
         self.entries = later.into_iter().map(Arc::new).collect();
         self.state = state;
-        self.recount_blocks();
+        self.recount();
         self.update_members();
     }
 
@@ -170,7 +176,7 @@
         self.entries.drain(..covered.min(self.entries.len()));
         self.snapshot_index = index;
         self.snapshot_term = term;
-        self.recount_blocks();
+        self.recount();
     }
 
     /// Returns the cluster that this replica belongs to; `None` while it is blank.
@@ -278,12 +284,10 @@
         self.role = self.non_leader_role();
     }
 
-    fn recount_blocks(&mut self) {
-        self.entry_blocks = self
-            .entries
-            .iter()
-            .map(|entry| entry.steered_block_count())
-            .sum();
+    fn recount(&mut self) {
+        let entries = || self.entries.iter().map(|entry| &**entry);
+        self.entry_blocks = entries().map(Entry::steered_block_count).sum();
+        self.entry_bytes = entries().map(encoded_bytes).sum();
     }
 
     fn non_leader_role(&self) -> Role {
--- a/control/tests/quorum.rs
+++ b/control/tests/quorum.rs
@@ -1,8 +1,9 @@
 use std::time::Duration;
 
-use laburnumdeal_control::{Disk, NotRun, SubmitError};
+use laburnumdeal_control::{Disk, Entry, NotRun, Payload, State, SubmitError};
 use laburnumdeal_model::{
-    Change, InstanceId, Item, ItemKey, LimitsItem, NamedItem, Submission, Verdict, Version,
+    AuditRecord, Change, Digest, InstanceId, Item, ItemKey, LimitsItem, NamedItem, Submission,
+    Term, Verdict, Version,
 };
 
 use crate::cluster::{Cluster, LEASE_MS, cap_shift, is_not_run, sleep, submission, suspend};
@@ -340,6 +341,94 @@
     assert!(cluster.replica(0).status().snapshot_index > 0);
 }
 
+// Guards against Fault: long changes are kept in memory until there are very many of them.
+#[tokio::test(start_paused = true)]
+async fn submit_long_changes_trigger_a_snapshot_and_drop_old_records() {
+    let mut cluster = Cluster::new(3, 14);
+    cluster.entries_per_snapshot = 1_000;
+    cluster.start_all().await;
+    let leader = cluster.leader().await;
+    for number in 0..LONG_CHANGES {
+        cluster.submit(leader, long_change(number)).await;
+    }
+    cluster.wait_for_convergence().await;
+    sleep(100).await;
+    let newest = cluster.replica(leader).watch().borrow().clone();
+    for replica in cluster.running() {
+        let status = replica.status();
+        // Of entries of 1 MiB, some fewer than nine are left after each snapshot.
+        assert!(status.snapshot_index + 9 > LONG_CHANGES, "{status:?}");
+        assert_eq!(replica.changes_since(Version(1)), None);
+        let recent = replica.changes_since(Version(newest.version.0 - 1));
+        assert_eq!(recent.map(|changes| changes.len()), Some(1));
+    }
+    let trail = cluster.replica(leader).audit_records(0, 100);
+    assert_eq!(trail.len() as u64, LONG_CHANGES);
+    for number in 0..3 {
+        cluster.crash(number);
+    }
+    cluster.start_all().await;
+    let leader = cluster.leader().await;
+    cluster.submit(leader, cap_shift("last", 1)).await;
+    cluster.wait_for_convergence().await;
+    for replica in cluster.running() {
+        assert_eq!(replica.watch().borrow().items, newest.items);
+        assert_eq!(replica.audit_records(0, 100)[..trail.len()], trail);
+    }
+}
+
+// Guards against: a snapshot that builds since e446ecc cannot read.
+#[test]
+fn stored_state_has_the_bytes_of_builds_before() {
+    let stored = hex::encode(rmp_serde::to_vec(&State::default()).unwrap());
+    let digest = "dc0020".to_owned() + &"00".repeat(32);
+    let expected =
+        format!("9b00009200909800808080808094908000{digest}9180{digest}00c09290909290009000");
+    assert_eq!(stored, expected);
+}
+
+// Guards against: records that a snapshot holds are not counted after it was read.
+#[test]
+fn apply_after_a_stored_state_was_read_counts_its_records() {
+    let mut state = State::default();
+    let mut index = 0;
+    let mut apply_long = |state: &mut State| {
+        index += 1;
+        let submitted = long_change(index);
+        let mut record = AuditRecord {
+            index,
+            command_id: submitted.command_id,
+            operator: submitted.operator,
+            at_ms: 0,
+            base: None,
+            change: submitted.change,
+            verdict: Verdict::Accepted {
+                version: state.configuration.version.next(),
+            },
+            chain: Digest::default(),
+        };
+        record.chain = record.expected_chain(state.chain);
+        let payload = Payload::Command(Box::new(record));
+        let term = Term::default();
+        assert!(state.apply(&Entry {
+            index,
+            term,
+            payload
+        }));
+    };
+    for _ in 0..10 {
+        apply_long(&mut state);
+    }
+    let kept = state.records_from(0, 100).len();
+    assert!((1..=4).contains(&kept), "{kept} records of 1 MiB");
+    let stored = rmp_serde::to_vec(&state).unwrap();
+    let mut read: State = rmp_serde::from_slice(&stored).unwrap();
+    for _ in 0..10 {
+        apply_long(&mut read);
+    }
+    assert_eq!(read.records_from(0, 100).len(), kept);
+}
+
 // Guards against: a leader wakes from a suspension for which its steady clock stood still, and
 // confirms by a lease that ended long ago, while another replica leads.
 #[tokio::test(start_paused = true)]
