Log why a control instance gives no reply

The line `lost a control instance` now ends its reason with the error: the connection, the time, the length or the form of the reply.

--- a/control/tests/quorum.rs
+++ b/control/tests/quorum.rs
@@ -356,7 +356,7 @@
     let newest = cluster.replica(leader).watch().borrow().clone();
     for replica in cluster.running() {
         let status = replica.status();
-        // Of entries of 1 MiB, some fewer than nine are left after each snapshot.
+        // A snapshot is due after eight entries of 1 MiB.
         assert!(status.snapshot_index + 9 > LONG_CHANGES, "{status:?}");
         assert_eq!(replica.changes_since(Version(1)), None);
         let recent = replica.changes_since(Version(newest.version.0 - 1));
--- a/daemon/src/roles/follower.rs
+++ b/daemon/src/roles/follower.rs
@@ -16,7 +16,7 @@
 use crate::roles::follow_message::{Call, FollowRequest, Reply};
 use crate::roles::follow_reply::FollowReply;
 use crate::roles::known_controls::KnownControls;
-use crate::roles::rpc_client::RpcClient;
+use crate::roles::rpc_client::{RpcClient, RpcError};
 
 /// Longest time that a control instance waits for an update before it replies.
 const LONG_POLL_WAIT: Duration = Duration::from_millis(900);
@@ -55,7 +55,7 @@
         }
         let target = known[position % known.len()];
         match poll(&state, &client, target, contents, &mut exchange).await {
-            Some(reply) if reply.is_led => {
+            Ok(reply) if reply.is_led => {
                 if followed != Some(target) {
                     info!(state.log.unlimited(), "following a control instance";
                         "control" => target.to_string());
@@ -67,14 +67,14 @@
             }
             reply => {
                 if followed.take().is_some() {
-                    let reason = match reply {
-                        Some(_) => "it hears no leader",
-                        None => "it does not answer",
+                    let reason = match &reply {
+                        Ok(_) => "it hears no leader".to_owned(),
+                        Err(error) => format!("it does not answer: {error}"),
                     };
                     warn!(state.log.unlimited(), "lost a control instance";
                         "control" => target.to_string(), "reason" => reason);
                 }
-                if let Some(reply) = reply {
+                if let Ok(reply) = reply {
                     apply(&state, &reply, target);
                 }
                 position += loops;
@@ -108,7 +108,7 @@
     target: SocketAddr,
     contents: bool,
     exchange: &mut CrashExchange,
-) -> Option<FollowReply> {
+) -> Result<FollowReply, RpcError> {
     let active = state.active().configuration;
     let version = active.map_or(Version(0), |configuration| configuration.version);
     let list = state.list();
@@ -129,15 +129,13 @@
         crashes,
         wait_ms: LONG_POLL_WAIT.as_millis() as u64,
     };
-    match client
-        .call(target, &Call::Follow(request), REPLY_TIMEOUT)
-        .await
-    {
-        Ok(Reply::Follow(reply)) => {
+    let call = Call::Follow(request);
+    match client.call(target, &call, REPLY_TIMEOUT).await? {
+        Reply::Follow(reply) => {
             exchange.record_reply(target, crash_revision, reply.crash_position);
-            Some(*reply)
+            Ok(*reply)
         }
-        Ok(_) | Err(_) => None,
+        _ => Err(RpcError::WrongKind),
     }
 }
 
