--- a/review/stand-ins-3/clients.rs
+++ b/review/stand-ins-3/clients.rs
@@ -47,6 +47,27 @@
     None
 }
 
+/// Sends a change of the route to some control machines in turn until one acknowledges it; returns whether one did.
+pub fn change_configuration(cluster: &Cluster, record: &Record, version: u64, machines: &[usize]) -> bool {
+    let item = CONFIGURATION.replace("\"version\":7", &format!("\"version\":{version}"));
+    for attempt in 0..20 {
+        let index = machines[attempt % machines.len()];
+        let address = cluster.control_address(index);
+        let head = format!(
+            "PATCH /config HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n"
+        );
+        let answer = call(address, &head, &item, OPERATOR_TIMEOUT);
+        let status = answer.map(|answer| answer.status());
+        let name = &cluster.machines[index].name;
+        record.add(&format!("PATCH /config with version {version} to {name}: {status:?}"));
+        if status == Ok(200) {
+            return true;
+        }
+        sleep(Duration::from_millis(200));
+    }
+    false
+}
+
 /// Reads the configuration from the control machines in turn for a time; returns whether one answered with the route.
 pub fn read_configuration(cluster: &Cluster, record: &Record, controls: usize, time_s: f64) -> bool {
     let until_s = record.elapsed_s() + time_s;
--- a/review/stand-ins-3/cluster.rs
+++ b/review/stand-ins-3/cluster.rs
@@ -138,6 +138,18 @@
         self.record.add(&format!("the disk of {} is lost", machine.name));
     }
 
+    /// Returns the lines that the processes of a machine wrote.
+    pub fn log_lines(&self, index: usize) -> Vec<String> {
+        let machine = &self.machines[index];
+        let mut lines = Vec::new();
+        for start in 1..=machine.starts {
+            let path = self.folder.join(format!("{}-{start}.log", machine.name));
+            let text = fs::read_to_string(path).unwrap_or_default();
+            lines.extend(text.lines().map(str::to_owned));
+        }
+        lines
+    }
+
     /// Copies the last lines of a machine's log into the record.
     pub fn record_log(&self, index: usize, lines: usize) {
         let machine = &self.machines[index];
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod record;
 mod server;
+mod small_group;
 
 use std::path::PathBuf;
 use std::process::exit;
@@ -25,6 +26,7 @@
     let verdict = match case.as_str() {
         "first-ack-wipe" => first_ack_wipe::run(&folder, has_trouble),
         "first-start" => first_start::run(&folder, has_trouble),
+        "small-group" => small_group::run(&folder, has_trouble),
         other => Err(format!("there is no case {other:?}")),
     };
     match verdict {
