--- a/review/stand-ins-3/clients.rs
+++ b/review/stand-ins-3/platform/clients.rs
@@ -33,7 +33,10 @@
         match answer {
             Ok(answer) => {
                 let body = String::from_utf8_lossy(&answer.body).into_owned();
-                record.add(&format!("PATCH /config to {name}: {} {body}", answer.status()));
+                record.add(&format!(
+                    "PATCH /config to {name}: {} {body}",
+                    answer.status()
+                ));
                 if (200..300).contains(&answer.status()) {
                     return Some(index);
                 }
@@ -48,7 +51,12 @@
 }
 
 /// Sends a change of the route to some control machines in turn until one acknowledges it; returns whether one did.
-pub fn change_configuration(cluster: &Cluster, record: &Record, version: u64, machines: &[usize]) -> bool {
+pub fn change_configuration(
+    cluster: &Cluster,
+    record: &Record,
+    version: u64,
+    machines: &[usize],
+) -> bool {
     let item = CONFIGURATION.replace("\"version\":7", &format!("\"version\":{version}"));
     for attempt in 0..20 {
         let index = machines[attempt % machines.len()];
@@ -59,7 +67,9 @@
         let answer = call(address, &head, &item, OPERATOR_TIMEOUT);
         let status = answer.map(|answer| answer.status());
         let name = &cluster.machines[index].name;
-        record.add(&format!("PATCH /config with version {version} to {name}: {status:?}"));
+        record.add(&format!(
+            "PATCH /config with version {version} to {name}: {status:?}"
+        ));
         if status == Ok(200) {
             return true;
         }
@@ -69,7 +79,12 @@
 }
 
 /// Reads the configuration from the control machines in turn for a time; returns whether one answered with the route.
-pub fn read_configuration(cluster: &Cluster, record: &Record, controls: usize, time_s: f64) -> bool {
+pub fn read_configuration(
+    cluster: &Cluster,
+    record: &Record,
+    controls: usize,
+    time_s: f64,
+) -> bool {
     let until_s = record.elapsed_s() + time_s;
     let mut index = 0;
     while record.elapsed_s() < until_s {
@@ -79,7 +94,10 @@
         match call(address, &head, "", OPERATOR_TIMEOUT) {
             Ok(answer) => {
                 let body = String::from_utf8_lossy(&answer.body).into_owned();
-                record.add(&format!("GET /config from {name}: {} {body}", answer.status()));
+                record.add(&format!(
+                    "GET /config from {name}: {} {body}",
+                    answer.status()
+                ));
                 if answer.status() == 200 {
                     return body.contains("\"r-1\"");
                 }
@@ -108,7 +126,12 @@
         let head = format!(
             "POST /unlock/{sent} HTTP/1.1\r\nHost: gate.example\r\nX-Request-Id: {sent:016x}\r\nX-Deadline-Ms: 3000\r\n"
         );
-        let answer = call(cluster.front_address(index), &head, "", Duration::from_secs(3));
+        let answer = call(
+            cluster.front_address(index),
+            &head,
+            "",
+            Duration::from_secs(3),
+        );
         let result = match &answer {
             Ok(answer) => answer.status().to_string(),
             Err(reason) => reason.clone(),
--- a/review/stand-ins-3/cluster.rs
+++ b/review/stand-ins-3/platform/cluster.rs
@@ -58,7 +58,9 @@
             machines.push(machine(format!("edge-{name}-1"), network, zone, 20, true));
         }
         let seeds = machines.iter().take(3.min(controls));
-        let seeds = seeds.map(|machine| format!("{}:{CONTROL_PORT}", machine.ip)).collect();
+        let seeds = seeds
+            .map(|machine| format!("{}:{CONTROL_PORT}", machine.ip))
+            .collect();
         let list_address = format!("127.{network}.0.2:8541");
         Ok(Self {
             folder,
@@ -78,7 +80,10 @@
             let entries: Vec<String> = entries.map(list_entry).collect();
             zones.push(format!("\"{zone}\":[{}]", entries.join(",")));
         }
-        let body = format!("{{\"instances\":{{{}}},\"next_page_token\":null}}", zones.join(","));
+        let body = format!(
+            "{{\"instances\":{{{}}},\"next_page_token\":null}}",
+            zones.join(",")
+        );
         serve(self.list_address, move |_| {
             let length = body.len();
             format!(
@@ -114,7 +119,9 @@
         let mut command = Command::new(PROGRAM);
         command.env_clear().env("LABURNUMDEAL_BOOT", &file);
         command.stdin(Stdio::null()).stdout(log).stderr(errors);
-        let process = command.spawn().map_err(|error| format!("{PROGRAM}: {error}"))?;
+        let process = command
+            .spawn()
+            .map_err(|error| format!("{PROGRAM}: {error}"))?;
         record.add(&format!("start {} (bootstrap {bootstrap})", machine.name));
         machine.process = Some(process);
         Ok(())
@@ -135,7 +142,8 @@
         self.kill(index);
         let machine = &self.machines[index];
         let _ = fs::remove_dir_all(self.folder.join(format!("{}-data", machine.name)));
-        self.record.add(&format!("the disk of {} is lost", machine.name));
+        self.record
+            .add(&format!("the disk of {} is lost", machine.name));
     }
 
     /// Returns the lines that the processes of a machine wrote.
@@ -153,7 +161,9 @@
     /// Copies the last lines of a machine's log into the record.
     pub fn record_log(&self, index: usize, lines: usize) {
         let machine = &self.machines[index];
-        let path = self.folder.join(format!("{}-{}.log", machine.name, machine.starts));
+        let path = self
+            .folder
+            .join(format!("{}-{}.log", machine.name, machine.starts));
         let text = fs::read_to_string(path).unwrap_or_default();
         let all: Vec<&str> = text.lines().collect();
         for line in &all[all.len().saturating_sub(lines)..] {
@@ -164,8 +174,14 @@
     fn settings(&self, machine: &Machine, bootstrap: bool) -> String {
         let (zone, region) = ZONES[machine.zone];
         let ip = &machine.ip;
-        let zones = ZONES.map(|(zone, region)| format!("\"{zone}\":\"{region}\"")).join(",");
-        let seeds: Vec<String> = self.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let zones = ZONES
+            .map(|(zone, region)| format!("\"{zone}\":\"{region}\""))
+            .join(",");
+        let seeds: Vec<String> = self
+            .seeds
+            .iter()
+            .map(|seed| format!("\"{seed}\""))
+            .collect();
         let seeds = seeds.join(",");
         let data_dir = self.folder.join(format!("{}-data", machine.name));
         let (class, role, serves, listen, data_dir) = match machine.is_entry {
@@ -182,7 +198,9 @@
                     "core",
                     "control",
                     "\"control_plane\",\"directory\"",
-                    format!("\"control\":\"{ip}:{CONTROL_PORT}\",\"directory\":\"{ip}:{DIRECTORY_PORT}\""),
+                    format!(
+                        "\"control\":\"{ip}:{CONTROL_PORT}\",\"directory\":\"{ip}:{DIRECTORY_PORT}\""
+                    ),
                     format!("\"{}\"", data_dir.display()),
                 )
             }
@@ -231,7 +249,12 @@
 }
 
 fn list_entry(server: &Server) -> String {
-    let Server { id, service, address, .. } = server;
+    let Server {
+        id,
+        service,
+        address,
+        ..
+    } = server;
     format!(
         r#"{{"id":"{id}","service":"{service}","address":"{address}","version":"v1","slots":8,"state":"ready","cold_remaining_s":0}}"#
     )
@@ -242,7 +265,14 @@
     let first = (std::process::id() % 100) as u8;
     for offset in 0..100 {
         let network = 100 + (first + offset) % 100;
-        let hosts = ["0.2:8541", "10.5:8544", "10.5:7540", "20.5:8548", "20.5:7540", "1.10:8080"];
+        let hosts = [
+            "0.2:8541",
+            "10.5:8544",
+            "10.5:7540",
+            "20.5:8548",
+            "20.5:7540",
+            "1.10:8080",
+        ];
         let is_free = |host: &&str| TcpListener::bind(format!("127.{network}.{host}")).is_ok();
         if hosts.iter().all(|host| is_free(&host)) {
             return Ok(network);
@@ -255,6 +285,8 @@
 pub fn require_repository() -> Result<(), String> {
     match Path::new(PROGRAM).exists() {
         true => Ok(()),
-        false => Err(format!("{PROGRAM} is missing; run the build of the deploy file in the repository root")),
+        false => Err(format!(
+            "{PROGRAM} is missing; run the build of the deploy file in the repository root"
+        )),
     }
 }
--- a/review/stand-ins-3/first_start.rs
+++ b/review/stand-ins-3/platform/first_start.rs
@@ -5,8 +5,8 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use crate::cluster::{Cluster, ZONES, require_repository};
 use crate::clients::{send_configuration, send_requests};
+use crate::cluster::{Cluster, ZONES, require_repository};
 use crate::record::Record;
 use crate::server::Server;
 
--- a/review/stand-ins-3/server.rs
+++ b/review/stand-ins-3/platform/server.rs
@@ -69,8 +69,14 @@
                     "HTTP/1.1 200 OK\r\nX-Instance-Id: {own_id}\r\nContent-Length: 0\r\n\r\n"
                 );
             }
-            record.add(&format!("server {own_id} runs {request_id}: {}", request.first_line));
-            own_runs.lock().expect("no holder panics").push(request_id.clone());
+            record.add(&format!(
+                "server {own_id} runs {request_id}: {}",
+                request.first_line
+            ));
+            own_runs
+                .lock()
+                .expect("no holder panics")
+                .push(request_id.clone());
             thread::sleep(Duration::from_millis(20));
             let body = format!("{own_id}:{request_id}");
             format!(
--- a/review/stand-ins-3/small_group.rs
+++ b/review/stand-ins-3/platform/small_group.rs
@@ -37,7 +37,13 @@
     record.add(&format!("disruption: {has_trouble}"));
     let mut cluster = Cluster::new(record.clone(), CONTROLS, ENTRIES)?;
     let address = cluster.server_address(0);
-    let servers = [Server::start("i-0", "s-1", ZONES[0].0, address, record.clone())?];
+    let servers = [Server::start(
+        "i-0",
+        "s-1",
+        ZONES[0].0,
+        address,
+        record.clone(),
+    )?];
     cluster.serve_list(&servers)?;
     for index in 0..cluster.machines.len() {
         cluster.start(index, true)?;
@@ -47,7 +53,10 @@
     let mut version = 8;
     loop {
         let members = Members::read(&cluster)?;
-        record.add(&format!("leader {}, observer {:?}", members.leader, members.observer));
+        record.add(&format!(
+            "leader {}, observer {:?}",
+            members.leader, members.observer
+        ));
         let Some(observer) = members.observer else {
             return Err("there is no observer".to_owned());
         };
@@ -92,7 +101,9 @@
     for index in 0..CONTROLS {
         cluster.record_log(index, 3);
     }
-    record.add(&format!("result: acknowledged configuration read back: {is_read_back}"));
+    record.add(&format!(
+        "result: acknowledged configuration read back: {is_read_back}"
+    ));
     Ok(is_read_back)
 }
 
@@ -109,22 +120,34 @@
         let mut lines: Vec<(String, usize, String)> = Vec::new();
         for index in 0..CONTROLS {
             for line in cluster.log_lines(index) {
-                let Some(at) = field(&line, "\"ts\":\"", "\"") else { continue };
+                let Some(at) = field(&line, "\"ts\":\"", "\"") else {
+                    continue;
+                };
                 lines.push((at, index, line));
             }
         }
         lines.sort();
-        let mut members = Self { leader: 0, observer: None, retired: 0, promoted: 0 };
+        let mut members = Self {
+            leader: 0,
+            observer: None,
+            retired: 0,
+            promoted: 0,
+        };
         let mut candidates: Vec<(String, usize)> = Vec::new();
         for (_, index, line) in &lines {
             if line.contains("\"msg\":\"leads\"") {
                 members.leader = *index;
             }
-            let Some(change) = field(line, "\"change\":\"", "}") else { continue };
+            let Some(change) = field(line, "\"change\":\"", "}") else {
+                continue;
+            };
             let identity = field(line, "ReplicaIdentity(", ")").unwrap_or_default();
             if change.starts_with("AddObserver") {
                 let name = field(line, "instance: \\\"", ":").unwrap_or_default();
-                let machine = cluster.machines.iter().position(|machine| machine.ip == name);
+                let machine = cluster
+                    .machines
+                    .iter()
+                    .position(|machine| machine.ip == name);
                 candidates.push((identity, machine.ok_or("an unknown machine")?));
             } else if change.starts_with("PromoteObserver") {
                 members.promoted += 1;
